Cover every fault at every step of a job's life

A deterministic event loop in the stand-in crate drives the real entry and agent decisions over a modelled network and clock.

--- a/crates/lagoonhill/src/settings.rs
+++ b/crates/lagoonhill/src/settings.rs
@@ -85,11 +85,9 @@
         address
     }
 
-    fn optional_address(&mut self, flag: &str, text: Option<&str>) -> Option<Option<SocketAddr>> {
-        match text {
-            Some(text) => self.address(flag, text).map(Some),
-            None => Some(None),
-        }
+    /// Absent is fine; unreadable is a mistake, which `finish` reports.
+    fn optional_address(&mut self, flag: &str, text: Option<&str>) -> Option<SocketAddr> {
+        text.and_then(|text| self.address(flag, text))
     }
 
     fn required<T: FromStr<Err: Display>>(&mut self, flag: &str, text: Option<&str>) -> Option<T> {
@@ -143,12 +141,12 @@
         let mistake = "--platform: missing; give the store's address, or --balancer to learn the rules from other entries";
         check.mistakes.push(mistake.to_owned());
     }
-    let build = || {
+    let assemble = || {
         let settings = EntrySettings {
             http: http?,
             inbox: inbox?,
-            platform: platform?,
-            balancer: balancer?,
+            platform,
+            balancer,
             drain_delay_ms: drain_delay_ms?,
             drain_limit_ms: drain_limit_ms?,
             max_body_bytes: max_body_bytes?,
@@ -157,8 +155,8 @@
         };
         Some((settings, log?))
     };
-    let built = build();
-    check.finish(built)
+    let settings = assemble();
+    check.finish(settings)
 }
 
 /// Checks the settings of an agent.
@@ -180,17 +178,17 @@
             "--platform: missing; give the store's address, or --balancer, to find entries";
         check.mistakes.push(mistake.to_owned());
     }
-    let build = || {
+    let assemble = || {
         let mut settings = AgentSettings::new(worker?, zone?);
         settings.http = http?;
         settings.inbox = inbox?;
-        settings.platform = platform?;
-        settings.balancer = balancer?;
+        settings.platform = platform;
+        settings.balancer = balancer;
         settings.drain_limit_ms = drain_limit_ms?;
         Some((settings, log?))
     };
-    let built = build();
-    check.finish(built)
+    let settings = assemble();
+    check.finish(settings)
 }
 
 /// Reads one address given to an operator's command.
--- a/crates/lagoonhill_core/src/agent/machine.rs
+++ b/crates/lagoonhill_core/src/agent/machine.rs
@@ -155,7 +155,7 @@
     /// Takes a packet from a link.
     pub fn receive(&mut self, packet: Packet, now: TimestampMs) {
         match packet {
-            Packet::Welcome(welcome) => self.on_welcome(welcome, now),
+            Packet::Welcome(welcome) => self.on_welcome(&welcome, now),
             Packet::Frame(frame) => self.on_frame(frame, now),
             Packet::Reset(reset) => self.on_reset(reset, now),
             Packet::Entries(entries) => self.add_entries(&entries, now),
@@ -299,7 +299,7 @@
         }
     }
 
-    fn on_welcome(&mut self, welcome: Welcome, now: TimestampMs) {
+    fn on_welcome(&mut self, welcome: &Welcome, now: TimestampMs) {
         let id = welcome.session;
         if id.agent != self.config.incarnation {
             return;
@@ -452,13 +452,11 @@
             start,
             phase: TaskPhase::Waiting,
         };
-        match refusal {
-            Some(reason) => self.report(&task, DurationMs::ZERO, TaskResult::NotRun(reason)),
-            None => {
-                let key = self.tasks.insert(task);
-                self.waiting.push_back(key);
-            }
+        if let Some(reason) = refusal {
+            return self.report(&task, DurationMs::ZERO, TaskResult::NotRun(reason));
         }
+        let key = self.tasks.insert(task);
+        self.waiting.push_back(key);
     }
 
     fn refuse_start(&self, key: EntryKey, start: &Start, now: TimestampMs) -> Option<NotRunReason> {
--- a/crates/lagoonhill_core/src/entry/machine.rs
+++ b/crates/lagoonhill_core/src/entry/machine.rs
@@ -166,6 +166,11 @@
         self.entries.iter()
     }
 
+    /// The jobs without an answer.
+    pub fn jobs(&self) -> Vec<JobId> {
+        self.by_job.keys().copied().collect()
+    }
+
     /// Whether every accepted job has its answer.
     pub fn is_idle(&self) -> bool {
         self.jobs.is_empty()
@@ -369,7 +374,7 @@
             return;
         };
         match binding {
-            KeyBinding::Mine => self.admit_bound(key, callers, *submission, now),
+            KeyBinding::Mine => self.admit_bound(&key, callers, *submission, now),
             KeyBinding::Other(owner) => {
                 let forward = |caller| EntryEffect::Forward { caller, owner };
                 self.effects.extend(callers.into_iter().map(forward));
@@ -386,7 +391,7 @@
 
     fn admit_bound(
         &mut self,
-        key: RecordKey,
+        key: &RecordKey,
         callers: Vec<CallerId>,
         submission: Submission,
         now: TimestampMs,
@@ -399,7 +404,7 @@
         let again = submission.clone();
         self.admit(first, submission, number, Some(key.clone()), now);
         for caller in callers {
-            if !self.replay(&key, caller, &again) {
+            if !self.replay(key, caller, &again) {
                 let failure =
                     JobFailure::refused_for_now(Cause::StoreUnavailable, DEFAULT_RETRY_MS);
                 self.refuse(caller, failure, now);
--- a/crates/lagoonhill_core/src/entry/records.rs
+++ b/crates/lagoonhill_core/src/entry/records.rs
@@ -15,7 +15,7 @@
 }
 
 /// What the platform said about a key.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum KeyBinding {
     /// It is bound to this entry.
     Mine,
--- /dev/null
+++ b/crates/lagoonhill_core/tests/support/mod.rs
@@ -0,0 +1,180 @@
+//! What the tests of the decisions share: worlds, jobs and the judge.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::collections::HashMap;
+
+use lagoonhill_core::Timing;
+use lagoonhill_core::entry::{CallerId, LeastExpectedFinish, Needs, RunCertainty, Submission};
+use lagoonhill_rules::{RuleSet, parse_rules};
+use lagoonhill_standin::{Network, TargetModel, World, WorldConfig, result_of};
+use lagoonhill_types::prelude::*;
+
+pub type TestWorld = World<LeastExpectedFinish>;
+
+/// Longest life of a job in these tests.
+pub const DEADLINE_MS: u64 = 20_000;
+
+const RULES: &str = "\
+service dispatch deadline=20s run-time=200ms run-limit=10s  # tests
+team parents class=rush  # tests
+team offices class=office  # tests
+";
+
+pub fn rules() -> RuleSet {
+    RuleSet::new(
+        Revision(1),
+        parse_rules(RULES).expect("the test rules are valid"),
+    )
+}
+
+pub fn service() -> ServiceName {
+    "dispatch".parse().expect("the name is valid")
+}
+
+pub fn average_target() -> TargetModel {
+    TargetModel {
+        slowness_permille: 1_000,
+        fails_all: false,
+    }
+}
+
+pub fn config(entries: usize, workers: usize, seed: u64) -> WorldConfig {
+    WorldConfig {
+        entries,
+        targets: vec![average_target(); workers],
+        slots: 2,
+        service: service(),
+        rules: rules(),
+        network: Network {
+            delay_ms: 1,
+            jitter_ms: 1,
+            loss_permille: 0,
+            repeat_permille: 0,
+        },
+        look_ahead: 1,
+        timing: Timing::default(),
+        seed,
+    }
+}
+
+/// A world whose agents have all joined.
+pub fn world(config: &WorldConfig) -> TestWorld {
+    let mut world = World::new(config, |_| LeastExpectedFinish);
+    world.run_for(500);
+    world
+}
+
+/// A job whose payloads are marked, so that the judge can tell them apart.
+pub fn job(mark: &str, tasks: usize, run_ms: u64) -> Submission {
+    let payload = |index| Payload::from(format!("{run_ms} {mark} {index}").into_bytes());
+    Submission {
+        service: service(),
+        team: "parents".parse().expect("the name is valid"),
+        deadline_ms: Some(DurationMs(DEADLINE_MS)),
+        run_time_ms: None,
+        needs: Needs::default(),
+        tasks: (0..tasks).map(payload).collect(),
+    }
+}
+
+/// Submitted jobs, to be judged at the end of a run.
+#[derive(Debug, Default)]
+pub struct Judge {
+    submitted: Vec<(CallerId, Submission)>,
+    /// Callers whose entry was killed may stay without an answer.
+    excused: Vec<CallerId>,
+}
+
+impl Judge {
+    pub fn watch(&mut self, caller: CallerId, submission: &Submission) -> CallerId {
+        self.submitted.push((caller, submission.clone()));
+        caller
+    }
+
+    pub fn excuse(&mut self, caller: CallerId) {
+        self.excused.push(caller);
+    }
+
+    /// Every promise, as one list of what was broken.
+    pub fn broken(&self, world: &TestWorld) -> Vec<String> {
+        let mut broken = Vec::new();
+        for (payload, count) in &world.starts {
+            if *count > 1 {
+                broken.push(format!("{} started {count} times", text(payload)));
+            }
+        }
+        let mut ran_elsewhere: HashMap<&Payload, bool> = HashMap::new();
+        for (caller, submission) in &self.submitted {
+            let not_run = self.judge_answer(world, *caller, submission, &mut broken);
+            for payload in &submission.tasks {
+                let elsewhere = ran_elsewhere.entry(payload).or_default();
+                *elsewhere |= !not_run;
+            }
+        }
+        for (payload, elsewhere) in ran_elsewhere {
+            if !elsewhere && world.starts.contains_key(payload) {
+                broken.push(format!("{} was refused as not run, but ran", text(payload)));
+            }
+        }
+        broken
+    }
+
+    /// Judges one caller's answer; returns whether it said "not run".
+    fn judge_answer(
+        &self,
+        world: &TestWorld,
+        caller: CallerId,
+        submission: &Submission,
+        broken: &mut Vec<String>,
+    ) -> bool {
+        let answers = world.received.get(&caller).map_or(&[][..], Vec::as_slice);
+        let answer = match answers {
+            [answer] => answer,
+            [] if self.excused.contains(&caller) => return false,
+            [] => {
+                broken.push(format!("{caller:?} has no answer"));
+                return false;
+            }
+            _ => {
+                broken.push(format!("{caller:?} has {} answers", answers.len()));
+                return false;
+            }
+        };
+        match &answer.answer.outcome {
+            Ok(results) => {
+                let expected: Vec<Payload> = submission.tasks.iter().map(result_of).collect();
+                if results[..] != expected[..] {
+                    broken.push(format!("{caller:?} got another or a partial answer"));
+                }
+                false
+            }
+            Err(failure) => failure.run == RunCertainty::NotRun,
+        }
+    }
+
+    pub fn assert_kept(&self, world: &TestWorld) {
+        let broken = self.broken(world);
+        assert!(broken.is_empty(), "{broken:#?}");
+    }
+}
+
+fn text(payload: &Payload) -> String {
+    String::from_utf8_lossy(payload.as_slice()).into_owned()
+}
+
+/// Whether a caller got every result.
+pub fn is_complete(world: &TestWorld, caller: CallerId) -> bool {
+    world
+        .received
+        .get(&caller)
+        .and_then(|answers| answers.first())
+        .is_some_and(|received| received.answer.outcome.is_ok())
+}
+
+/// What a failed caller was told.
+pub fn failure(world: &TestWorld, caller: CallerId) -> Option<(RunCertainty, String)> {
+    let received = world.received.get(&caller)?.first()?;
+    let failure = received.answer.outcome.as_ref().err()?;
+    Some((failure.run, failure.cause.to_string()))
+}
--- a/crates/lagoonhill_entry/src/peers.rs
+++ b/crates/lagoonhill_entry/src/peers.rs
@@ -164,9 +164,9 @@
     };
     for entry in &answer.entries {
         if entry.http == address {
-            peers.heard(*entry)
+            peers.heard(*entry);
         } else {
-            peers.named(*entry)
+            peers.named(*entry);
         }
     }
     if let Some(rules) = answer.rules.and_then(|document| document.to_rules()) {
--- a/crates/lagoonhill_link/src/inbox.rs
+++ b/crates/lagoonhill_link/src/inbox.rs
@@ -47,7 +47,7 @@
         let (socket, bound) = listen().map_err(|source| InboxError::Listen { address, source })?;
         Ok(Self {
             socket,
-            address: bound_address(address, bound),
+            address: bound_address(address, &bound),
         })
     }
 
@@ -101,7 +101,7 @@
 }
 
 /// The library reports the bound port in network byte order.
-fn bound_address(asked: SocketAddr, bound: nng::SocketAddr) -> SocketAddr {
+fn bound_address(asked: SocketAddr, bound: &nng::SocketAddr) -> SocketAddr {
     let port = match bound {
         nng::SocketAddr::Inet(address) => u16::from_be(address.port()),
         nng::SocketAddr::Inet6(address) => u16::from_be(address.port()),
--- a/crates/lagoonhill_link/src/nng_link.rs
+++ b/crates/lagoonhill_link/src/nng_link.rs
@@ -1,4 +1,5 @@
 use std::collections::HashMap;
+use std::collections::hash_map::Entry;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -28,20 +29,18 @@
     }
 
     fn socket(&mut self, to: SocketAddr) -> Option<&Socket> {
-        if !self.sockets.contains_key(&to) {
-            match dial(to) {
-                Ok(socket) => {
-                    self.sockets.insert(to, socket);
-                }
+        match self.sockets.entry(to) {
+            Entry::Occupied(entry) => Some(entry.into_mut()),
+            Entry::Vacant(entry) => match dial(to) {
+                Ok(socket) => Some(entry.insert(socket)),
                 Err(error) => {
                     warn!(
                         "could not open a socket to {to}: {error}; check the limit on open files"
                     );
-                    return None;
+                    None
                 }
-            }
+            },
         }
-        self.sockets.get(&to)
     }
 }
 
--- a/crates/lagoonhill_rules/src/parse.rs
+++ b/crates/lagoonhill_rules/src/parse.rs
@@ -22,20 +22,19 @@
             continue;
         }
         match parse_line(raw, number) {
-            Ok(line) => match first_lines.get(&line.key) {
-                Some(&first_line) => errors.push(RuleError {
-                    line: number,
-                    column: 1,
-                    problem: Problem::RepeatedLine {
-                        key: line.key.to_string(),
-                        first_line,
-                    },
-                }),
-                None => {
-                    first_lines.insert(line.key.clone(), number);
+            Ok(line) => {
+                let first_line = *first_lines.entry(line.key.clone()).or_insert(number);
+                if first_line == number {
                     lines.push(line);
+                    continue;
                 }
-            },
+                let key = line.key.to_string();
+                errors.push(RuleError {
+                    line: number,
+                    column: 1,
+                    problem: Problem::RepeatedLine { key, first_line },
+                });
+            }
             Err(error) => errors.push(error),
         }
     }
--- a/crates/lagoonhill_rules/src/set.rs
+++ b/crates/lagoonhill_rules/src/set.rs
@@ -53,7 +53,11 @@
 
     /// The whole file as text.
     pub fn to_text(&self) -> String {
-        self.lines().map(|line| format!("{line}\n")).collect()
+        self.lines().fold(String::new(), |mut text, line| {
+            text.push_str(&line.to_string());
+            text.push('\n');
+            text
+        })
     }
 
     /// What changed since `earlier`.
--- a/crates/lagoonhill_standin/src/platform.rs
+++ b/crates/lagoonhill_standin/src/platform.rs
@@ -147,7 +147,7 @@
 }
 
 impl State {
-    fn publish(&mut self, event: Event) {
+    fn publish(&mut self, event: &Event) {
         self.history.push((self.revision, event.clone()));
         let header = Header {
             revision: Int64(self.revision),
@@ -184,7 +184,7 @@
             mod_revision: Int64(modified),
             create_revision: Int64(created),
         };
-        self.publish(Event {
+        self.publish(&Event {
             kind: String::new(),
             kv,
         });
@@ -198,7 +198,7 @@
                 mod_revision: Int64(self.revision),
                 ..KeyValue::default()
             };
-            self.publish(Event {
+            self.publish(&Event {
                 kind: "DELETE".to_owned(),
                 kv,
             });
--- a/crates/lagoonhill_standin/src/relay.rs
+++ b/crates/lagoonhill_standin/src/relay.rs
@@ -108,10 +108,7 @@
 
 async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, number: u64, shared: &Shared) {
     let mut buffer = vec![0; 64 << 10];
-    loop {
-        let Ok(count) = from.read(&mut buffer).await else {
-            break;
-        };
+    while let Ok(count) = from.read(&mut buffer).await {
         if shared.is_silent(number) {
             // The bytes are lost and nobody is told.
             tokio::time::sleep(Duration::from_secs(600)).await;
--- /dev/null
+++ b/crates/lagoonhill_standin/src/world.rs
@@ -0,0 +1,931 @@
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
+use std::net::SocketAddr;
+
+use lagoonhill_core::Timing;
+use lagoonhill_core::agent::{Agent, AgentConfig, AgentEffect, TaskKey};
+use lagoonhill_core::entry::{
+    Answer, CallerId, Cause, Decision, DecisionKind, Entry, EntryConfig, EntryEffect, JobFailure,
+    KeyBinding, Placement, RunCertainty, Submission,
+};
+use lagoonhill_protocol::{EntryAddress, Message, Packet, Target, TaskResult};
+use lagoonhill_rules::RuleSet;
+use lagoonhill_types::prelude::*;
+
+/// Time between two runs of a node's timers.
+const TICK_MS: u64 = 20;
+
+/// Names a process in a [`World`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum NodeId {
+    /// An entry, by position.
+    Entry(usize),
+    /// An agent, by position.
+    Agent(usize),
+}
+
+/// A point in a job's life at which a fault can be injected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Step {
+    /// The job was admitted.
+    Accepted,
+    /// The job waits while every slot is taken.
+    Queued,
+    /// A start left the entry.
+    Sent,
+    /// A start reached the agent.
+    Received,
+    /// The target was given the task.
+    Started,
+    /// The target finished the task.
+    Finished,
+    /// The caller was answered.
+    Answered,
+    /// The entry acknowledged the outcome.
+    Acknowledged,
+}
+
+/// How the network treats packets.
+#[derive(Clone, Copy, Debug)]
+pub struct Network {
+    /// Shortest one-way time.
+    pub delay_ms: u64,
+    /// Further time, at random; reorders packets.
+    pub jitter_ms: u64,
+    /// Packets lost, in thousandths.
+    pub loss_permille: u32,
+    /// Packets delivered twice, in thousandths.
+    pub repeat_permille: u32,
+}
+
+/// How a target treats tasks.
+#[derive(Clone, Copy, Debug)]
+pub struct TargetModel {
+    /// Run time relative to what the task asks for, in thousandths.
+    pub slowness_permille: u64,
+    /// Fails everything at once.
+    pub fails_all: bool,
+}
+
+/// What a caller got.
+#[derive(Clone, Debug)]
+pub struct Received {
+    /// When.
+    pub at_ms: TimestampMs,
+    /// What.
+    pub answer: Answer,
+}
+
+/// Totals of a run.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Totals {
+    /// Packets sent by anybody.
+    pub packets: u64,
+    /// Starts and outcomes carried, repetitions included.
+    pub task_messages: u64,
+    /// Frames that carried neither a start nor an outcome.
+    pub idle_packets: u64,
+}
+
+#[derive(Debug)]
+enum Event {
+    Tick(NodeId, u64),
+    Deliver {
+        to: SocketAddr,
+        packet: Packet,
+    },
+    RunEnds {
+        agent: usize,
+        life: u64,
+        key: TaskKey,
+        result: TaskResult,
+    },
+    KeyAnswered {
+        entry: usize,
+        life: u64,
+        key: RequestKey,
+        binding: KeyBinding,
+    },
+    Resubmit {
+        entry: usize,
+        caller: CallerId,
+        key: RequestKey,
+        submission: Submission,
+    },
+}
+
+#[derive(Debug)]
+struct Queued {
+    at_ms: TimestampMs,
+    number: u64,
+    event: Event,
+}
+
+impl PartialEq for Queued {
+    fn eq(&self, other: &Self) -> bool {
+        self.number == other.number
+    }
+}
+
+impl Eq for Queued {}
+
+impl PartialOrd for Queued {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Queued {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at_ms, self.number).cmp(&(other.at_ms, other.number))
+    }
+}
+
+/// One process. `life` tells a restarted process from its predecessor.
+#[derive(Debug)]
+struct Node<T> {
+    machine: Option<T>,
+    life: u64,
+    skew_ms: u64,
+    frozen_until_ms: TimestampMs,
+}
+
+impl<T> Node<T> {
+    fn new(machine: T, skew_ms: u64) -> Self {
+        Self {
+            machine: Some(machine),
+            life: 0,
+            skew_ms,
+            frozen_until_ms: TimestampMs(0),
+        }
+    }
+}
+
+/// Entries, agents and targets under one deterministic event loop.
+///
+/// The decisions are the real ones; only the clock, the connections, the
+/// targets and the platform's key bindings are modelled. Fixed by its seed.
+#[derive(Debug)]
+pub struct World<P> {
+    now: TimestampMs,
+    next_number: u64,
+    queue: BinaryHeap<Reverse<Queued>>,
+    random: fastrand::Rng,
+    /// How packets travel.
+    pub network: Network,
+    entries: Vec<Node<Entry<P>>>,
+    agents: Vec<Node<Agent>>,
+    targets: Vec<(Target, TargetModel)>,
+    addresses: HashMap<SocketAddr, NodeId>,
+    entry_addresses: Vec<EntryAddress>,
+    /// Connections by direction: how often dialed, and which are silent.
+    dialed: HashMap<(NodeId, SocketAddr), u32>,
+    silent: HashSet<(NodeId, SocketAddr, u32)>,
+    cut: HashSet<(NodeId, NodeId)>,
+    bindings: BTreeMap<RequestKey, usize>,
+    /// The platform answers nothing.
+    pub platform_down: bool,
+    /// The platform carries out the next binding but does not answer.
+    pub platform_loses_answer: bool,
+    callers: HashMap<CallerId, usize>,
+    pending_keys: HashMap<CallerId, (RequestKey, Submission)>,
+    next_caller: u64,
+    steps: HashMap<Step, TimestampMs>,
+    /// Starts seen by any target, by the task's payload.
+    pub starts: HashMap<Payload, u32>,
+    /// Starts at each agent's target.
+    pub starts_at: Vec<u32>,
+    /// What callers got.
+    pub received: HashMap<CallerId, Vec<Received>>,
+    /// Every decision, if kept.
+    pub decisions: Vec<Decision>,
+    /// Whether to keep decisions.
+    pub keep_decisions: bool,
+    /// Totals so far.
+    pub totals: Totals,
+}
+
+/// How to make a world.
+#[derive(Clone, Debug)]
+pub struct WorldConfig {
+    /// Entries.
+    pub entries: usize,
+    /// Workers' targets, one each.
+    pub targets: Vec<TargetModel>,
+    /// Slots of each.
+    pub slots: u16,
+    /// The service that all of them run.
+    pub service: ServiceName,
+    /// The rules in force from the start.
+    pub rules: RuleSet,
+    /// How packets travel.
+    pub network: Network,
+    /// Tasks given to an agent beyond its slots.
+    pub look_ahead: u16,
+    /// Session limits.
+    pub timing: Timing,
+    /// Fixes the run.
+    pub seed: u64,
+}
+
+fn entry_inbox(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], 1_000 + u16::try_from(index).unwrap_or(0)))
+}
+
+fn agent_inbox(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 1, 1], 1_000 + u16::try_from(index).unwrap_or(0)))
+}
+
+/// What a modelled target answers to a payload.
+pub fn result_of(payload: &Payload) -> Payload {
+    let mut result = b"done:".to_vec();
+    result.extend_from_slice(payload.as_slice());
+    result.into()
+}
+
+/// A payload asks for its run time in its first word.
+fn asked_run_ms(payload: &Payload) -> u64 {
+    let text = std::str::from_utf8(payload.as_slice()).unwrap_or_default();
+    text.split(' ')
+        .next()
+        .and_then(|word| word.parse().ok())
+        .unwrap_or(100)
+}
+
+impl<P: Placement> World<P> {
+    /// Starts every process at once; `placement` makes each entry's policy.
+    pub fn new(config: &WorldConfig, mut placement: impl FnMut(usize) -> P) -> Self {
+        let mut world = Self {
+            now: TimestampMs(1_000_000),
+            next_number: 0,
+            queue: BinaryHeap::new(),
+            random: fastrand::Rng::with_seed(config.seed),
+            network: config.network,
+            entries: Vec::new(),
+            agents: Vec::new(),
+            targets: Vec::new(),
+            addresses: HashMap::new(),
+            entry_addresses: Vec::new(),
+            dialed: HashMap::new(),
+            silent: HashSet::new(),
+            cut: HashSet::new(),
+            bindings: BTreeMap::new(),
+            platform_down: false,
+            platform_loses_answer: false,
+            callers: HashMap::new(),
+            pending_keys: HashMap::new(),
+            next_caller: 0,
+            steps: HashMap::new(),
+            starts: HashMap::new(),
+            starts_at: vec![0; config.targets.len()],
+            received: HashMap::new(),
+            decisions: Vec::new(),
+            keep_decisions: false,
+            totals: Totals::default(),
+        };
+        for index in 0..config.entries {
+            world.add_entry(index, config, placement(index));
+        }
+        for (index, model) in config.targets.iter().enumerate() {
+            world.add_agent(index, config, *model);
+        }
+        world
+    }
+
+    fn add_entry(&mut self, index: usize, config: &WorldConfig, placement: P) {
+        let inbox = entry_inbox(index);
+        let incarnation = Incarnation(100 + index as u64);
+        let address = EntryAddress {
+            incarnation,
+            inbox,
+            http: inbox,
+        };
+        let skew_ms = self.random.u64(0..50_000);
+        let machine = self.entry_machine(address, config, placement, skew_ms);
+        self.entry_addresses.push(address);
+        self.addresses.insert(inbox, NodeId::Entry(index));
+        self.entries.push(Node::new(machine, skew_ms));
+        self.schedule(0, Event::Tick(NodeId::Entry(index), 0));
+        self.share_entries();
+    }
+
+    fn entry_machine(
+        &self,
+        address: EntryAddress,
+        config: &WorldConfig,
+        placement: P,
+        skew_ms: u64,
+    ) -> Entry<P> {
+        let mut settings = EntryConfig::new(address);
+        settings.look_ahead = config.look_ahead;
+        settings.timing = config.timing;
+        let now = self.now + DurationMs(skew_ms);
+        let mut machine = Entry::new(settings, placement, now);
+        machine.install_rules(config.rules.clone(), now);
+        machine
+    }
+
+    fn add_agent(&mut self, index: usize, config: &WorldConfig, model: TargetModel) {
+        let skew_ms = self.random.u64(0..50_000);
+        let target = Target {
+            service: config.service.clone(),
+            address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            slots: SlotCount(config.slots),
+            connections: 64,
+            processors: 64,
+            memory_bytes: ByteCount(256 << 30),
+            accelerators: 0,
+        };
+        self.targets.push((target, model));
+        self.addresses
+            .insert(agent_inbox(index), NodeId::Agent(index));
+        let machine = self.agent_machine(index, Incarnation(1_000 + index as u64), config, skew_ms);
+        self.agents.push(Node::new(machine, skew_ms));
+        self.schedule(0, Event::Tick(NodeId::Agent(index), 0));
+    }
+
+    fn agent_machine(
+        &self,
+        index: usize,
+        incarnation: Incarnation,
+        config: &WorldConfig,
+        skew_ms: u64,
+    ) -> Agent {
+        let settings = AgentConfig {
+            incarnation,
+            worker: format!("worker-{index}")
+                .parse()
+                .expect("the name is valid"),
+            zone: format!("zone-{}", index % 3)
+                .parse()
+                .expect("the name is valid"),
+            inbox: agent_inbox(index),
+            overcommit: 8,
+            timing: config.timing,
+        };
+        let now = self.now + DurationMs(skew_ms);
+        let mut machine = Agent::new(settings, now);
+        machine.set_target(Some(self.targets[index].0.clone()), now);
+        machine.add_entries(&self.entry_addresses, now);
+        machine
+    }
+
+    fn share_entries(&mut self) {
+        let live: Vec<EntryAddress> = self
+            .entry_addresses
+            .iter()
+            .zip(&self.entries)
+            .filter(|(_, node)| node.machine.is_some())
+            .map(|(address, _)| *address)
+            .collect();
+        for node in &mut self.entries {
+            if let Some(machine) = &mut node.machine {
+                machine.set_entries(live.clone());
+            }
+        }
+    }
+
+    // ----- What a test does -----
+
+    /// The time.
+    pub fn now(&self) -> TimestampMs {
+        self.now
+    }
+
+    /// Submits a job that may be repeated.
+    pub fn submit(&mut self, entry: usize, submission: Submission) -> CallerId {
+        let caller = self.new_caller(entry);
+        self.with_entry(entry, |machine, now| {
+            machine.submit(caller, submission, now)
+        });
+        caller
+    }
+
+    /// Asks an entry for a ticket.
+    pub fn ticket(&mut self, entry: usize) -> Option<Ticket> {
+        let now = self.local(NodeId::Entry(entry));
+        let machine = self.entries[entry].machine.as_mut()?;
+        machine.issue_tickets(1, now).first().copied()
+    }
+
+    /// Submits a job under a ticket, through any entry.
+    pub fn submit_ticket(
+        &mut self,
+        entry: usize,
+        ticket: Ticket,
+        submission: Submission,
+    ) -> CallerId {
+        let caller = self.new_caller(entry);
+        let issuer = self
+            .entry_addresses
+            .iter()
+            .position(|a| a.incarnation == ticket.entry);
+        match issuer.filter(|issuer| self.entries[*issuer].machine.is_some()) {
+            Some(issuer) => {
+                self.callers.insert(caller, issuer);
+                self.with_entry(issuer, |machine, now| {
+                    machine.submit_ticket(caller, ticket, submission, now);
+                });
+            }
+            None => self.owner_gone(caller),
+        }
+        caller
+    }
+
+    /// Submits a job under a caller's own key.
+    pub fn submit_key(
+        &mut self,
+        entry: usize,
+        key: &RequestKey,
+        submission: Submission,
+    ) -> CallerId {
+        let caller = self.new_caller(entry);
+        let (key, again) = (key.clone(), submission.clone());
+        self.pending_keys.insert(caller, (key.clone(), again));
+        self.with_entry(entry, |machine, now| {
+            machine.submit_key(caller, key, false, submission, now);
+        });
+        caller
+    }
+
+    fn new_caller(&mut self, entry: usize) -> CallerId {
+        self.next_caller += 1;
+        let caller = CallerId(self.next_caller);
+        self.callers.insert(caller, entry);
+        caller
+    }
+
+    /// A caller hangs up.
+    pub fn abandon(&mut self, caller: CallerId) {
+        if let Some(&entry) = self.callers.get(&caller) {
+            self.with_entry(entry, |machine, now| machine.abandon(caller, now));
+        }
+    }
+
+    /// Looks at an entry, if it runs.
+    pub fn entry(&self, index: usize) -> Option<&Entry<P>> {
+        self.entries[index].machine.as_ref()
+    }
+
+    /// Looks at an agent, if it runs.
+    pub fn agent(&self, index: usize) -> Option<&Agent> {
+        self.agents[index].machine.as_ref()
+    }
+
+    /// Acts on an entry, if it runs.
+    pub fn with_entry(&mut self, index: usize, act: impl FnOnce(&mut Entry<P>, TimestampMs)) {
+        let now = self.local(NodeId::Entry(index));
+        if let Some(machine) = &mut self.entries[index].machine {
+            act(machine, now);
+        }
+        self.flush_entry(index);
+    }
+
+    /// Acts on an agent, if it runs.
+    pub fn with_agent(&mut self, index: usize, act: impl FnOnce(&mut Agent, TimestampMs)) {
+        let now = self.local(NodeId::Agent(index));
+        if let Some(machine) = &mut self.agents[index].machine {
+            act(machine, now);
+        }
+        self.flush_agent(index);
+    }
+
+    /// Kills a process.
+    pub fn kill(&mut self, node: NodeId) {
+        match node {
+            NodeId::Entry(index) => {
+                self.entries[index].machine = None;
+                self.entries[index].life += 1;
+                self.share_entries();
+            }
+            NodeId::Agent(index) => {
+                self.agents[index].machine = None;
+                self.agents[index].life += 1;
+            }
+        }
+    }
+
+    /// Starts an agent anew beside its target.
+    pub fn restart_agent(&mut self, index: usize, config: &WorldConfig) {
+        self.kill(NodeId::Agent(index));
+        let node = &self.agents[index];
+        let (life, skew_ms) = (node.life, node.skew_ms);
+        let incarnation = Incarnation(1_000 + index as u64 + life * 10_000);
+        let machine = self.agent_machine(index, incarnation, config, skew_ms);
+        self.agents[index].machine = Some(machine);
+        self.schedule(0, Event::Tick(NodeId::Agent(index), life));
+    }
+
+    /// Stops a process for a while; what reaches it waits.
+    pub fn freeze(&mut self, node: NodeId, length_ms: u64) {
+        let until_ms = self.now + DurationMs(length_ms);
+        match node {
+            NodeId::Entry(index) => self.entries[index].frozen_until_ms = until_ms,
+            NodeId::Agent(index) => self.agents[index].frozen_until_ms = until_ms,
+        }
+    }
+
+    /// Loses every packet between two processes, on any connection.
+    pub fn cut(&mut self, left: NodeId, right: NodeId) {
+        self.cut.insert((left, right));
+        self.cut.insert((right, left));
+    }
+
+    /// Ends a cut.
+    pub fn heal(&mut self, left: NodeId, right: NodeId) {
+        self.cut.remove(&(left, right));
+        self.cut.remove(&(right, left));
+    }
+
+    /// Makes the present connection from one process to another silent for
+    /// good; a new one works.
+    pub fn silence(&mut self, from: NodeId, to: NodeId) {
+        let address = match to {
+            NodeId::Entry(index) => entry_inbox(index),
+            NodeId::Agent(index) => agent_inbox(index),
+        };
+        let number = self.dialed.get(&(from, address)).copied().unwrap_or(0);
+        self.silent.insert((from, address, number));
+    }
+
+    /// Changes how a target treats tasks from now on.
+    pub fn set_target(&mut self, index: usize, model: TargetModel) {
+        self.targets[index].1 = model;
+    }
+
+    /// When a step was first reached, if it was.
+    pub fn reached(&self, step: Step) -> Option<TimestampMs> {
+        self.steps.get(&step).copied()
+    }
+
+    fn note(&mut self, step: Step) {
+        self.steps.entry(step).or_insert(self.now);
+    }
+
+    /// Runs until a step is first reached or the time is up.
+    pub fn run_until_step(&mut self, step: Step, limit_ms: u64) -> bool {
+        let until_ms = self.now + DurationMs(limit_ms);
+        while self.reached(step).is_none() {
+            if !self.run_one(until_ms) {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Runs for a while.
+    pub fn run_for(&mut self, length_ms: u64) {
+        let until_ms = self.now + DurationMs(length_ms);
+        while self.run_one(until_ms) {}
+        self.now = until_ms;
+    }
+
+    // ----- The event loop -----
+
+    fn local(&self, node: NodeId) -> TimestampMs {
+        let skew_ms = match node {
+            NodeId::Entry(index) => self.entries[index].skew_ms,
+            NodeId::Agent(index) => self.agents[index].skew_ms,
+        };
+        self.now + DurationMs(skew_ms)
+    }
+
+    fn schedule(&mut self, delay_ms: u64, event: Event) {
+        self.next_number += 1;
+        let at_ms = self.now + DurationMs(delay_ms);
+        self.queue.push(Reverse(Queued {
+            at_ms,
+            number: self.next_number,
+            event,
+        }));
+    }
+
+    /// Handles the next event, unless it is later than `until_ms`.
+    fn run_one(&mut self, until_ms: TimestampMs) -> bool {
+        let due = self
+            .queue
+            .peek()
+            .is_some_and(|Reverse(next)| next.at_ms <= until_ms);
+        if !due {
+            return false;
+        }
+        let Some(Reverse(next)) = self.queue.pop() else {
+            return false;
+        };
+        self.now = self.now.max(next.at_ms);
+        self.handle(next.event);
+        true
+    }
+
+    fn frozen_until(&self, node: NodeId) -> TimestampMs {
+        match node {
+            NodeId::Entry(index) => self.entries[index].frozen_until_ms,
+            NodeId::Agent(index) => self.agents[index].frozen_until_ms,
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let node = match &event {
+            Event::Tick(node, _) => Some(*node),
+            Event::Deliver { to, .. } => self.addresses.get(to).copied(),
+            Event::KeyAnswered { entry, .. } | Event::Resubmit { entry, .. } => {
+                Some(NodeId::Entry(*entry))
+            }
+            Event::RunEnds { agent, .. } => Some(NodeId::Agent(*agent)),
+        };
+        let Some(node) = node else {
+            return;
+        };
+        let frozen_until_ms = self.frozen_until(node);
+        if frozen_until_ms > self.now {
+            let wait_ms = frozen_until_ms.since(self.now).0;
+            return self.schedule(wait_ms, event);
+        }
+        match event {
+            Event::Tick(node, life) => self.on_tick(node, life),
+            Event::Deliver { packet, .. } => self.on_deliver(node, packet),
+            Event::RunEnds {
+                agent,
+                life,
+                key,
+                result,
+            } => {
+                if self.agents[agent].life == life {
+                    self.note(Step::Finished);
+                    self.with_agent(agent, |machine, now| machine.finished(key, result, now));
+                }
+            }
+            Event::KeyAnswered {
+                entry,
+                life,
+                key,
+                binding,
+            } => {
+                if self.entries[entry].life == life {
+                    self.with_entry(entry, |machine, now| machine.key_bound(key, binding, now));
+                }
+            }
+            Event::Resubmit {
+                entry,
+                caller,
+                key,
+                submission,
+            } => {
+                self.callers.insert(caller, entry);
+                self.with_entry(entry, |machine, now| {
+                    machine.submit_key(caller, key, true, submission, now);
+                });
+            }
+        }
+    }
+
+    fn on_tick(&mut self, node: NodeId, life: u64) {
+        match node {
+            NodeId::Entry(index) if self.entries[index].life == life => {
+                self.with_entry(index, Entry::tick);
+            }
+            NodeId::Agent(index) if self.agents[index].life == life => {
+                self.with_agent(index, Agent::tick);
+            }
+            _ => return,
+        }
+        self.schedule(TICK_MS, Event::Tick(node, life));
+    }
+
+    fn on_deliver(&mut self, node: NodeId, packet: Packet) {
+        match node {
+            NodeId::Entry(index) => {
+                self.with_entry(index, |machine, now| machine.receive(packet, now));
+            }
+            NodeId::Agent(index) => {
+                if carries_start(&packet) {
+                    self.note(Step::Received);
+                }
+                self.with_agent(index, |machine, now| machine.receive(packet, now));
+            }
+        }
+    }
+
+    fn flush_entry(&mut self, index: usize) {
+        let now = self.local(NodeId::Entry(index));
+        let effects = match &mut self.entries[index].machine {
+            Some(machine) => machine.poll_effects(now),
+            None => return,
+        };
+        for effect in effects {
+            self.on_entry_effect(index, effect);
+        }
+    }
+
+    fn on_entry_effect(&mut self, index: usize, effect: EntryEffect) {
+        match effect {
+            EntryEffect::Send { to, packet } => {
+                if carries_start(&packet) {
+                    self.note(Step::Sent);
+                }
+                let answered = self.reached(Step::Answered).is_some();
+                if answered && matches!(&packet, Packet::Frame(frame) if frame.ack.0 > 0) {
+                    self.note(Step::Acknowledged);
+                }
+                self.send(NodeId::Entry(index), to, packet);
+            }
+            EntryEffect::Redial { to } => self.redial(NodeId::Entry(index), to),
+            EntryEffect::Hangup { .. } => {}
+            EntryEffect::Answer { caller, answer } => {
+                self.note(Step::Answered);
+                let received = Received {
+                    at_ms: self.now,
+                    answer,
+                };
+                self.received.entry(caller).or_default().push(received);
+            }
+            EntryEffect::Forward { caller, owner } => self.forward(caller, owner),
+            EntryEffect::BindKey { key } => self.bind(index, key),
+            EntryEffect::Decided(decision) => self.on_decision(decision),
+        }
+    }
+
+    fn on_decision(&mut self, decision: Decision) {
+        if matches!(decision.kind, DecisionKind::Admitted { .. }) {
+            self.note(Step::Accepted);
+        }
+        if self.keep_decisions {
+            self.decisions.push(decision);
+        }
+    }
+
+    fn redial(&mut self, from: NodeId, to: SocketAddr) {
+        *self.dialed.entry((from, to)).or_default() += 1;
+    }
+
+    fn send(&mut self, from: NodeId, to: SocketAddr, packet: Packet) {
+        self.count(&packet);
+        let Some(&node) = self.addresses.get(&to) else {
+            return;
+        };
+        let number = self.dialed.get(&(from, to)).copied().unwrap_or(0);
+        let lost = self.cut.contains(&(from, node))
+            || self.silent.contains(&(from, to, number))
+            || self.random.u32(0..1_000) < self.network.loss_permille;
+        if lost {
+            return;
+        }
+        if self.random.u32(0..1_000) < self.network.repeat_permille {
+            let delay_ms = self.delay();
+            self.schedule(
+                delay_ms,
+                Event::Deliver {
+                    to,
+                    packet: packet.clone(),
+                },
+            );
+        }
+        let delay_ms = self.delay();
+        self.schedule(delay_ms, Event::Deliver { to, packet });
+    }
+
+    fn delay(&mut self) -> u64 {
+        self.network.delay_ms + self.random.u64(0..=self.network.jitter_ms)
+    }
+
+    fn count(&mut self, packet: &Packet) {
+        self.totals.packets += 1;
+        let tasks = match packet {
+            Packet::Frame(frame) => frame.messages.iter().filter(|m| is_task_message(m)).count(),
+            _ => 0,
+        };
+        self.totals.task_messages += tasks as u64;
+        self.totals.idle_packets += u64::from(tasks == 0);
+    }
+
+    fn flush_agent(&mut self, index: usize) {
+        let now = self.local(NodeId::Agent(index));
+        let effects = match &mut self.agents[index].machine {
+            Some(machine) => machine.poll_effects(now),
+            None => return,
+        };
+        for effect in effects {
+            self.on_agent_effect(index, effect);
+        }
+    }
+
+    fn on_agent_effect(&mut self, index: usize, effect: AgentEffect) {
+        match effect {
+            AgentEffect::Send { to, packet } => self.send(NodeId::Agent(index), to, packet),
+            AgentEffect::Redial { to } => self.redial(NodeId::Agent(index), to),
+            AgentEffect::Hangup { .. } | AgentEffect::Drained => {}
+            AgentEffect::Run { key, start, .. } => self.run_task(index, key, &start.payload),
+            AgentEffect::Stop { key } => {
+                let result = TaskResult::MayHaveRun("it was stopped".to_owned());
+                let life = self.agents[index].life;
+                self.schedule(
+                    0,
+                    Event::RunEnds {
+                        agent: index,
+                        life,
+                        key,
+                        result,
+                    },
+                );
+            }
+        }
+    }
+
+    fn run_task(&mut self, agent: usize, key: TaskKey, payload: &Payload) {
+        self.note(Step::Started);
+        *self.starts.entry(payload.clone()).or_default() += 1;
+        self.starts_at[agent] += 1;
+        let life = self.agents[agent].life;
+        let model = self.targets[agent].1;
+        let (run_ms, result) = if model.fails_all {
+            (1, TaskResult::Failed("told to fail".to_owned()))
+        } else {
+            let run_ms = asked_run_ms(payload) * model.slowness_permille / 1_000;
+            (run_ms, TaskResult::Done(result_of(payload)))
+        };
+        self.schedule(
+            run_ms,
+            Event::RunEnds {
+                agent,
+                life,
+                key,
+                result,
+            },
+        );
+    }
+
+    // ----- Keys -----
+
+    fn bind(&mut self, entry: usize, key: RequestKey) {
+        let life = self.entries[entry].life;
+        let binding = if self.platform_down {
+            KeyBinding::Unavailable
+        } else {
+            let owner = *self.bindings.entry(key.clone()).or_insert(entry);
+            if std::mem::take(&mut self.platform_loses_answer) {
+                KeyBinding::Unavailable
+            } else if owner == entry {
+                KeyBinding::Mine
+            } else {
+                KeyBinding::Other(self.entry_addresses[owner])
+            }
+        };
+        self.schedule(
+            5,
+            Event::KeyAnswered {
+                entry,
+                life,
+                key,
+                binding,
+            },
+        );
+    }
+
+    fn forward(&mut self, caller: CallerId, owner: EntryAddress) {
+        let entry = self
+            .entry_addresses
+            .iter()
+            .position(|address| *address == owner);
+        let alive = entry.filter(|entry| self.entries[*entry].machine.is_some());
+        match (alive, self.pending_keys.get(&caller).cloned()) {
+            (Some(entry), Some((key, submission))) => {
+                self.schedule(
+                    2,
+                    Event::Resubmit {
+                        entry,
+                        caller,
+                        key,
+                        submission,
+                    },
+                );
+            }
+            _ => self.owner_gone(caller),
+        }
+    }
+
+    fn owner_gone(&mut self, caller: CallerId) {
+        let failure = JobFailure {
+            run: RunCertainty::MayHaveRun,
+            cause: Cause::OwnerGone,
+            retry_after_ms: None,
+        };
+        let answer = Answer {
+            job: None,
+            outcome: Err(failure),
+        };
+        let received = Received {
+            at_ms: self.now,
+            answer,
+        };
+        self.received.entry(caller).or_default().push(received);
+    }
+}
+
+fn carries_start(packet: &Packet) -> bool {
+    matches!(packet, Packet::Frame(frame)
+        if frame.messages.iter().any(|message| matches!(message, Message::Start(_))))
+}
+
+fn is_task_message(message: &Message) -> bool {
+    matches!(message, Message::Start(_) | Message::Outcome(_))
+}
--- a/crates/lagoonhill_types/src/payload.rs
+++ b/crates/lagoonhill_types/src/payload.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
 
 /// An opaque task input or result. Cloning shares the bytes.
-#[derive(Clone, Default, PartialEq, Eq)]
+#[derive(Clone, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Payload(pub Bytes);
 
 impl Payload {
