--- a/crates/lagoonhill_core/tests/support/mod.rs
+++ b/crates/lagoonhill_core/tests/support/mod.rs
@@ -10,10 +10,10 @@
 use lagoonhill_standin::{Network, TargetModel, World, WorldConfig, result_of};
 use lagoonhill_types::prelude::*;
 
-pub type TestWorld = World<LeastExpectedFinish>;
+pub(crate) type TestWorld = World<LeastExpectedFinish>;
 
 /// Longest life of a job in these tests.
-pub const DEADLINE_MS: u64 = 20_000;
+pub(crate) const DEADLINE_MS: u64 = 20_000;
 
 const RULES: &str = "\
 service dispatch deadline=20s run-time=200ms run-limit=10s  # tests
@@ -21,25 +21,25 @@
 team offices class=office  # tests
 ";
 
-pub fn rules() -> RuleSet {
+pub(crate) fn rules() -> RuleSet {
     RuleSet::new(
         Revision(1),
         parse_rules(RULES).expect("the test rules are valid"),
     )
 }
 
-pub fn service() -> ServiceName {
+pub(crate) fn service() -> ServiceName {
     "dispatch".parse().expect("the name is valid")
 }
 
-pub fn average_target() -> TargetModel {
+pub(crate) fn average_target() -> TargetModel {
     TargetModel {
         slowness_permille: 1_000,
         fails_all: false,
     }
 }
 
-pub fn config(entries: usize, workers: usize, seed: u64) -> WorldConfig {
+pub(crate) fn config(entries: usize, workers: usize, seed: u64) -> WorldConfig {
     WorldConfig {
         entries,
         targets: vec![average_target(); workers],
@@ -59,14 +59,14 @@
 }
 
 /// A world whose agents have all joined.
-pub fn world(config: &WorldConfig) -> TestWorld {
+pub(crate) fn world(config: &WorldConfig) -> TestWorld {
     let mut world = World::new(config, |_| LeastExpectedFinish);
     world.run_for(500);
     world
 }
 
 /// A job whose payloads are marked, so that the judge can tell them apart.
-pub fn job(mark: &str, tasks: usize, run_ms: u64) -> Submission {
+pub(crate) fn job(mark: &str, tasks: usize, run_ms: u64) -> Submission {
     let payload = |index| Payload::from(format!("{run_ms} {mark} {index}").into_bytes());
     Submission {
         service: service(),
@@ -80,24 +80,24 @@
 
 /// Submitted jobs, to be judged at the end of a run.
 #[derive(Debug, Default)]
-pub struct Judge {
+pub(crate) struct Judge {
     submitted: Vec<(CallerId, Submission)>,
     /// Callers whose entry was killed may stay without an answer.
     excused: Vec<CallerId>,
 }
 
 impl Judge {
-    pub fn watch(&mut self, caller: CallerId, submission: &Submission) -> CallerId {
+    pub(crate) fn watch(&mut self, caller: CallerId, submission: &Submission) -> CallerId {
         self.submitted.push((caller, submission.clone()));
         caller
     }
 
-    pub fn excuse(&mut self, caller: CallerId) {
+    pub(crate) fn excuse(&mut self, caller: CallerId) {
         self.excused.push(caller);
     }
 
     /// Every promise, as one list of what was broken.
-    pub fn broken(&self, world: &TestWorld) -> Vec<String> {
+    pub(crate) fn broken(&self, world: &TestWorld) -> Vec<String> {
         let mut broken = Vec::new();
         for (payload, count) in &world.starts {
             if *count > 1 {
@@ -153,7 +153,7 @@
         }
     }
 
-    pub fn assert_kept(&self, world: &TestWorld) {
+    pub(crate) fn assert_kept(&self, world: &TestWorld) {
         let broken = self.broken(world);
         assert!(broken.is_empty(), "{broken:#?}");
     }
@@ -164,7 +164,7 @@
 }
 
 /// Whether a caller got every result.
-pub fn is_complete(world: &TestWorld, caller: CallerId) -> bool {
+pub(crate) fn is_complete(world: &TestWorld, caller: CallerId) -> bool {
     world
         .received
         .get(&caller)
@@ -173,7 +173,7 @@
 }
 
 /// What a failed caller was told.
-pub fn failure(world: &TestWorld, caller: CallerId) -> Option<(RunCertainty, String)> {
+pub(crate) fn failure(world: &TestWorld, caller: CallerId) -> Option<(RunCertainty, String)> {
     let received = world.received.get(&caller)?.first()?;
     let failure = received.answer.outcome.as_ref().err()?;
     Some((failure.run, failure.cause.to_string()))
