--- /dev/null
+++ b/crates/lagoonhill_core/tests/agent.rs
@@ -0,0 +1,156 @@
+//! The agent: slots, leases, withdrawals, leaving.
+
+mod support;
+
+use lagoonhill_core::agent::Agent;
+use lagoonhill_standin::{NodeId, Step};
+use support::{Judge, config, is_complete, job, world};
+
+const ENTRY: NodeId = NodeId::Entry(0);
+const AGENT: NodeId = NodeId::Agent(0);
+
+/// Defines one test for each named case.
+macro_rules! cases {
+    ($($name:ident => $body:block)+) => {
+        $(#[test] fn $name() $body)+
+    };
+}
+
+fn starts(world: &support::TestWorld) -> u32 {
+    world.starts.values().sum()
+}
+
+cases! {
+    never_runs_more_than_its_slots => {
+        let mut config = config(3, 1, 1);
+        config.look_ahead = 4;
+        let mut world = world(&config);
+        (0..3).for_each(|entry| {
+            world.submit(entry, job(&format!("job{entry}"), 6, 100));
+        });
+        for _ in 0..100 {
+            world.run_for(10);
+            let running = world.agent(0).map_or(0, Agent::running);
+            assert!(running <= config.slots, "{running} tasks run on {} slots", config.slots);
+        }
+    }
+
+    frozen_past_the_lease_does_not_start_what_waits_in_its_buffers => {
+        let config = config(1, 1, 2);
+        let mut world = world(&config);
+        let submission = job("stale", 1, 50);
+        let mut judge = Judge::default();
+        let caller = world.submit(0, submission.clone());
+        judge.watch(caller, &submission);
+        assert!(world.run_until_step(Step::Sent, 100));
+        world.freeze(AGENT, 4_500);
+        world.run_for(4_400);
+        assert_eq!(starts(&world), 0);
+        world.run_for(200);
+        let started = world.started_ms.values().next().copied();
+        let refused = started.is_none_or(|at_ms| at_ms > world.now());
+        assert!(refused || starts(&world) == 1, "a stale order was started");
+        world.run_for(10_000);
+        judge.assert_kept(&world);
+    }
+
+    says_not_run_for_an_order_that_its_lease_has_outlived => {
+        let config = config(1, 1, 2);
+        let mut world = world(&config);
+        world.keep_decisions = true;
+        world.submit(0, job("stale", 1, 50));
+        assert!(world.run_until_step(Step::Sent, 100));
+        world.freeze(AGENT, 4_500);
+        world.run_for(6_000);
+        let moved = world.decisions.iter().any(|decision| decision.to_string().contains("lease had expired"));
+        assert!(moved, "the stale order was not refused");
+    }
+
+    frozen_within_the_lease_starts_what_waits => {
+        let mut world = world(&config(1, 1, 3));
+        let caller = world.submit(0, job("late", 1, 50));
+        assert!(world.run_until_step(Step::Sent, 100));
+        world.freeze(AGENT, 1_000);
+        world.run_for(3_000);
+        assert!(is_complete(&world, caller));
+        assert_eq!(starts(&world), 1);
+    }
+
+    cancelled_waiting_tasks_never_start => {
+        let mut config = config(1, 1, 4);
+        config.look_ahead = 4;
+        let mut world = world(&config);
+        let caller = world.submit(0, job("wave", 6, 500));
+        world.run_for(50);
+        assert_eq!(starts(&world), 2);
+        assert_eq!(world.agent(0).map(Agent::held), Some(6));
+        world.abandon(caller);
+        world.run_for(5_000);
+        assert_eq!(starts(&world), 2, "a withdrawn task was started");
+        assert_eq!(world.agent(0).map(Agent::held), Some(0));
+    }
+
+    leaving_refuses_orders_that_are_under_way => {
+        let mut world = world(&config(1, 1, 5));
+        world.cut(AGENT, ENTRY);
+        world.with_agent(0, Agent::leave);
+        world.submit(0, job("under-way", 1, 50));
+        world.run_for(500);
+        assert_eq!(starts(&world), 0, "a leaving agent started new work");
+    }
+
+    leaving_finishes_and_delivers_what_runs => {
+        let mut config = config(1, 1, 6);
+        // A reordered outcome would wait a second for its repetition.
+        config.network.jitter_ms = 0;
+        let mut world = world(&config);
+        let caller = world.submit(0, job("running", 2, 800));
+        world.run_for(50);
+        world.with_agent(0, Agent::leave);
+        world.run_for(1_500);
+        assert!(is_complete(&world, caller));
+    }
+
+    leaving_target_gets_nothing_new_after_two_seconds => {
+        let mut world = world(&config(2, 2, 7));
+        for round in 0..20 {
+            world.submit(round % 2, job(&format!("before{round}"), 2, 100));
+            world.run_for(50);
+        }
+        world.with_agent(0, |agent, now| agent.set_target(None, now));
+        world.run_for(2_000);
+        let before = world.starts_at[0];
+        for round in 0..40 {
+            world.submit(round % 2, job(&format!("after{round}"), 2, 100));
+            world.run_for(100);
+        }
+        assert_eq!(world.starts_at[0], before);
+        assert!(world.starts_at[1] > 40);
+    }
+
+    a_full_agent_hands_orders_back_instead_of_piling_them_up => {
+        let config = config(4, 1, 8);
+        let mut world = world(&config);
+        for entry in 0..4 {
+            world.submit(entry, job(&format!("flood{entry}"), 40, 300));
+        }
+        for _ in 0..50 {
+            world.run_for(20);
+            let held = world.agent(0).map_or(0, Agent::held);
+            assert!(held <= usize::from(config.slots) + 8, "{held} tasks are held");
+        }
+    }
+
+    a_gone_entry_is_forgotten_after_its_good_bye => {
+        let mut world = world(&config(2, 1, 9));
+        world.with_entry(1, |entry, _| {
+            entry.leave();
+            entry.depart();
+        });
+        world.run_for(100);
+        world.kill(NodeId::Entry(1));
+        world.run_for(60_000);
+        let known = world.agent(0).map_or(0, |agent| agent.entries().count());
+        assert_eq!(known, 1);
+    }
+}
--- a/crates/lagoonhill_core/tests/fault_matrix.rs
+++ b/crates/lagoonhill_core/tests/fault_matrix.rs
@@ -141,10 +141,41 @@
         }
     }
 
+    /// Whether the job must be answered in full in spite of the fault: no
+    /// process with a part in it was lost for longer than a session lives.
+    fn must_complete(faults: &[Fault]) -> bool {
+        faults.iter().all(|fault| match fault {
+            Fault::ConnectionCut
+            | Fault::ConnectionSilentBothWays
+            | Fault::ConnectionSilentToAgent
+            | Fault::ConnectionSilentToEntry
+            | Fault::AgentFreezesShortly
+            | Fault::AgentLeaves
+            | Fault::TargetLeaves
+            | Fault::EntryLeaves
+            | Fault::PlatformDown
+            | Fault::PlatformAnswerLost => true,
+            Fault::EntryDies
+            | Fault::AgentDies
+            | Fault::AgentRestarts
+            | Fault::TargetFails
+            | Fault::AgentFreezes
+            | Fault::EntryFreezes
+            | Fault::CallerCancels => false,
+        })
+    }
+
     /// Lets the fault play out, then asks the survivors for more work: the
     /// same request again through another entry, and a fresh one.
     fn finish(mut self, faults: &[Fault]) {
         self.world.run_for(DEADLINE_MS);
+        if Self::must_complete(faults) {
+            let waiting = self
+                .callers
+                .iter()
+                .find(|caller| !is_complete(&self.world, **caller));
+            assert_eq!(waiting, None, "a job was lost to {faults:?}");
+        }
         let wanted = job("wanted", 3, 300);
         let key = "wanted".parse().expect("the key is valid");
         let again = self.world.submit_key(OTHER_ENTRY, &key, wanted.clone());
--- a/crates/lagoonhill_core/tests/random_faults.rs
+++ b/crates/lagoonhill_core/tests/random_faults.rs
@@ -187,7 +187,10 @@
         config.network.repeat_permille = script.repeat_permille;
         config.network.jitter_ms = script.jitter_ms;
         let world = world(&config);
-        let judge = Judge::default();
+        let judge = Judge {
+            repeated: true,
+            ..Judge::default()
+        };
         Self {
             world,
             config,
--- /dev/null
+++ b/crates/lagoonhill_core/tests/session.rs
@@ -0,0 +1,168 @@
+//! The session: numbers, acknowledgements, silence, ages.
+
+use std::net::SocketAddr;
+
+use lagoonhill_core::{FrameHeader, Session, Timing, Verdict};
+use lagoonhill_protocol::{Frame, Load, Message, SessionId};
+use lagoonhill_types::prelude::*;
+
+const START: TimestampMs = TimestampMs(1_000_000);
+const HEARTBEAT: DurationMs = DurationMs(2_000);
+
+fn session() -> Session {
+    let id = SessionId {
+        entry: Incarnation(1),
+        agent: Incarnation(2),
+        number: 1,
+    };
+    Session::new(id, Timing::default(), HEARTBEAT, START)
+}
+
+fn header() -> FrameHeader {
+    FrameHeader {
+        reply_to: SocketAddr::from(([127, 0, 0, 1], 1)),
+        rules_revision: Revision(1),
+        load: Load::default(),
+        sends_heartbeats: false,
+    }
+}
+
+fn message(number: u64) -> Message {
+    Message::CancelJob(JobId {
+        entry: Incarnation(1),
+        number,
+    })
+}
+
+fn frames(session: &mut Session, now: TimestampMs) -> Vec<Frame> {
+    std::iter::from_fn(|| session.poll_frame(header(), now)).collect()
+}
+
+fn after(ms: u64) -> TimestampMs {
+    START + DurationMs(ms)
+}
+
+/// Defines one test for each named case.
+macro_rules! cases {
+    ($($name:ident => $body:block)+) => {
+        $(#[test] fn $name() $body)+
+    };
+}
+
+cases! {
+    delivers_in_order_across_frames => {
+        let (mut left, mut right) = (session(), session());
+        (1..=300).for_each(|number| left.push(message(number)));
+        let sent = frames(&mut left, START);
+        assert!(sent.len() > 1, "300 messages fit into one frame");
+        let received: Vec<Message> =
+            sent.into_iter().flat_map(|frame| right.receive(frame, START)).collect();
+        assert_eq!(received, (1..=300).map(message).collect::<Vec<_>>());
+    }
+
+    drops_a_repeated_frame => {
+        let (mut left, mut right) = (session(), session());
+        left.push(message(1));
+        let frame = frames(&mut left, START).remove(0);
+        assert_eq!(right.receive(frame.clone(), START), [message(1)]);
+        assert_eq!(right.receive(frame, START), []);
+    }
+
+    takes_nothing_past_a_gap => {
+        let (mut left, mut right) = (session(), session());
+        left.push(message(1));
+        let lost = frames(&mut left, START);
+        left.push(message(2));
+        let late = frames(&mut left, START).remove(0);
+        assert_eq!(right.receive(late, START), []);
+        assert_eq!(right.receive(lost[0].clone(), START), [message(1)]);
+    }
+
+    repeats_a_lost_message_within_a_second_and_a_half => {
+        let (mut left, mut right) = (session(), session());
+        left.push(message(1));
+        drop(frames(&mut left, START));
+        let again = frames(&mut left, after(1_500));
+        let received: Vec<Message> =
+            again.into_iter().flat_map(|frame| right.receive(frame, after(1_500))).collect();
+        assert_eq!(received, [message(1)]);
+    }
+
+    stops_repeating_once_acknowledged => {
+        let (mut left, mut right) = (session(), session());
+        left.push(message(1));
+        let sent = frames(&mut left, START).remove(0);
+        right.receive(sent, START);
+        let ack = frames(&mut right, after(200)).remove(0);
+        left.receive(ack, after(200));
+        assert!(left.is_drained());
+        assert_eq!(frames(&mut left, after(1_500)).len(), 0);
+    }
+
+    delays_an_acknowledgement_so_that_it_can_ride_on_data => {
+        let (mut left, mut right) = (session(), session());
+        left.push(message(1));
+        right.receive(frames(&mut left, START).remove(0), START);
+        assert_eq!(frames(&mut right, after(100)).len(), 0);
+        assert_eq!(frames(&mut right, after(200)).len(), 1);
+    }
+
+    ignores_an_acknowledgement_of_what_was_never_sent => {
+        let (mut left, mut right) = (session(), session());
+        left.push(message(1));
+        let mut ack = { right.push(message(9)); frames(&mut right, START).remove(0) };
+        ack.ack = lagoonhill_protocol::Sequence(50);
+        left.receive(ack, START);
+        assert!(!left.is_drained());
+    }
+
+    asks_before_it_dials_and_dials_before_it_gives_up => {
+        let mut left = session();
+        let verdict = |left: &mut Session, ms| left.tick(true, after(ms));
+        assert_eq!(verdict(&mut left, 0), Verdict::Alive);
+        assert_eq!(verdict(&mut left, 1_000), Verdict::Alive);
+        assert!(left.is_silent());
+        assert_eq!(verdict(&mut left, 2_000), Verdict::Redial);
+        assert_eq!(verdict(&mut left, 3_000), Verdict::Redial);
+        assert_eq!(verdict(&mut left, 5_000), Verdict::Failed);
+    }
+
+    answers_a_ping_at_once => {
+        let (mut left, mut right) = (session(), session());
+        left.tick(true, START);
+        left.tick(true, after(1_000));
+        let ping = frames(&mut left, after(1_000)).remove(0);
+        assert_eq!(ping.ping, 1);
+        right.receive(ping, after(1_001));
+        assert_eq!(frames(&mut right, after(1_001)).len(), 1);
+    }
+
+    expects_nothing_of_an_idle_peer => {
+        let mut left = session();
+        assert_eq!(left.tick(false, after(2 * HEARTBEAT.0)), Verdict::Alive);
+        assert!(!left.is_silent());
+    }
+
+    does_not_count_silence_that_it_slept_through => {
+        let mut left = session();
+        left.tick(true, START);
+        left.forgive(after(60_000));
+        assert_eq!(left.tick(true, after(60_000)), Verdict::Alive);
+    }
+
+    judges_age_by_the_fastest_delivery => {
+        let mut left = session();
+        let peer = |ms: u64| TimestampMs(500 + ms);
+        left.heard(peer(0), Revision(1), after(30));
+        left.heard(peer(100), Revision(1), after(110));
+        assert_eq!(left.age(peer(100), after(110)), DurationMs(0));
+        assert_eq!(left.age(peer(100), after(5_110)), DurationMs(5_000));
+    }
+
+    never_shows_a_lower_peer_revision => {
+        let mut left = session();
+        left.heard(TimestampMs(1), Revision(7), START);
+        left.heard(TimestampMs(2), Revision(5), START);
+        assert_eq!(left.peer_revision(), Revision(7));
+    }
+}
--- a/crates/lagoonhill_core/tests/support/mod.rs
+++ b/crates/lagoonhill_core/tests/support/mod.rs
@@ -81,9 +81,12 @@
 /// Submitted jobs, to be judged at the end of a run.
 #[derive(Debug, Default)]
 pub(crate) struct Judge {
-    submitted: Vec<(CallerId, Submission)>,
+    pub(crate) submitted: Vec<(CallerId, Submission)>,
     /// Callers whose entry was killed may stay without an answer.
-    excused: Vec<CallerId>,
+    pub(crate) excused: Vec<CallerId>,
+    /// The same payloads are submitted again on purpose, so that a start after
+    /// a failure may belong to the repetition.
+    pub(crate) repeated: bool,
 }
 
 impl Judge {
@@ -149,7 +152,25 @@
                 }
                 false
             }
-            Err(failure) => failure.run == RunCertainty::NotRun,
+            Err(failure) => {
+                let latest_ms = answer.at_ms + Timing::default().start_lease_ms;
+                let late = |payload: &&Payload| {
+                    world
+                        .started_ms
+                        .get(*payload)
+                        .is_some_and(|at_ms| *at_ms > latest_ms)
+                };
+                if failure.run == RunCertainty::MayHaveRun
+                    && !self.repeated
+                    && let Some(payload) = submission.tasks.iter().find(late)
+                {
+                    broken.push(format!(
+                        "{} started long after its job failed",
+                        text(payload)
+                    ));
+                }
+                failure.run == RunCertainty::NotRun
+            }
         }
     }
 
--- a/crates/lagoonhill_standin/src/world.rs
+++ b/crates/lagoonhill_standin/src/world.rs
@@ -193,6 +193,8 @@
     steps: HashMap<Step, TimestampMs>,
     /// Starts seen by any target, by the task's payload.
     pub starts: HashMap<Payload, u32>,
+    /// When each payload was last started.
+    pub started_ms: HashMap<Payload, TimestampMs>,
     /// Starts at each agent's target.
     pub starts_at: Vec<u32>,
     /// What callers got.
@@ -277,6 +279,7 @@
             next_caller: 0,
             steps: HashMap::new(),
             starts: HashMap::new(),
+            started_ms: HashMap::new(),
             starts_at: vec![0; config.targets.len()],
             received: HashMap::new(),
             decisions: Vec::new(),
@@ -834,6 +837,7 @@
     fn run_task(&mut self, agent: usize, key: TaskKey, payload: &Payload) {
         self.note(Step::Started);
         *self.starts.entry(payload.clone()).or_default() += 1;
+        self.started_ms.insert(payload.clone(), self.now);
         self.starts_at[agent] += 1;
         let life = self.agents[agent].life;
         let model = self.targets[agent].1;
