Tell an entry of the target again when a session opens

Cause: a target that announced itself between its agent's greeting and the welcome was told to no entry: the greeting said none, and no session was open to carry the news. The worker stayed without work for ever. Ruled out: ports, the platform's list, lost welcomes.

Change: the first message of a session repeats the target and whether the agent is leaving. Also: a probe of a quarantined worker no longer depends on the policy's liking (target_that_fails_everything never recovered), and the rest of an oversized body is read so that its sender sees the refusal.

--- a/crates/lagoonhill/src/cli.rs
+++ b/crates/lagoonhill/src/cli.rs
@@ -18,6 +18,9 @@
         display_fallback
     )]
     pub(crate) inbox: String,
+    /// Where others reach the inbox, if not at its own address
+    #[bpaf(env("LAGOONHILL_ADVERTISE"), argument("IP:PORT"), optional)]
+    pub(crate) advertise: Option<String>,
     /// Longest wait for running work at a shutdown
     #[bpaf(
         env("LAGOONHILL_DRAIN_LIMIT"),
--- a/crates/lagoonhill/src/settings.rs
+++ b/crates/lagoonhill/src/settings.rs
@@ -130,6 +130,7 @@
     let log = log_settings(&mut check, common);
     let http = check.address("http", &options.http);
     let inbox = check.address("inbox", &common.inbox);
+    let advertise = check.optional_address("advertise", common.advertise.as_deref());
     let platform = check.optional_address("platform", common.platform.as_deref());
     let balancer = check.optional_address("balancer", common.balancer.as_deref());
     let drain_delay_ms = check.read("drain-delay", &options.drain_delay);
@@ -145,6 +146,7 @@
         let settings = EntrySettings {
             http: http?,
             inbox: inbox?,
+            advertise,
             platform,
             balancer,
             drain_delay_ms: drain_delay_ms?,
@@ -170,6 +172,7 @@
     let zone = check.required("zone", options.zone.as_deref());
     let http = check.address("http", &options.http);
     let inbox = check.address("inbox", &common.inbox);
+    let advertise = check.optional_address("advertise", common.advertise.as_deref());
     let platform = check.optional_address("platform", common.platform.as_deref());
     let balancer = check.optional_address("balancer", common.balancer.as_deref());
     let drain_limit_ms = check.read("drain-limit", &common.drain_limit);
@@ -182,6 +185,7 @@
         let mut settings = AgentSettings::new(worker?, zone?);
         settings.http = http?;
         settings.inbox = inbox?;
+        settings.advertise = advertise;
         settings.platform = platform;
         settings.balancer = balancer;
         settings.drain_limit_ms = drain_limit_ms?;
--- a/crates/lagoonhill_agent/src/daemon.rs
+++ b/crates/lagoonhill_agent/src/daemon.rs
@@ -45,7 +45,7 @@
         let listener = TcpListener::bind(settings.http).await.map_err(listen)?;
         let http = listener.local_addr().map_err(listen)?;
         let inbox = Inbox::open(settings.inbox)?;
-        let inbox_address = inbox.address();
+        let inbox_address = settings.advertise.unwrap_or_else(|| inbox.address());
         let clock = Clock::start();
         let config = AgentConfig {
             incarnation: clock.incarnation(),
--- a/crates/lagoonhill_agent/src/settings.rs
+++ b/crates/lagoonhill_agent/src/settings.rs
@@ -13,6 +13,8 @@
     pub http: SocketAddr,
     /// Where entries send packets.
     pub inbox: SocketAddr,
+    /// Where others reach the inbox, if not at its own address.
+    pub advertise: Option<SocketAddr>,
     /// The platform's store, if there is one.
     pub platform: Option<SocketAddr>,
     /// The platform's balancer, to find entries while the store is down.
@@ -32,6 +34,7 @@
             zone,
             http: any_port,
             inbox: any_port,
+            advertise: None,
             platform: None,
             balancer: None,
             drain_limit_ms: DurationMs::from_secs(60),
--- a/crates/lagoonhill_core/src/agent/machine.rs
+++ b/crates/lagoonhill_core/src/agent/machine.rs
@@ -310,17 +310,37 @@
             link.last_heard_ms = now;
             if link.session_number == id.number {
                 link.unanswered = 0;
+                let is_new = link.session.is_none();
                 let session = link
                     .session
                     .get_or_insert_with(|| Session::new(id, timing, welcome.heartbeat_ms, now));
                 session.set_heartbeat(welcome.heartbeat_ms);
                 session.heard(welcome.sent_ms, welcome.rules_revision, now);
+                if is_new {
+                    self.update_greeting(key);
+                }
                 self.offer_rules(key, now);
             }
         }
         self.add_entries(&welcome.entries, now);
     }
 
+    /// Repeats what the greeting said: the entry took the first of several
+    /// greetings, and the target may have come or gone since.
+    fn update_greeting(&mut self, key: EntryKey) {
+        let Some(session) = self
+            .entries
+            .get_mut(key)
+            .and_then(|link| link.session.as_mut())
+        else {
+            return;
+        };
+        session.push(Message::Target(self.target.clone()));
+        if self.leaving {
+            session.push(Message::Leaving);
+        }
+    }
+
     /// Hands newer rules to an entry that shows an older revision. Entries
     /// usually learn of an edit first, so a recent one is not echoed.
     fn offer_rules(&mut self, key: EntryKey, now: TimestampMs) {
--- a/crates/lagoonhill_core/src/entry/machine.rs
+++ b/crates/lagoonhill_core/src/entry/machine.rs
@@ -868,13 +868,15 @@
                 .collect();
             let open: Vec<Candidate> = fitting.iter().map(|index| candidates[*index]).collect();
             let situation = self.situation(service, &open);
-            match self.placement.choose(&open, situation) {
+            // A probe goes first: a policy that prefers other workers would
+            // never find out that this one has recovered.
+            let probe = open.iter().position(|candidate| candidate.is_probe);
+            match probe.or_else(|| self.placement.choose(&open, situation)) {
                 Some(choice) => {
                     let index = fitting[choice];
                     self.place(key, candidates[index], &open, now);
                     candidates[index].load += 1;
-                    let probing = self.is_probing(candidates[index].key);
-                    if probing {
+                    if candidates[index].is_probe {
                         candidates.swap_remove(index);
                     }
                 }
@@ -885,12 +887,6 @@
         }
     }
 
-    fn is_probing(&self, key: WorkerKey) -> bool {
-        self.fleet
-            .get(key)
-            .is_some_and(|worker| worker.health.is_quarantined())
-    }
-
     fn next_job(&self, service: &ServiceName, blocked: &HashSet<JobKey>) -> Option<JobKey> {
         let queue = self.queues.get(service)?;
         queue.next(|team, key| !blocked.contains(&key) && self.has_quota(team))
--- a/crates/lagoonhill_core/src/entry/placement.rs
+++ b/crates/lagoonhill_core/src/entry/placement.rs
@@ -13,6 +13,8 @@
     pub load: u16,
     /// Its run time relative to the average, in thousandths.
     pub slowness_permille: u32,
+    /// Quarantined and due for a probe: gets the next task, and only that.
+    pub is_probe: bool,
 }
 
 impl Candidate {
--- a/crates/lagoonhill_core/src/entry/worker.rs
+++ b/crates/lagoonhill_core/src/entry/worker.rs
@@ -128,6 +128,7 @@
             slots,
             load: self.estimated_load(),
             slowness_permille: self.slowness_permille,
+            is_probe: self.health.is_quarantined(),
         })
     }
 
--- a/crates/lagoonhill_core/tests/agent.rs
+++ b/crates/lagoonhill_core/tests/agent.rs
@@ -3,7 +3,8 @@
 mod support;
 
 use lagoonhill_core::agent::Agent;
-use lagoonhill_standin::{NodeId, Step};
+use lagoonhill_core::entry::LeastExpectedFinish;
+use lagoonhill_standin::{NodeId, Step, World};
 use support::{Judge, config, is_complete, job, world};
 
 const ENTRY: NodeId = NodeId::Entry(0);
@@ -141,6 +142,29 @@
         }
     }
 
+    a_target_announced_while_its_agent_greets_gets_work => {
+        let mut config = config(1, 1, 10);
+        config.network.jitter_ms = 0;
+        let mut world = World::new(&config, |_| LeastExpectedFinish);
+        let target = world.agent(0).and_then(|agent| agent.target().cloned());
+        world.cut(AGENT, ENTRY);
+        world.with_agent(0, |agent, now| agent.set_target(None, now));
+        world.run_for(100);
+        world.heal(AGENT, ENTRY);
+        let is_known = |world: &support::TestWorld| {
+            world.entry(0).is_some_and(|entry| !entry.status().workers.is_empty())
+        };
+        while !is_known(&world) {
+            world.run_for(1);
+        }
+        // The welcome is still on its way.
+        world.with_agent(0, |agent, now| agent.set_target(target, now));
+        world.run_for(500);
+        let caller = world.submit(0, job("served", 1, 10));
+        world.run_for(500);
+        assert!(is_complete(&world, caller));
+    }
+
     a_gone_entry_is_forgotten_after_its_good_bye => {
         let mut world = world(&config(2, 1, 9));
         world.with_entry(1, |entry, _| {
--- a/crates/lagoonhill_core/tests/fault_matrix.rs
+++ b/crates/lagoonhill_core/tests/fault_matrix.rs
@@ -99,7 +99,9 @@
         match fault {
             Fault::EntryDies => {
                 world.kill(entry);
-                callers.iter().for_each(|caller| judge.excuse(*caller));
+                for caller in callers.iter() {
+                    judge.excuse(*caller);
+                }
             }
             Fault::AgentDies => world.kill(agent),
             Fault::AgentRestarts => world.restart_agent(0, config),
@@ -128,7 +130,7 @@
             Fault::CallerCancels => {
                 let id = world
                     .entry(ENTRY)
-                    .map(|entry| entry.jobs())
+                    .map(lagoonhill_core::entry::Entry::jobs)
                     .unwrap_or_default();
                 for id in id {
                     world.with_entry(ENTRY, |entry, now| {
--- a/crates/lagoonhill_core/tests/random_faults.rs
+++ b/crates/lagoonhill_core/tests/random_faults.rs
@@ -264,7 +264,7 @@
                 let jobs = self
                     .world
                     .entry(entry)
-                    .map(|entry| entry.jobs())
+                    .map(lagoonhill_core::entry::Entry::jobs)
                     .unwrap_or_default();
                 for id in jobs {
                     self.world.with_entry(entry, |entry, now| {
@@ -327,6 +327,10 @@
 
 #[test]
 fn promises_hold_under_random_faults() {
+    #[allow(
+        clippy::needless_pass_by_value,
+        reason = "quickcheck hands values over"
+    )]
     fn holds(script: Script) -> bool {
         broken_promises(&script).is_empty()
     }
--- a/crates/lagoonhill_entry/src/daemon.rs
+++ b/crates/lagoonhill_entry/src/daemon.rs
@@ -57,7 +57,7 @@
         let clock = Clock::start();
         let address = EntryAddress {
             incarnation: clock.incarnation(),
-            inbox: inbox.address(),
+            inbox: settings.advertise.unwrap_or_else(|| inbox.address()),
             http,
         };
         let config = EntryConfig {
--- a/crates/lagoonhill_entry/src/settings.rs
+++ b/crates/lagoonhill_entry/src/settings.rs
@@ -9,6 +9,8 @@
     pub http: SocketAddr,
     /// Where agents send packets.
     pub inbox: SocketAddr,
+    /// Where others reach the inbox, if not at its own address.
+    pub advertise: Option<SocketAddr>,
     /// The platform's store, if there is one.
     pub platform: Option<SocketAddr>,
     /// The platform's balancer, to find other entries while the store is down.
@@ -32,6 +34,7 @@
         Self {
             http: any_port,
             inbox: any_port,
+            advertise: None,
             platform: None,
             balancer: None,
             drain_delay_ms: DurationMs(2_000),
--- a/crates/lagoonhill_http/src/server.rs
+++ b/crates/lagoonhill_http/src/server.rs
@@ -4,8 +4,8 @@
 use std::pin::pin;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::{Request, Response, StatusCode, header};
@@ -24,6 +24,9 @@
 /// A pause after the system refused a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Bytes of an oversized body that are read only to be dropped.
+const MAX_DROPPED_BYTES: u64 = 64 << 20;
+
 /// What a handler answers.
 pub type Reply = Response<FullBody>;
 
@@ -72,20 +75,34 @@
     graceful.shutdown().await;
 }
 
-/// Reads a request's body, up to a limit.
-pub async fn read_body(body: Incoming, max_bytes: u64) -> Result<Bytes, Problem> {
-    let limit = usize::try_from(max_bytes).unwrap_or(usize::MAX);
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(Problem::not_run(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            format!("the body is larger than {max_bytes} bytes: split the request"),
-        )),
-        Err(error) => Err(Problem::not_run(
-            StatusCode::BAD_REQUEST,
-            format!("the body could not be read ({error}): send it in full"),
-        )),
+/// Reads a request's body, up to a limit. The rest of a larger one is read and
+/// dropped, up to a bound, so that its sender gets to see the refusal.
+pub async fn read_body(mut body: Incoming, max_bytes: u64) -> Result<Bytes, Problem> {
+    let mut kept = BytesMut::new();
+    let mut received_bytes = 0_u64;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| {
+            let detail = format!("the body could not be read ({error}): send it in full");
+            Problem::not_run(StatusCode::BAD_REQUEST, detail)
+        })?;
+        let Some(data) = frame.data_ref() else {
+            continue;
+        };
+        received_bytes += data.len() as u64;
+        if received_bytes <= max_bytes {
+            kept.extend_from_slice(data);
+        } else {
+            kept.clear();
+        }
+        if received_bytes > max_bytes + MAX_DROPPED_BYTES {
+            break;
+        }
+    }
+    if received_bytes <= max_bytes {
+        return Ok(kept.freeze());
     }
+    let detail = format!("the body is larger than {max_bytes} bytes: split the request");
+    Err(Problem::not_run(StatusCode::PAYLOAD_TOO_LARGE, detail))
 }
 
 /// A response with a body of the given type.
--- a/crates/lagoonhill_standin/src/lib.rs
+++ b/crates/lagoonhill_standin/src/lib.rs
@@ -2,6 +2,7 @@
 //! the platform's store, targets, a relay that can go silent, a load tool, and
 //! a deterministic event loop around the real decisions.
 
+mod balancer;
 mod load;
 mod platform;
 mod relay;
@@ -9,6 +10,7 @@
 mod target;
 mod world;
 
+pub use balancer::Balancer;
 pub use load::{Load, LoadReport, TaskMix, run_load};
 pub use platform::{PlatformFaults, PlatformStandin};
 pub use relay::{Relay, RelayMode};
--- a/crates/lagoonhill_standin/src/world.rs
+++ b/crates/lagoonhill_standin/src/world.rs
@@ -399,7 +399,7 @@
     pub fn submit(&mut self, entry: usize, submission: Submission) -> CallerId {
         let caller = self.new_caller(entry);
         self.with_entry(entry, |machine, now| {
-            machine.submit(caller, submission, now)
+            machine.submit(caller, submission, now);
         });
         caller
     }
