--- a/crates/lagoonhill_agent/src/control.rs
+++ b/crates/lagoonhill_agent/src/control.rs
@@ -37,7 +37,7 @@
 /// What reaches the control thread.
 #[derive(Debug)]
 pub(crate) enum ControlEvent {
-    Packet(Packet),
+    Packet { packet: Packet, size_bytes: usize },
     Target(Option<Target>),
     Finished { key: TaskKey, result: TaskResult },
     Entries(Vec<EntryAddress>),
@@ -106,8 +106,8 @@
     fn handle(&mut self, event: ControlEvent) {
         let now = self.clock.now();
         match event {
-            ControlEvent::Packet(packet) => {
-                self.metrics.count_packet("received");
+            ControlEvent::Packet { packet, size_bytes } => {
+                self.metrics.count_packet("received", size_bytes);
                 self.agent.receive(packet, now);
             }
             ControlEvent::Target(target) => self.agent.set_target(target, now),
@@ -144,8 +144,8 @@
         for effect in self.agent.poll_effects(now) {
             match effect {
                 AgentEffect::Send { to, packet } => {
-                    self.metrics.count_packet("sent");
-                    self.link.send(to, &packet);
+                    let size_bytes = self.link.send(to, &packet);
+                    self.metrics.count_packet("sent", size_bytes);
                 }
                 AgentEffect::Redial { to } => self.link.redial(to),
                 AgentEffect::Hangup { to } => self.link.hangup(to),
--- a/crates/lagoonhill_agent/src/daemon.rs
+++ b/crates/lagoonhill_agent/src/daemon.rs
@@ -75,7 +75,11 @@
             .spawn(move || thread.run())
             .map_err(StartError::Thread)?;
         let packets = control.clone();
-        let inbox = inbox.run(move |packet| packets.send(ControlEvent::Packet(packet)).is_ok());
+        let inbox = inbox.run(move |packet, size_bytes| {
+            packets
+                .send(ControlEvent::Packet { packet, size_bytes })
+                .is_ok()
+        });
         let api = Api {
             worker: settings.worker.clone(),
             zone: settings.zone,
--- a/crates/lagoonhill_agent/src/metrics.rs
+++ b/crates/lagoonhill_agent/src/metrics.rs
@@ -8,6 +8,7 @@
     registry: Registry,
     started: IntCounter,
     packets: IntCounterVec,
+    packet_bytes: IntCounterVec,
     held: IntGauge,
     running: IntGauge,
     sessions: IntGauge,
@@ -24,6 +25,14 @@
                 .expect("the name is unique");
             gauge
         };
+        let counters = |name: &str, help: &str| {
+            let counters = IntCounterVec::new(Opts::new(name, help), &["direction"])
+                .expect("the name is valid");
+            registry
+                .register(Box::new(counters.clone()))
+                .expect("the name is unique");
+            counters
+        };
         let started = IntCounter::new(
             "lagoonhill_tasks_started_total",
             "Tasks given to the target.",
@@ -32,17 +41,13 @@
         registry
             .register(Box::new(started.clone()))
             .expect("the name is unique");
-        let packets = IntCounterVec::new(
-            Opts::new("lagoonhill_packets_total", "Packets by direction."),
-            &["direction"],
-        )
-        .expect("the name is valid");
-        registry
-            .register(Box::new(packets.clone()))
-            .expect("the name is unique");
         Self {
             started,
-            packets,
+            packets: counters("lagoonhill_packets_total", "Packets by direction."),
+            packet_bytes: counters(
+                "lagoonhill_packet_bytes_total",
+                "Bytes of packets by direction, without the transport's own.",
+            ),
             held: gauge("lagoonhill_held_tasks", "Tasks waiting or running here."),
             running: gauge("lagoonhill_running_tasks", "Tasks at the target."),
             sessions: gauge("lagoonhill_sessions", "Entries with an open session."),
@@ -58,8 +63,11 @@
         self.started.inc();
     }
 
-    pub(crate) fn count_packet(&self, direction: &str) {
+    pub(crate) fn count_packet(&self, direction: &str, size_bytes: usize) {
         self.packets.with_label_values(&[direction]).inc();
+        self.packet_bytes
+            .with_label_values(&[direction])
+            .inc_by(size_bytes as u64);
     }
 
     /// Everything as Prometheus text.
--- a/crates/lagoonhill_entry/src/control.rs
+++ b/crates/lagoonhill_entry/src/control.rs
@@ -41,7 +41,10 @@
 /// What reaches the control thread.
 #[derive(Debug)]
 pub(crate) enum ControlEvent {
-    Packet(Packet),
+    Packet {
+        packet: Packet,
+        size_bytes: usize,
+    },
     Submit {
         caller: CallerId,
         kind: SubmissionKind,
@@ -154,8 +157,8 @@
     fn handle(&mut self, event: ControlEvent) {
         let now = self.clock.now();
         match event {
-            ControlEvent::Packet(packet) => {
-                self.metrics.count_packet("received");
+            ControlEvent::Packet { packet, size_bytes } => {
+                self.metrics.count_packet("received", size_bytes);
                 self.entry.receive(packet, now);
             }
             ControlEvent::Submit {
@@ -223,8 +226,8 @@
         for effect in self.entry.poll_effects(now) {
             match effect {
                 EntryEffect::Send { to, packet } => {
-                    self.metrics.count_packet("sent");
-                    self.link.send(to, &packet);
+                    let size_bytes = self.link.send(to, &packet);
+                    self.metrics.count_packet("sent", size_bytes);
                 }
                 EntryEffect::Redial { to } => self.link.redial(to),
                 EntryEffect::Hangup { to } => self.link.hangup(to),
--- a/crates/lagoonhill_entry/src/daemon.rs
+++ b/crates/lagoonhill_entry/src/daemon.rs
@@ -83,7 +83,9 @@
             .spawn(move || thread.run())
             .map_err(StartError::Thread)?;
         let packets = control.clone();
-        let inbox = inbox.run(move |packet| packets.tell(ControlEvent::Packet(packet)));
+        let inbox = inbox.run(move |packet, size_bytes| {
+            packets.tell(ControlEvent::Packet { packet, size_bytes })
+        });
 
         let store = settings.platform.map(EtcdStore::new);
         let peers = Peers::new(address, clock);
--- a/crates/lagoonhill_entry/src/metrics.rs
+++ b/crates/lagoonhill_entry/src/metrics.rs
@@ -10,6 +10,7 @@
     placed: IntCounter,
     moved: IntCounter,
     packets: IntCounterVec,
+    packet_bytes: IntCounterVec,
     platform_calls: IntCounterVec,
     queued: IntGauge,
     running_jobs: IntGauge,
@@ -62,6 +63,11 @@
                 "Packets by direction.",
                 "direction",
             ),
+            packet_bytes: counters(
+                "lagoonhill_packet_bytes_total",
+                "Bytes of packets by direction, without the transport's own.",
+                "direction",
+            ),
             platform_calls: counters(
                 "lagoonhill_platform_calls_total",
                 "Calls to the platform's store.",
@@ -103,8 +109,11 @@
         self.jobs.with_label_values(&[outcome]).inc();
     }
 
-    pub(crate) fn count_packet(&self, direction: &str) {
+    pub(crate) fn count_packet(&self, direction: &str, size_bytes: usize) {
         self.packets.with_label_values(&[direction]).inc();
+        self.packet_bytes
+            .with_label_values(&[direction])
+            .inc_by(size_bytes as u64);
     }
 
     /// Everything as Prometheus text.
--- a/crates/lagoonhill_link/src/inbox.rs
+++ b/crates/lagoonhill_link/src/inbox.rs
@@ -56,10 +56,13 @@
         self.address
     }
 
-    /// Hands every packet to `deliver` on a thread of its own, until `deliver`
-    /// returns false or the inbox is closed. A packet that can't be read
+    /// Hands every packet and its size in bytes to `deliver` on a thread of its
+    /// own, until `deliver` returns false or the inbox is closed. A packet that can't be read
     /// closes the connection that it came on, and no other.
-    pub fn run(self, mut deliver: impl FnMut(Packet) -> bool + Send + 'static) -> InboxHandle {
+    pub fn run(
+        self,
+        mut deliver: impl FnMut(Packet, usize) -> bool + Send + 'static,
+    ) -> InboxHandle {
         let handle = InboxHandle {
             socket: self.socket.clone(),
         };
@@ -67,7 +70,7 @@
             while let Ok(mut message) = self.socket.recv() {
                 match decode(message.as_slice()) {
                     Ok(packet) => {
-                        if !deliver(packet) {
+                        if !deliver(packet, message.len()) {
                             return;
                         }
                     }
--- a/crates/lagoonhill_link/src/link.rs
+++ b/crates/lagoonhill_link/src/link.rs
@@ -6,7 +6,8 @@
 /// lose packets; sessions repair that.
 pub trait Link {
     /// Sends a packet, dialing the peer when there is no connection yet.
-    fn send(&mut self, to: SocketAddr, packet: &Packet);
+    /// Returns its size in bytes.
+    fn send(&mut self, to: SocketAddr, packet: &Packet) -> usize;
 
     /// Replaces the connection to a peer.
     fn redial(&mut self, to: SocketAddr);
--- a/crates/lagoonhill_link/src/nng_link.rs
+++ b/crates/lagoonhill_link/src/nng_link.rs
@@ -54,13 +54,14 @@
 }
 
 impl Link for NngLink {
-    fn send(&mut self, to: SocketAddr, packet: &Packet) {
+    fn send(&mut self, to: SocketAddr, packet: &Packet) -> usize {
         let bytes = encode(packet);
         if let Some(socket) = self.socket(to)
             && let Err((_, error)) = socket.try_send(bytes.as_slice())
         {
             debug!("a packet to {to} was dropped: {error}; its session sends it again");
         }
+        bytes.len()
     }
 
     fn redial(&mut self, to: SocketAddr) {
--- a/crates/lagoonhill_standin/src/load.rs
+++ b/crates/lagoonhill_standin/src/load.rs
@@ -60,7 +60,8 @@
     pub wrong: u64,
     /// Marks of tasks whose job was refused with "not run".
     pub refused_marks: Vec<String>,
-    /// Answer time of complete jobs beyond their longest task, in microseconds.
+    /// Answer time of complete jobs beyond their longest run, as the target
+    /// measured it, in microseconds.
     pub overhead_us: Histogram<u64>,
     /// Answer time of complete jobs relative to their longest task, in percent.
     pub ratio_percent: Histogram<u64>,
@@ -123,6 +124,8 @@
 #[derive(Deserialize)]
 struct Echo {
     echo: String,
+    /// How long the target took, by its own clock.
+    ran_us: u64,
 }
 
 struct Job {
@@ -245,17 +248,23 @@
     {
         return Outcome::Wrong;
     }
-    let longest_ms = job
+    let longest_us = answer
+        .results
+        .iter()
+        .map(|result| result.ran_us)
+        .max()
+        .unwrap_or(0);
+    let longest = Duration::from_micros(longest_us);
+    let asked_ms = job
         .tasks
         .iter()
         .map(|(run_ms, _)| *run_ms)
         .max()
         .unwrap_or(0);
-    let ideal = Duration::from_millis(longest_ms);
-    let ideal_us = ideal.as_micros().max(1_000);
+    let ideal_us = Duration::from_millis(asked_ms).as_micros().max(1_000);
     let ratio_percent = u64::try_from(elapsed.as_micros() * 100 / ideal_us).unwrap_or(u64::MAX);
     Outcome::Completed {
-        overhead: elapsed.saturating_sub(ideal),
+        overhead: elapsed.saturating_sub(longest),
         ratio_percent,
     }
 }
--- a/crates/lagoonhill_standin/src/target.rs
+++ b/crates/lagoonhill_standin/src/target.rs
@@ -2,7 +2,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode};
@@ -216,7 +216,9 @@
         std::future::pending::<()>().await;
     }
     let run = Duration::from_millis(input.run_ms).mul_f64(behavior.slowness);
+    let started = Instant::now();
     tokio::time::sleep(run).await;
-    let body = serde_json::json!({ "echo": input.echo });
+    let ran_us = u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX);
+    let body = serde_json::json!({ "echo": input.echo, "ran_us": ran_us });
     reply(StatusCode::OK, "application/json", body.to_string())
 }
