--- a/crates/lagoonhill_bench/src/bin/fleet.rs
+++ b/crates/lagoonhill_bench/src/bin/fleet.rs
@@ -201,7 +201,8 @@
                     team parents class=rush  # bench\n"
         .to_owned();
     for team in 0..teams {
-        text.push_str(&format!("team team-{team} rate=500/s weight=2  # bench\n"));
+        let line = format!("team team-{team} rate=500/s weight=2  # bench\n");
+        text.push_str(&line);
     }
     let lines = parse_rules(&text).map_err(|error| error.to_string())?;
     let wanted = RuleSet::new(Revision(0), lines);
--- a/crates/lagoonhill_bench/src/lib.rs
+++ b/crates/lagoonhill_bench/src/lib.rs
@@ -1,8 +1,18 @@
 //! Measurements, for development only: a fleet of real processes, and the
 //! placement policies under the deterministic event loop.
 
+#![allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "figures are rounded for planning and printing"
+)]
+
+mod policy_run;
 mod proc_usage;
 mod scrape;
+mod workload;
 
+pub use policy_run::{PolicyResult, PolicyRun, Trouble, run_policy};
 pub use proc_usage::{CpuTime, Usage, read_usage};
 pub use scrape::{Counters, scrape};
+pub use workload::{PlannedJob, Scenario, plan};
--- a/crates/lagoonhill_core/src/session.rs
+++ b/crates/lagoonhill_core/src/session.rs
@@ -1,4 +1,4 @@
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
 use lagoonhill_protocol::{Frame, Load, Message, Sequence, SessionId};
@@ -9,6 +9,9 @@
 /// Messages sent in one frame at most.
 const MAX_FRAME_MESSAGES: usize = 128;
 
+/// Messages kept at most while an earlier one is missing.
+const MAX_EARLY_MESSAGES: usize = 1_024;
+
 /// What a tick found out about the peer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -36,6 +39,8 @@
     transmitted: Sequence,
     retransmit_from_ms: TimestampMs,
     received: Sequence,
+    /// Arrived ahead of a gap, as happens when a connection is replaced.
+    early: BTreeMap<Sequence, Message>,
     ack_due_ms: Option<TimestampMs>,
     last_heard_ms: TimestampMs,
     last_sent_ms: TimestampMs,
@@ -65,6 +70,7 @@
             transmitted: Sequence(0),
             retransmit_from_ms: now,
             received: Sequence(0),
+            early: BTreeMap::new(),
             ack_due_ms: None,
             last_heard_ms: now,
             last_sent_ms: now,
@@ -150,24 +156,40 @@
         if frame.ping > 0 {
             self.ack_due_ms = Some(now);
         }
+        if !frame.messages.is_empty() {
+            let due_ms = now + self.timing.ack_delay_ms;
+            self.ack_due_ms = Some(self.ack_due_ms.map_or(due_ms, |at| at.min(due_ms)));
+        }
         let mut fresh = Vec::new();
         let mut number = frame.first;
         for message in frame.messages {
-            let repeated = number <= self.received;
-            let in_order = number == self.received.next();
-            if in_order {
-                self.received = number;
-                fresh.push(message);
-            }
-            if in_order || repeated {
-                let due_ms = now + self.timing.ack_delay_ms;
-                self.ack_due_ms = Some(self.ack_due_ms.map_or(due_ms, |at| at.min(due_ms)));
-            }
+            self.take_message(number, message, &mut fresh);
             number = number.next();
         }
         fresh
     }
 
+    /// Releases a message that is next in order, with all that it was missing
+    /// for; holds one that is ahead, within limits; drops a repeated one.
+    fn take_message(&mut self, number: Sequence, message: Message, fresh: &mut Vec<Message>) {
+        if number > self.received.next() {
+            if self.early.len() < MAX_EARLY_MESSAGES {
+                self.early.entry(number).or_insert(message);
+            }
+            return;
+        }
+        if number <= self.received {
+            return;
+        }
+        self.early.remove(&number);
+        self.received = number;
+        fresh.push(message);
+        while let Some(message) = self.early.remove(&self.received.next()) {
+            self.received = self.received.next();
+            fresh.push(message);
+        }
+    }
+
     fn take_ack(&mut self, ack: Sequence, now: TimestampMs) {
         let highest = Sequence(self.acked.0 + self.unacked.len() as u64);
         if ack <= self.acked || ack > highest {
--- /dev/null
+++ b/crates/lagoonhill_core/tests/entry.rs
@@ -0,0 +1,329 @@
+//! The entry: admission, queues, limits, health, records.
+
+mod support;
+
+use lagoonhill_core::entry::{
+    Candidate, Health, JobQueue, LeastExpectedFinish, Placement, Situation, TokenBucket, WorkerKey,
+};
+use lagoonhill_rules::{RuleSet, parse_rules};
+use lagoonhill_standin::{NodeId, TargetModel};
+use lagoonhill_types::prelude::*;
+use support::{TestWorld, average_target, config, failure, is_complete, job, world};
+
+/// Defines one test for each named case.
+macro_rules! cases {
+    ($($name:ident => $body:block)+) => {
+        $(#[test] fn $name() $body)+
+    };
+}
+
+fn with_rules(text: &str) -> TestWorld {
+    let mut config = config(1, 2, 1);
+    config.rules = RuleSet::new(Revision(1), parse_rules(text).expect("the rules are valid"));
+    world(&config)
+}
+
+const SERVICE: &str = "service dispatch deadline=20s run-time=200ms  # tests\n";
+
+fn candidate(load: u16, slowness_permille: u32) -> Candidate {
+    let key = WorkerKey::default();
+    Candidate {
+        key,
+        slots: 8,
+        load,
+        slowness_permille,
+        is_probe: false,
+    }
+}
+
+fn situation(queued: usize) -> Situation {
+    Situation {
+        run_time_ms: DurationMs(200),
+        look_ahead: 1,
+        queued,
+        total_slots: 16,
+    }
+}
+
+cases! {
+    prefers_the_faster_of_two_free_workers => {
+        let candidates = [candidate(0, 2_000), candidate(0, 500)];
+        assert_eq!(LeastExpectedFinish.choose(&candidates, situation(1)), Some(1));
+    }
+
+    waits_for_a_fast_worker_rather_than_a_straggler => {
+        let candidates = [candidate(0, 10_000), candidate(9, 1_000)];
+        assert_eq!(LeastExpectedFinish.choose(&candidates, situation(1)), None);
+    }
+
+    uses_a_slow_worker_when_many_tasks_wait => {
+        let candidates = [candidate(0, 2_000), candidate(9, 1_000)];
+        assert_eq!(LeastExpectedFinish.choose(&candidates, situation(100)), Some(0));
+    }
+
+    never_chooses_a_worker_without_room => {
+        let candidates = [candidate(9, 1_000), candidate(9, 500)];
+        assert_eq!(LeastExpectedFinish.choose(&candidates, situation(100)), None);
+    }
+
+    a_service_or_team_that_operators_did_not_create_is_refused => {
+        let mut world = with_rules(SERVICE);
+        let caller = world.submit(0, job("nobody", 1, 10));
+        let (_, cause) = failure(&world, caller).expect("a refusal");
+        assert!(cause.contains("team `parents` does not exist"), "{cause}");
+    }
+
+    a_job_that_no_announced_worker_fits_is_refused_at_once => {
+        let mut world = with_rules(&format!("{SERVICE}team parents  # tests\n"));
+        let mut impossible = job("impossible", 1, 10);
+        impossible.needs.accelerators = 3;
+        let caller = world.submit(0, impossible);
+        let (run, cause) = failure(&world, caller).expect("a refusal");
+        assert_eq!(run.to_string(), "not-run");
+        assert!(cause.contains("accelerators 3"), "{cause}");
+    }
+
+    a_team_over_its_rate_comes_back_when_told_and_is_served => {
+        let mut world = with_rules(&format!("{SERVICE}team parents rate=10/s  # tests\n"));
+        let mut refused = None;
+        for number in 0..30 {
+            let caller = world.submit(0, job(&format!("job{number}"), 5, 1));
+            if failure(&world, caller).is_some() {
+                refused = Some(caller);
+                break;
+            }
+        }
+        let answer = &world.received[&refused.expect("a refusal")][0].answer;
+        let retry_ms = answer.outcome.as_ref().unwrap_err().retry_after_ms.expect("a time");
+        world.run_for(retry_ms.0);
+        let again = world.submit(0, job("again", 1, 1));
+        world.run_for(1_000);
+        assert!(is_complete(&world, again));
+    }
+
+    a_team_stays_within_its_concurrency => {
+        let mut world = with_rules(&format!("{SERVICE}team parents concurrency=1  # tests\n"));
+        world.submit(0, job("narrow", 6, 100));
+        for _ in 0..60 {
+            world.run_for(10);
+            let running: u16 =
+                (0..2).map(|agent| world.agent(agent).map_or(0, lagoonhill_core::agent::Agent::running)).sum();
+            assert!(running <= 1, "{running} tasks run at once");
+        }
+    }
+
+    a_job_that_cannot_meet_its_deadline_is_refused_before_it_starts => {
+        let mut world = with_rules(&format!("{SERVICE}team parents  # tests\n"));
+        world.submit(0, job("backlog", 100, 1_000));
+        world.run_for(5_000);
+        let mut urgent = job("urgent", 1, 10);
+        urgent.deadline_ms = Some(DurationMs(300));
+        let caller = world.submit(0, urgent);
+        let (run, cause) = failure(&world, caller).expect("a refusal");
+        assert_eq!(run.to_string(), "not-run");
+        assert!(cause.contains("deadline"), "{cause}");
+    }
+
+    a_deadline_that_passes_in_the_queue_is_not_run => {
+        let mut world = with_rules(&format!("{SERVICE}team parents  # tests\n"));
+        world.submit(0, job("long", 6, 3_000));
+        let mut short = job("short", 1, 10);
+        short.deadline_ms = Some(DurationMs(500));
+        let caller = world.submit(0, short);
+        world.run_for(1_000);
+        let (run, _) = failure(&world, caller).expect("a failure");
+        assert_eq!(run.to_string(), "not-run");
+        world.run_for(20_000);
+        let started = world.starts.keys().any(|p| p.as_slice().starts_with(b"10 short"));
+        assert!(!started);
+    }
+
+    a_rush_is_not_held_up_by_office_work => {
+        let text = format!("{SERVICE}team parents class=rush  # tests\nteam offices class=office  # tests\n");
+        let mut world = with_rules(&text);
+        let mut office = job("office", 200, 200);
+        office.team = "offices".parse().expect("the name is valid");
+        world.submit(0, office);
+        world.run_for(1_000);
+        let rush = world.submit(0, job("rush", 2, 50));
+        world.run_for(1_000);
+        assert!(is_complete(&world, rush), "the rush waits behind office work");
+    }
+
+    office_work_is_not_starved_by_a_rush => {
+        let text = format!("{SERVICE}team parents class=rush  # tests\nteam offices class=office  # tests\n");
+        let mut world = with_rules(&text);
+        let mut office = job("office", 4, 50);
+        office.team = "offices".parse().expect("the name is valid");
+        office.deadline_ms = Some(DurationMs(60_000));
+        let mut rush = job("rush", 400, 100);
+        rush.deadline_ms = Some(DurationMs(60_000));
+        world.submit(0, rush);
+        let caller = world.submit(0, office);
+        world.run_for(8_000);
+        assert!(is_complete(&world, caller), "office work starves");
+    }
+
+    teams_share_by_weight => {
+        let mut queue = JobQueue::default();
+        let mut keys: slotmap::SlotMap<lagoonhill_core::entry::JobKey, ()> = slotmap::SlotMap::with_key();
+        let teams: Vec<TeamName> =
+            ["heavy", "light"].iter().map(|name| name.parse().expect("valid")).collect();
+        let class = lagoonhill_rules::Class::Standard;
+        let jobs = [keys.insert(()), keys.insert(())];
+        for (team, job) in teams.iter().zip(jobs) {
+            queue.insert(class, team, 0, job);
+        }
+        let mut served = [0_u32; 2];
+        for _ in 0..400 {
+            let next = queue.next(|_, _| true).expect("both have work");
+            let index = usize::from(next == jobs[1]);
+            served[index] += 1;
+            let team_weight = [3, 1][index];
+            let charge = lagoonhill_core::entry::Charge {
+                run_time_ms: DurationMs(100),
+                class_weight: 1,
+                team_weight,
+            };
+            queue.charge(class, &teams[index], charge);
+        }
+        assert_eq!(served, [300, 100]);
+    }
+
+    a_worker_that_fails_what_others_run_well_is_quarantined => {
+        let mut config = config(1, 3, 5);
+        config.targets[0] = TargetModel { slowness_permille: 1_000, fails_all: true };
+        let mut world = world(&config);
+        for number in 0..60 {
+            world.submit(0, job(&format!("job{number}"), 3, 20));
+            world.run_for(30);
+        }
+        let status = world.entry(0).expect("it runs").status();
+        assert!(status.workers.iter().any(|worker| worker.id.as_str() == "worker-0" && worker.quarantined));
+        assert!(world.starts_at[0] <= 6, "{} tasks went to the failing worker", world.starts_at[0]);
+    }
+
+    a_service_that_fails_everywhere_condemns_no_worker => {
+        let mut config = config(1, 3, 6);
+        config.targets = vec![TargetModel { slowness_permille: 1_000, fails_all: true }; 3];
+        let mut world = world(&config);
+        for number in 0..60 {
+            world.submit(0, job(&format!("job{number}"), 3, 20));
+            world.run_for(30);
+        }
+        let status = world.entry(0).expect("it runs").status();
+        let condemned = status.workers.iter().filter(|worker| worker.quarantined).count();
+        assert!(condemned <= 1, "{condemned} of 3 workers are quarantined");
+    }
+
+    probes_come_at_growing_intervals => {
+        let mut health = Health::default();
+        let start = TimestampMs(0);
+        (0..3).for_each(|_| health.failed(start));
+        assert!(health.is_failing());
+        let first = health.quarantine(start);
+        assert!(!health.may_probe(start));
+        assert!(health.may_probe(start + first));
+        health.failed(start + first);
+        assert!(!health.may_probe(start + first + first));
+        assert!(health.succeeded());
+        assert!(!health.is_quarantined());
+    }
+
+    a_bucket_admits_its_rate_and_no_more => {
+        let mut bucket = TokenBucket::default();
+        let mut admitted = 0;
+        for ms in 0..10_000 {
+            if bucket.take(1, 50.0, TimestampMs(1 + ms)).is_ok() {
+                admitted += 1;
+            }
+        }
+        // The burst is one second's worth.
+        assert!((500..=551).contains(&admitted), "{admitted} were admitted");
+    }
+
+    a_refused_taker_is_admitted_after_the_time_it_was_told => {
+        let mut bucket = TokenBucket::default();
+        let now = TimestampMs(1_000);
+        bucket.take(1_600, 20.0, now).expect("the first goes into debt");
+        let wait = bucket.take(1, 20.0, now).expect_err("the debt must be paid off");
+        assert!(bucket.take(1, 20.0, now + wait).is_ok());
+    }
+
+    a_worker_lost_while_idle_costs_no_job => {
+        let mut world = world(&config(1, 2, 8));
+        world.kill(NodeId::Agent(0));
+        world.run_for(60_000);
+        let caller = world.submit(0, job("after", 2, 10));
+        world.run_for(1_000);
+        assert!(is_complete(&world, caller));
+        assert_eq!(world.entry(0).expect("it runs").status().workers.len(), 1);
+    }
+
+    a_drained_zone_gets_no_work => {
+        let text = format!("{SERVICE}team parents  # tests\nzone zone-0 state=drain  # tests\n");
+        let mut world = with_rules(&text);
+        for number in 0..10 {
+            world.submit(0, job(&format!("job{number}"), 4, 10));
+            world.run_for(100);
+        }
+        assert_eq!(world.starts_at[0], 0);
+        assert_eq!(world.starts_at[1], 40);
+    }
+
+    an_entry_frozen_past_a_deadline_starts_nothing_overdue_when_it_wakes => {
+        let mut world = with_rules(&format!("{SERVICE}team parents  # tests\n"));
+        world.submit(0, job("first", 6, 1_000));
+        let mut short = job("short", 1, 10);
+        short.deadline_ms = Some(DurationMs(2_000));
+        let caller = world.submit(0, short);
+        world.run_for(100);
+        world.freeze(NodeId::Entry(0), 3_000);
+        world.run_for(10_000);
+        let (run, _) = failure(&world, caller).expect("a failure");
+        assert_eq!(run.to_string(), "not-run");
+        assert!(!world.starts.keys().any(|p| p.as_slice().starts_with(b"10 short")));
+    }
+
+    an_entry_that_slept_does_not_hold_its_own_silence_against_workers => {
+        let mut world = world(&config(1, 1, 9));
+        let caller = world.submit(0, job("slept", 1, 8_000));
+        world.run_for(100);
+        world.freeze(NodeId::Entry(0), 7_000);
+        world.run_for(12_000);
+        assert!(is_complete(&world, caller), "{:?}", failure(&world, caller));
+    }
+
+    an_expired_ticket_is_never_started => {
+        let mut world = world(&config(1, 1, 10));
+        let ticket = world.ticket(0).expect("a ticket");
+        world.run_for(301_000);
+        let caller = world.submit_ticket(0, ticket, job("expired", 1, 10));
+        world.run_for(1_000);
+        let (run, _) = failure(&world, caller).expect("a refusal");
+        assert_eq!(run.to_string(), "may-have-run");
+        assert!(world.starts.is_empty());
+    }
+
+    a_ticket_that_was_never_issued_is_never_started => {
+        let mut world = world(&config(1, 1, 11));
+        let mut ticket = world.ticket(0).expect("a ticket");
+        ticket.number += 100;
+        let caller = world.submit_ticket(0, ticket, job("forged", 1, 10));
+        world.run_for(1_000);
+        assert!(failure(&world, caller).is_some());
+        assert!(world.starts.is_empty());
+    }
+
+    learned_speeds_steer_work_away_from_a_straggler => {
+        let mut config = config(1, 3, 12);
+        config.targets[0] = TargetModel { slowness_permille: 10_000, fails_all: false };
+        let mut world = world(&config);
+        for number in 0..300 {
+            world.submit(0, job(&format!("job{number}"), 1, 50));
+            world.run_for(40);
+        }
+        assert!(world.starts_at[0] < 30, "{} of 300 tasks went to the straggler", world.starts_at[0]);
+        assert_eq!(average_target().slowness_permille, 1_000);
+    }
+}
