--- a/crates/lagoonhill_core/src/entry/machine.rs
+++ b/crates/lagoonhill_core/src/entry/machine.rs
@@ -379,13 +379,16 @@
                 let forward = |caller| EntryEffect::Forward { caller, owner };
                 self.effects.extend(callers.into_iter().map(forward));
             }
-            KeyBinding::Unavailable => {
-                let failure =
-                    JobFailure::refused_for_now(Cause::StoreUnavailable, DEFAULT_RETRY_MS);
-                for caller in callers {
-                    self.refuse(caller, failure.clone(), now);
-                }
-            }
+            KeyBinding::Unavailable => self.refuse_bound(callers, &Cause::StoreUnavailable, now),
+            KeyBinding::OverBudget => self.refuse_bound(callers, &Cause::KeyBudget, now),
+        }
+    }
+
+    /// Refuses a request whose key was not bound: nothing was started.
+    fn refuse_bound(&mut self, callers: Vec<CallerId>, cause: &Cause, now: TimestampMs) {
+        for caller in callers {
+            let failure = JobFailure::refused_for_now(cause.clone(), DEFAULT_RETRY_MS);
+            self.refuse(caller, failure, now);
         }
     }
 
--- a/crates/lagoonhill_core/src/entry/records.rs
+++ b/crates/lagoonhill_core/src/entry/records.rs
@@ -23,6 +23,8 @@
     Other(EntryAddress),
     /// It may or may not be bound; nothing was started.
     Unavailable,
+    /// Too many keys are being bound at this entry.
+    OverBudget,
 }
 
 /// Where such a submission stands.
--- a/crates/lagoonhill_entry/src/key_binder.rs
+++ b/crates/lagoonhill_entry/src/key_binder.rs
@@ -50,15 +50,13 @@
     pub(crate) async fn run(mut self, mut keys: mpsc::UnboundedReceiver<RequestKey>) {
         while let Some(key) = keys.recv().await {
             let control = self.control.clone();
-            let within_budget = self
-                .bucket
-                .take(1, f64::from(self.rate.0), self.clock.now())
-                .is_ok();
-            let lease = if within_budget {
-                self.lease().await
-            } else {
-                None
-            };
+            let rate = f64::from(self.rate.0);
+            if self.bucket.take(1, rate, self.clock.now()).is_err() {
+                let binding = KeyBinding::OverBudget;
+                control.tell(ControlEvent::KeyBound { key, binding });
+                continue;
+            }
+            let lease = self.lease().await;
             let (Some(store), Some(lease)) = (self.store.clone(), lease) else {
                 let binding = KeyBinding::Unavailable;
                 control.tell(ControlEvent::KeyBound { key, binding });
