Never leave a slot idle for a better worker

Cause: the expected-finish rule let a task wait when a full worker would still be first; free slots of slow workers stayed idle, and the learned slowness was noise (a mean over 16 run times between 50 ms and 5 s).

Change: only workers with room are compared; slowness is a mean over 64.

--- a/crates/lagoonhill_core/src/entry/machine.rs
+++ b/crates/lagoonhill_core/src/entry/machine.rs
@@ -22,6 +22,9 @@
 /// Bytes a second that an entry spends on idle heartbeats at most.
 const HEARTBEAT_BUDGET_BYTES_PER_S: u64 = 3_000;
 
+/// Run time of a task of which nothing at all is known.
+const DEFAULT_RUN_TIME_MS: DurationMs = DurationMs(300);
+
 /// Pause proposed when nothing better can be computed.
 const DEFAULT_RETRY_MS: DurationMs = DurationMs(1_000);
 
@@ -613,14 +616,8 @@
     }
 
     fn expected_run_time(&self, submission: &Submission) -> DurationMs {
-        let by_rule = self
-            .rules()
-            .service(&submission.service)
-            .map(|rule| rule.run_time_ms);
-        let prior_ms = submission
-            .run_time_ms
-            .or(by_rule)
-            .unwrap_or(DurationMs(300));
+        let by_rule_ms = self.prior_run_time(&submission.service);
+        let prior_ms = submission.run_time_ms.unwrap_or(by_rule_ms);
         self.run_times.expected(&submission.service, prior_ms)
     }
 
@@ -870,7 +867,7 @@
                 })
                 .collect();
             let open: Vec<Candidate> = fitting.iter().map(|index| candidates[*index]).collect();
-            let situation = self.situation(service, &open);
+            let situation = self.situation(service);
             // A probe goes first: a policy that prefers other workers would
             // never find out that this one has recovered.
             let probe = open.iter().position(|candidate| candidate.is_probe);
@@ -904,22 +901,20 @@
         f64::from(in_flight) < share.max(1.0)
     }
 
-    fn situation(&self, service: &ServiceName, open: &[Candidate]) -> Situation {
-        let prior_ms = self
-            .rules()
-            .service(service)
-            .map_or(DurationMs(300), |r| r.run_time_ms);
+    fn situation(&self, service: &ServiceName) -> Situation {
+        let prior_ms = self.prior_run_time(service);
         Situation {
             run_time_ms: self.run_times.expected(service, prior_ms),
             look_ahead: self.config.look_ahead,
-            queued: self.queued_tasks(service),
-            total_slots: open
-                .iter()
-                .map(|candidate| u32::from(candidate.slots))
-                .sum(),
         }
     }
 
+    /// The run time that operators expect, before any has been learned.
+    fn prior_run_time(&self, service: &ServiceName) -> DurationMs {
+        let rule = self.rules().service(service);
+        rule.map_or(DEFAULT_RUN_TIME_MS, |rule| rule.run_time_ms)
+    }
+
     fn place(&mut self, key: JobKey, chosen: Candidate, open: &[Candidate], now: TimestampMs) {
         let job = &mut self.jobs[key];
         let Some((index, payload)) = job.send_next(chosen.key) else {
@@ -929,10 +924,7 @@
         let (service, team, class) = (job.service.clone(), job.team.clone(), job.class);
         let (run_limit_ms, rank_ms, emptied) =
             (job.run_limit_ms, job.rank_ms, job.ready_count() == 0);
-        let prior_ms = self
-            .rules()
-            .service(&service)
-            .map_or(DurationMs(300), |r| r.run_time_ms);
+        let prior_ms = self.prior_run_time(&service);
         let charge = Charge {
             run_time_ms: self.run_times.expected(&service, prior_ms),
             class_weight: self.rules().class_weight(class),
--- a/crates/lagoonhill_core/src/entry/mod.rs
+++ b/crates/lagoonhill_core/src/entry/mod.rs
@@ -25,8 +25,8 @@
 pub use limits::{TeamUsage, TokenBucket};
 pub use machine::{Entry, EntryConfig, EntryStatus, WorkerStatus};
 pub use placement::{
-    Candidate, LeastExpectedFinish, LeastOutstanding, Placement, Random, RoundRobin, Situation,
-    TwoChoices,
+    Candidate, LeastExpectedFinish, LeastOutstanding, LeastWeightedLoad, Placement, Random,
+    RoundRobin, Situation, TwoChoices,
 };
 pub use records::{KeyBinding, Record, RecordKey, Records};
 pub use run_times::RunTimes;
--- a/crates/lagoonhill_core/src/entry/placement.rs
+++ b/crates/lagoonhill_core/src/entry/placement.rs
@@ -39,13 +39,9 @@
     pub run_time_ms: DurationMs,
     /// Tasks that an agent may hold beyond its slots.
     pub look_ahead: u16,
-    /// Tasks queued at this entry for the service.
-    pub queued: usize,
-    /// Slots of all candidates together.
-    pub total_slots: u32,
 }
 
-/// Chooses the worker for the next task, or none to wait for a better one.
+/// Chooses the worker for the next task, or none when all are full.
 pub trait Placement {
     /// Returns an index into `candidates`.
     fn choose(&mut self, candidates: &[Candidate], situation: Situation) -> Option<usize>;
@@ -117,37 +113,37 @@
     }
 }
 
-/// The worker expected to finish the task first, learned speeds included.
-///
-/// A full worker counts too, with the wait for its next slot and for the tasks
-/// queued before: when it would still be first, the task waits for it.
+/// The worker with room that is expected to finish the task first, learned
+/// speeds included.
 #[derive(Debug, Default)]
 pub struct LeastExpectedFinish;
 
 impl Placement for LeastExpectedFinish {
     fn choose(&mut self, candidates: &[Candidate], situation: Situation) -> Option<usize> {
-        let Situation {
-            run_time_ms,
-            look_ahead,
-            queued,
-            total_slots,
-        } = situation;
-        let queue_us = run_time_ms.0 * 1_000 * queued as u64 / u64::from(total_slots.max(1));
-        let finish_us = |candidate: &Candidate| {
-            let expected_us = candidate.expected_finish_us(run_time_ms);
-            if candidate.has_room(look_ahead) {
-                expected_us
-            } else {
-                expected_us + queue_us
-            }
-        };
-        let best = (0..candidates.len()).min_by_key(|index| {
-            let candidate = &candidates[*index];
-            (
-                finish_us(candidate),
-                u32::from(candidate.load) * 1_000 / u32::from(candidate.slots.max(1)),
-            )
-        })?;
-        candidates[best].has_room(look_ahead).then_some(best)
+        with_room(candidates, situation.look_ahead)
+            .into_iter()
+            .min_by_key(|index| {
+                let candidate = &candidates[*index];
+                (
+                    candidate.expected_finish_us(situation.run_time_ms),
+                    candidate.load,
+                )
+            })
+    }
+}
+
+/// The least loaded worker with room, in proportion to its slots and speed.
+#[derive(Debug, Default)]
+pub struct LeastWeightedLoad;
+
+impl Placement for LeastWeightedLoad {
+    fn choose(&mut self, candidates: &[Candidate], situation: Situation) -> Option<usize> {
+        with_room(candidates, situation.look_ahead)
+            .into_iter()
+            .min_by_key(|index| {
+                let candidate = &candidates[*index];
+                let load = (u64::from(candidate.load) + 1) * u64::from(candidate.slowness_permille);
+                load / u64::from(candidate.slots.max(1))
+            })
     }
 }
--- a/crates/lagoonhill_core/src/entry/worker.rs
+++ b/crates/lagoonhill_core/src/entry/worker.rs
@@ -63,6 +63,8 @@
     /// The heartbeat interval it was told.
     pub told_heartbeat_ms: DurationMs,
     slowness_permille: u32,
+    /// Run times observed, up to the weight of the past.
+    observed: u64,
 }
 
 impl Worker {
@@ -86,6 +88,7 @@
             load: Load::default(),
             told_heartbeat_ms: DurationMs::ZERO,
             slowness_permille: AVERAGE_SLOWNESS_PERMILLE,
+            observed: 0,
         }
     }
 
@@ -134,9 +137,11 @@
 
     /// Learns the worker's speed from a finished task.
     pub fn observe(&mut self, run_ms: DurationMs, expected_ms: DurationMs) {
-        const MEMORY: u64 = 15;
+        const MAX_WEIGHT: u64 = 64;
         let ratio = (run_ms.0.max(1) * 1_000 / expected_ms.0.max(1)).clamp(50, 20_000);
-        let mean = (u64::from(self.slowness_permille) * MEMORY + ratio) / (MEMORY + 1);
+        self.observed = (self.observed + 1).min(MAX_WEIGHT);
+        let past = u64::from(self.slowness_permille) * (self.observed - 1);
+        let mean = (past + ratio) / self.observed;
         self.slowness_permille = u32::try_from(mean).unwrap_or(AVERAGE_SLOWNESS_PERMILLE);
     }
 }
