Quarantine workers whose tasks are stuck

Cause: slowness is learned from outcomes, and a straggler's come late; its slots were refilled as they came free. Ruled out: a longer or shorter memory of speeds (the outcomes are missing, not their weight).

Change: a worker most of whose orders run five times longer than expected gets probes only.

--- a/crates/lagoonhill_core/src/entry/machine.rs
+++ b/crates/lagoonhill_core/src/entry/machine.rs
@@ -25,6 +25,12 @@
 /// Run time of a task of which nothing at all is known.
 const DEFAULT_RUN_TIME_MS: DurationMs = DurationMs(300);
 
+/// Time between two looks at every worker.
+const WATCH_INTERVAL_MS: DurationMs = DurationMs(100);
+
+/// A probe that took this many times the expected run time was not well run.
+const SLOW_PROBE_FACTOR: u64 = 3;
+
 /// Pause proposed when nothing better can be computed.
 const DEFAULT_RETRY_MS: DurationMs = DurationMs(1_000);
 
@@ -126,6 +132,7 @@
     next_number: u64,
     leaving: bool,
     last_tick_ms: TimestampMs,
+    last_watch_ms: TimestampMs,
     dirty: HashSet<WorkerKey>,
     effects: Vec<EntryEffect>,
 }
@@ -152,6 +159,7 @@
             next_number: 1,
             leaving: false,
             last_tick_ms: now,
+            last_watch_ms: now,
             dirty: HashSet::new(),
             effects: Vec::new(),
         }
@@ -1183,9 +1191,13 @@
         match result {
             TaskResult::Done(_) => {
                 let expected_ms = self.run_times.expected(&service, run_ms);
+                if worker.health.is_quarantined() && run_ms > expected_ms * SLOW_PROBE_FACTOR {
+                    return worker.health.failed(now);
+                }
                 worker.observe(run_ms, expected_ms);
                 self.run_times.observe(&service, run_ms);
                 if worker.health.succeeded() {
+                    worker.reset_speed();
                     let id = worker.id.clone();
                     self.decide(now, None, None, DecisionKind::Recovered { worker: id });
                 }
@@ -1209,7 +1221,7 @@
         if !worker.health.is_failing() || worker.health.is_quarantined() {
             return;
         }
-        let probe_in_ms = worker.health.quarantine(now);
+        let probe_in_ms = worker.health.quarantine_failing(now);
         let id = worker.id.clone();
         self.decide(
             now,
@@ -1251,13 +1263,60 @@
     pub fn tick(&mut self, now: TimestampMs) {
         let frozen = now.since(self.last_tick_ms) >= self.config.timing.freeze_gap_ms;
         self.last_tick_ms = now;
-        for key in self.fleet.keys() {
-            self.watch(key, frozen, now);
+        if frozen || now.since(self.last_watch_ms) >= WATCH_INTERVAL_MS {
+            self.last_watch_ms = now;
+            for key in self.fleet.keys() {
+                self.watch(key, frozen, now);
+            }
+            self.quarantine_stuck(now);
         }
         self.records.expire(now);
         self.dispatch_all(now);
     }
 
+    /// Quarantines workers whose tasks take far longer than expected, unless
+    /// half of their service does.
+    fn quarantine_stuck(&mut self, now: TimestampMs) {
+        for service in self.fleet.services() {
+            let expected_ms = self
+                .run_times
+                .expected(&service, self.prior_run_time(&service));
+            let keys = self.fleet.of_service(&service).to_vec();
+            let is_stuck = |key: &WorkerKey| {
+                self.fleet
+                    .get(*key)
+                    .is_some_and(|worker| worker.is_stuck(expected_ms, now))
+            };
+            let stuck: Vec<WorkerKey> = keys.iter().copied().filter(is_stuck).collect();
+            if stuck.len() * 2 > keys.len() {
+                continue;
+            }
+            for key in stuck {
+                self.quarantine_slow(key, now);
+            }
+        }
+    }
+
+    fn quarantine_slow(&mut self, key: WorkerKey, now: TimestampMs) {
+        let Some(worker) = self.fleet.get_mut(key) else {
+            return;
+        };
+        if worker.health.is_quarantined() {
+            return;
+        }
+        let probe_in_ms = worker.health.quarantine_slow(now);
+        let id = worker.id.clone();
+        self.decide(
+            now,
+            None,
+            None,
+            DecisionKind::Quarantined {
+                worker: id,
+                probe_in_ms,
+            },
+        );
+    }
+
     fn watch(&mut self, key: WorkerKey, frozen: bool, now: TimestampMs) {
         let Some(worker) = self.fleet.get_mut(key) else {
             return;
--- a/crates/lagoonhill_core/src/entry/worker.rs
+++ b/crates/lagoonhill_core/src/entry/worker.rs
@@ -36,6 +36,15 @@
     pub team: TeamName,
 }
 
+/// A task that has taken this many times the expected run time is late.
+const STUCK_FACTOR: u64 = 5;
+
+/// Shortest time after which a task counts as late.
+const MIN_STUCK_MS: DurationMs = DurationMs(2_000);
+
+/// Fewer late tasks than this may be long by chance.
+const MIN_STUCK_ORDERS: usize = 3;
+
 /// The average speed, in thousandths.
 const AVERAGE_SLOWNESS_PERMILLE: u32 = 1_000;
 
@@ -135,6 +144,21 @@
         })
     }
 
+    /// Whether most of its orders take far longer than expected, as on a
+    /// machine that has become slow.
+    pub fn is_stuck(&self, expected_ms: DurationMs, now: TimestampMs) -> bool {
+        let limit_ms = (expected_ms * STUCK_FACTOR).max(MIN_STUCK_MS);
+        let late = |order: &&Order| now.since(order.sent_ms) > limit_ms;
+        let late_orders = self.orders.values().filter(late).count();
+        late_orders >= MIN_STUCK_ORDERS && late_orders * 2 >= self.orders.len()
+    }
+
+    /// Forgets what was learned of its speed while it was slow.
+    pub fn reset_speed(&mut self) {
+        self.slowness_permille = AVERAGE_SLOWNESS_PERMILLE;
+        self.observed = 0;
+    }
+
     /// Learns the worker's speed from a finished task.
     pub fn observe(&mut self, run_ms: DurationMs, expected_ms: DurationMs) {
         const MAX_WEIGHT: u64 = 64;
--- a/crates/lagoonhill_core/tests/entry.rs
+++ b/crates/lagoonhill_core/tests/entry.rs
@@ -219,7 +219,7 @@
         let start = TimestampMs(0);
         (0..3).for_each(|_| health.failed(start));
         assert!(health.is_failing());
-        let first = health.quarantine(start);
+        let first = health.quarantine_failing(start);
         assert!(!health.may_probe(start));
         assert!(health.may_probe(start + first));
         health.failed(start + first);
@@ -313,6 +313,40 @@
         assert!(world.starts.is_empty());
     }
 
+    a_worker_whose_tasks_are_stuck_gets_nothing_but_probes => {
+        let mut config = config(1, 3, 13);
+        config.slots = 4;
+        let mut world = world(&config);
+        for number in 0..40 {
+            world.submit(0, job(&format!("before{number}"), 3, 50));
+            world.run_for(60);
+        }
+        world.set_target(0, TargetModel { slowness_permille: 100_000, fails_all: false });
+        for number in 0..100 {
+            world.submit(0, job(&format!("during{number}"), 6, 50));
+            world.run_for(60);
+        }
+        let at_onset = world.starts_at[0];
+        for number in 0..50 {
+            world.submit(0, job(&format!("after{number}"), 6, 50));
+            world.run_for(60);
+        }
+        let given = world.starts_at[0] - at_onset;
+        assert!(given <= 1, "{given} tasks were given to a stuck worker");
+    }
+
+    one_long_task_does_not_condemn_its_worker => {
+        let mut world = world(&config(1, 3, 14));
+        for number in 0..40 {
+            world.submit(0, job(&format!("before{number}"), 3, 50));
+            world.run_for(60);
+        }
+        world.submit(0, job("long", 1, 9_000));
+        world.run_for(8_000);
+        let status = world.entry(0).expect("it runs").status();
+        assert!(!status.workers.iter().any(|worker| worker.quarantined));
+    }
+
     learned_speeds_steer_work_away_from_a_straggler => {
         let mut config = config(1, 3, 12);
         config.targets[0] = TargetModel { slowness_permille: 10_000, fails_all: false };
