--- a/crates/lagoonhill_agent/src/control.rs
+++ b/crates/lagoonhill_agent/src/control.rs
@@ -1,8 +1,9 @@
 use std::collections::HashMap;
-use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender};
-use std::time::Duration;
+use std::ops::ControlFlow;
+use std::sync::mpsc::Sender;
 
 use lagoonhill_core::agent::{Agent, AgentEffect, TaskKey};
+use lagoonhill_daemon::ControlState;
 use lagoonhill_http::HttpClient;
 use lagoonhill_link::Link;
 use lagoonhill_protocol::{EntryAddress, Packet, Start, Target, TaskResult};
@@ -16,12 +17,6 @@
 use crate::metrics::Metrics;
 use crate::runner::run_task;
 
-/// Time between two runs of the timers.
-const TICK: DurationMs = DurationMs(20);
-
-/// Events handled before effects are carried out, at most.
-const MAX_BATCH: usize = 256;
-
 /// An agent, as its status page shows it.
 #[derive(Clone, Debug)]
 pub(crate) struct AgentStatus {
@@ -51,9 +46,7 @@
 pub(crate) struct Control<L> {
     pub(crate) agent: Agent,
     pub(crate) link: L,
-    pub(crate) clock: Clock,
     pub(crate) metrics: Metrics,
-    pub(crate) events: Receiver<ControlEvent>,
     pub(crate) to_self: Sender<ControlEvent>,
     pub(crate) runtime: Handle,
     pub(crate) client: HttpClient,
@@ -61,53 +54,17 @@
     pub(crate) drained: watch::Sender<bool>,
 }
 
-impl<L: Link> Control<L> {
-    /// Runs until told to stop.
-    pub(crate) fn run(mut self) {
-        let mut next_tick = self.clock.now() + TICK;
-        loop {
-            let wait = Duration::from(next_tick.since(self.clock.now()));
-            match self.events.recv_timeout(wait) {
-                Ok(ControlEvent::Stop) | Err(RecvTimeoutError::Disconnected) => return,
-                Ok(event) => {
-                    self.tick_if_due(&mut next_tick);
-                    self.handle(event);
-                    if self.drain_batch() {
-                        return;
-                    }
-                }
-                Err(RecvTimeoutError::Timeout) => {}
-            }
-            self.tick_if_due(&mut next_tick);
-            self.carry_out();
-        }
-    }
+impl<L: Link> ControlState for Control<L> {
+    type Event = ControlEvent;
 
-    fn tick_if_due(&mut self, next_tick: &mut TimestampMs) {
-        let now = self.clock.now();
-        if now >= *next_tick {
-            self.agent.tick(now);
-            *next_tick = now + TICK;
-        }
+    fn tick(&mut self, now: TimestampMs) {
+        self.agent.tick(now);
     }
 
-    /// Handles what has queued up; returns whether to stop.
-    fn drain_batch(&mut self) -> bool {
-        for _ in 0..MAX_BATCH {
-            match self.events.try_recv() {
-                Ok(ControlEvent::Stop) => return true,
-                Ok(event) => self.handle(event),
-                Err(_) => return false,
-            }
-        }
-        false
-    }
-
-    fn handle(&mut self, event: ControlEvent) {
-        let now = self.clock.now();
+    fn handle(&mut self, event: ControlEvent, now: TimestampMs) -> ControlFlow<()> {
         match event {
             ControlEvent::Packet { packet, size_bytes } => {
-                self.metrics.count_packet("received", size_bytes);
+                self.metrics.packets.received(size_bytes);
                 self.agent.receive(packet, now);
             }
             ControlEvent::Target(target) => self.agent.set_target(target, now),
@@ -123,29 +80,17 @@
                 let _ = reply.send(self.status());
             }
             ControlEvent::Leave => self.agent.leave(now),
-            ControlEvent::Stop => {}
-        }
-    }
-
-    fn status(&self) -> AgentStatus {
-        AgentStatus {
-            target: self.agent.target().cloned(),
-            leaving: self.agent.is_leaving(),
-            held: self.agent.held(),
-            running: self.agent.running(),
-            sessions: self.agent.entries().filter(|(_, open)| *open).count(),
-            entries: self.agent.entries().map(|(address, _)| *address).collect(),
-            rules_revision: self.agent.rules().revision,
+            ControlEvent::Stop => return ControlFlow::Break(()),
         }
+        ControlFlow::Continue(())
     }
 
-    fn carry_out(&mut self) {
-        let now = self.clock.now();
+    fn carry_out(&mut self, now: TimestampMs) {
         for effect in self.agent.poll_effects(now) {
             match effect {
                 AgentEffect::Send { to, packet } => {
                     let size_bytes = self.link.send(to, &packet);
-                    self.metrics.count_packet("sent", size_bytes);
+                    self.metrics.packets.sent(size_bytes);
                 }
                 AgentEffect::Redial { to } => self.link.redial(to),
                 AgentEffect::Hangup { to } => self.link.hangup(to),
@@ -157,10 +102,24 @@
             }
         }
     }
+}
+
+impl<L: Link> Control<L> {
+    fn status(&self) -> AgentStatus {
+        AgentStatus {
+            target: self.agent.target().cloned(),
+            leaving: self.agent.is_leaving(),
+            held: self.agent.held(),
+            running: self.agent.running(),
+            sessions: self.agent.entries().filter(|(_, open)| *open).count(),
+            entries: self.agent.entries().map(|(address, _)| *address).collect(),
+            rules_revision: self.agent.rules().revision,
+        }
+    }
 
     fn spawn(&mut self, key: TaskKey, start: Start, target: Target) {
         info!(target: "decision", "task={} started target={}", start.task, target.address);
-        self.metrics.count_start();
+        self.metrics.started.inc();
         let client = self.client.clone();
         let events = self.to_self.clone();
         let run = self.runtime.spawn(async move {
--- a/crates/lagoonhill_agent/src/daemon.rs
+++ b/crates/lagoonhill_agent/src/daemon.rs
@@ -1,27 +1,26 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::mpsc::{Sender, channel};
-use std::thread;
 use std::time::Duration;
 
 use lagoonhill_core::Timing;
 use lagoonhill_core::agent::{Agent, AgentConfig};
+use lagoonhill_daemon::{StartError, listen, spawn_control};
 use lagoonhill_http::{HttpClient, serve};
 use lagoonhill_link::{Inbox, InboxHandle, NngLink};
 use lagoonhill_platform::EtcdStore;
 use lagoonhill_types::prelude::*;
 use log::{info, warn};
-use tokio::net::TcpListener;
 use tokio::runtime::Handle;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::AgentSettings;
 use crate::api::Api;
 use crate::control::{Control, ControlEvent};
 use crate::discovery::discover;
 use crate::metrics::Metrics;
-use crate::{AgentSettings, StartError};
 
 /// A running agent.
 #[derive(Debug)]
@@ -38,12 +37,7 @@
 impl AgentDaemon {
     /// Starts an agent on the current tokio runtime.
     pub async fn start(settings: AgentSettings) -> Result<Self, StartError> {
-        let listen = |source| StartError::Listen {
-            address: settings.http,
-            source,
-        };
-        let listener = TcpListener::bind(settings.http).await.map_err(listen)?;
-        let http = listener.local_addr().map_err(listen)?;
+        let (listener, http) = listen(settings.http).await?;
         let inbox = Inbox::open(settings.inbox)?;
         let inbox_address = settings.advertise.unwrap_or_else(|| inbox.address());
         let clock = Clock::start();
@@ -58,22 +52,17 @@
         let metrics = Metrics::new();
         let (control, events) = channel();
         let (drained_sender, drained) = watch::channel(false);
-        let thread = Control {
+        let state = Control {
             agent: Agent::new(config, clock.now()),
             link: NngLink::new(),
-            clock,
             metrics: metrics.clone(),
-            events,
             to_self: control.clone(),
             runtime: Handle::current(),
             client: HttpClient::new(),
             running: HashMap::new(),
             drained: drained_sender,
         };
-        thread::Builder::new()
-            .name("control".to_owned())
-            .spawn(move || thread.run())
-            .map_err(StartError::Thread)?;
+        spawn_control(state, clock, events)?;
         let packets = control.clone();
         let inbox = inbox.run(move |packet, size_bytes| {
             packets
--- a/crates/lagoonhill_agent/src/lib.rs
+++ b/crates/lagoonhill_agent/src/lib.rs
@@ -5,11 +5,10 @@
 mod control;
 mod daemon;
 mod discovery;
-mod error;
 mod metrics;
 mod runner;
 mod settings;
 
 pub use daemon::AgentDaemon;
-pub use error::StartError;
+pub use lagoonhill_daemon::StartError;
 pub use settings::AgentSettings;
--- a/crates/lagoonhill_core/src/agent/machine.rs
+++ b/crates/lagoonhill_core/src/agent/machine.rs
@@ -444,9 +444,10 @@
             Message::Rules(update) => {
                 if self.rules.install_update(&update) {
                     self.rules_installed_ms = now;
-                    if let Some(session) = self.session_mut(key) {
-                        session.acknowledge_now(now);
-                    }
+                }
+                // Each entry that sent them waits to see them in force.
+                if let Some(session) = self.session_mut(key) {
+                    session.acknowledge_now(now);
                 }
             }
             Message::Entries(entries) => self.add_entries(&entries, now),
--- /dev/null
+++ b/crates/lagoonhill_core/src/entry/machine/dispatch.rs
@@ -0,0 +1,165 @@
+//! Which ready task goes to which worker.
+
+use std::collections::HashSet;
+
+use lagoonhill_protocol::{Message, Start};
+use lagoonhill_types::prelude::*;
+
+use super::{DEFAULT_RUN_TIME_MS, Entry};
+use crate::entry::{Candidate, Cause, Charge, DecisionKind, JobKey, Order, Placement, Situation};
+
+impl<P: Placement> Entry<P> {
+    /// Fails every job whose deadline has passed. Runs before each placement,
+    /// so that nothing overdue starts after the process itself was frozen.
+    pub(super) fn expire_jobs(&mut self, now: TimestampMs) {
+        while let Some(&(due_ms, key)) = self.due.first() {
+            if due_ms > now {
+                break;
+            }
+            let deadline_ms = self.jobs[key].deadline_ms;
+            self.fail_job(key, Cause::DeadlinePassed { deadline_ms }, now);
+        }
+    }
+
+    pub(super) fn dispatch_all(&mut self, now: TimestampMs) {
+        self.expire_jobs(now);
+        let services: Vec<ServiceName> = self
+            .queues
+            .iter()
+            .filter(|(_, queue)| !queue.is_empty())
+            .map(|(service, _)| service.clone())
+            .collect();
+        for service in services {
+            self.dispatch(&service, now);
+        }
+    }
+
+    /// Places ready tasks of a service while workers have room.
+    pub(super) fn dispatch(&mut self, service: &ServiceName, now: TimestampMs) {
+        let mut candidates = self.fleet.candidates(service, self.rules.rules(), now);
+        let mut blocked: HashSet<JobKey> = HashSet::new();
+        while candidates
+            .iter()
+            .any(|candidate| candidate.has_room(self.config.look_ahead))
+        {
+            let Some(key) = self.next_job(service, &blocked) else {
+                return;
+            };
+            let needs = self.jobs[key].needs;
+            let fitting: Vec<usize> = (0..candidates.len())
+                .filter(|index| {
+                    self.fleet
+                        .get(candidates[*index].key)
+                        .is_some_and(|worker| worker.fits(needs))
+                })
+                .collect();
+            let open: Vec<Candidate> = fitting.iter().map(|index| candidates[*index]).collect();
+            let situation = self.situation(service);
+            // A probe goes first: a policy that prefers other workers would
+            // never find out that this one has recovered.
+            let probe = open.iter().position(|candidate| candidate.is_probe);
+            match probe.or_else(|| self.placement.choose(&open, situation)) {
+                Some(choice) => {
+                    let index = fitting[choice];
+                    self.place(key, candidates[index], &open, now);
+                    candidates[index].load += 1;
+                    if candidates[index].is_probe {
+                        candidates.swap_remove(index);
+                    }
+                }
+                None => {
+                    blocked.insert(key);
+                }
+            }
+        }
+    }
+
+    pub(super) fn next_job(
+        &self,
+        service: &ServiceName,
+        blocked: &HashSet<JobKey>,
+    ) -> Option<JobKey> {
+        let queue = self.queues.get(service)?;
+        queue.next(|team, key| !blocked.contains(&key) && self.has_quota(team))
+    }
+
+    pub(super) fn has_quota(&self, team: &TeamName) -> bool {
+        let Some(limit) = self.rules().team(team).and_then(|rule| rule.concurrency) else {
+            return true;
+        };
+        let share = f64::from(limit) / self.live_entries();
+        let in_flight = self.usage.get(team).map_or(0, |usage| usage.in_flight);
+        f64::from(in_flight) < share.max(1.0)
+    }
+
+    pub(super) fn situation(&self, service: &ServiceName) -> Situation {
+        let prior_ms = self.prior_run_time(service);
+        Situation {
+            run_time_ms: self.run_times.expected(service, prior_ms),
+            look_ahead: self.config.look_ahead,
+        }
+    }
+
+    /// The run time that operators expect, before any has been learned.
+    pub(super) fn prior_run_time(&self, service: &ServiceName) -> DurationMs {
+        let rule = self.rules().service(service);
+        rule.map_or(DEFAULT_RUN_TIME_MS, |rule| rule.run_time_ms)
+    }
+
+    pub(super) fn place(
+        &mut self,
+        key: JobKey,
+        chosen: Candidate,
+        open: &[Candidate],
+        now: TimestampMs,
+    ) {
+        let job = &mut self.jobs[key];
+        let Some((index, payload)) = job.send_next(chosen.key) else {
+            return;
+        };
+        let task = TaskId { job: job.id, index };
+        let (service, team, class) = (job.service.clone(), job.team.clone(), job.class);
+        let (run_limit_ms, rank_ms, emptied) =
+            (job.run_limit_ms, job.rank_ms, job.ready_count() == 0);
+        let prior_ms = self.prior_run_time(&service);
+        let charge = Charge {
+            run_time_ms: self.run_times.expected(&service, prior_ms),
+            class_weight: self.rules().class_weight(class),
+            team_weight: self.rules().team(&team).map_or(1, |rule| rule.weight),
+        };
+        if let Some(count) = self.queued.get_mut(&(service.clone(), class)) {
+            *count = count.saturating_sub(1);
+        }
+        if let Some(queue) = self.queues.get_mut(&service) {
+            queue.charge(class, &team, charge);
+            if emptied {
+                queue.remove(class, &team, rank_ms, key);
+            }
+        }
+        self.usage.entry(team.clone()).or_default().in_flight += 1;
+        let look_ahead = self.config.look_ahead;
+        let alternatives = open
+            .iter()
+            .filter(|other| other.has_room(look_ahead))
+            .count();
+        let worker = self
+            .fleet
+            .get_mut(chosen.key)
+            .expect("the candidate was taken from the fleet");
+        worker.orders.insert(task, Order { sent_ms: now, team });
+        worker.session.push(Message::Start(Start {
+            task,
+            decided_ms: now,
+            run_limit_ms,
+            payload,
+        }));
+        let kind = DecisionKind::Placed {
+            worker: worker.id.clone(),
+            load: chosen.load,
+            slots: chosen.slots,
+            alternatives: u16::try_from(alternatives.saturating_sub(1)).unwrap_or(u16::MAX),
+        };
+        self.dirty.insert(chosen.key);
+        self.decide(now, Some(task.job), Some(index), kind);
+    }
+}
--- /dev/null
+++ b/crates/lagoonhill_core/src/entry/machine/endings.rs
@@ -0,0 +1,124 @@
+//! Ends of jobs: complete, failed as a whole, refused.
+
+use std::sync::Arc;
+
+use lagoonhill_protocol::Message;
+use lagoonhill_types::prelude::*;
+
+use super::{DEFAULT_RETRY_MS, Entry};
+use crate::entry::{
+    Answer, CallerId, Cause, DecisionKind, EntryEffect, Job, JobFailure, JobKey, Placement,
+    RunCertainty,
+};
+
+impl<P: Placement> Entry<P> {
+    pub(super) fn refuse(&mut self, caller: CallerId, failure: JobFailure, now: TimestampMs) {
+        self.decide(
+            now,
+            None,
+            None,
+            DecisionKind::Refused {
+                cause: failure.cause.clone(),
+            },
+        );
+        self.answer(
+            caller,
+            Answer {
+                job: None,
+                outcome: Err(failure),
+            },
+        );
+    }
+
+    pub(super) fn answer(&mut self, caller: CallerId, answer: Answer) {
+        self.effects.push(EntryEffect::Answer { caller, answer });
+    }
+
+    /// Takes a job out of every index; orders at workers stay accounted for.
+    pub(super) fn remove_job(&mut self, key: JobKey) -> Option<Job> {
+        let job = self.jobs.remove(key)?;
+        self.by_job.remove(&job.id);
+        self.due.remove(&(job.due_ms(), key));
+        self.unqueue(&job, key, job.ready_count());
+        Some(job)
+    }
+
+    pub(super) fn unqueue(&mut self, job: &Job, key: JobKey, tasks: usize) {
+        if let Some(count) = self.queued.get_mut(&(job.service.clone(), job.class)) {
+            *count = count.saturating_sub(tasks);
+        }
+        if let Some(queue) = self.queues.get_mut(&job.service) {
+            queue.remove(job.class, &job.team, job.rank_ms, key);
+        }
+    }
+
+    pub(super) fn complete_job(&mut self, key: JobKey, now: TimestampMs) {
+        let Some(job) = self.remove_job(key) else {
+            return;
+        };
+        let Some(results) = job.results() else {
+            return;
+        };
+        self.decide(now, Some(job.id), None, DecisionKind::Completed);
+        self.close_job(&job, Ok(results), now);
+    }
+
+    /// Fails a job as a whole: what has not started is withdrawn, what runs is
+    /// stopped where the target can, and the callers are told at once.
+    pub(super) fn fail_job(&mut self, key: JobKey, cause: Cause, now: TimestampMs) {
+        let Some(job) = self.remove_job(key) else {
+            return;
+        };
+        for worker_key in job.workers() {
+            if let Some(worker) = self.fleet.get_mut(worker_key) {
+                worker.session.push(Message::CancelJob(job.id));
+                self.dirty.insert(worker_key);
+            }
+        }
+        let run = job.certainty();
+        let retry_after_ms = (run == RunCertainty::NotRun).then_some(DEFAULT_RETRY_MS);
+        self.decide(
+            now,
+            Some(job.id),
+            None,
+            DecisionKind::Failed {
+                run,
+                cause: cause.clone(),
+            },
+        );
+        self.close_job(
+            &job,
+            Err(JobFailure {
+                run,
+                cause,
+                retry_after_ms,
+            }),
+            now,
+        );
+    }
+
+    pub(super) fn close_job(
+        &mut self,
+        job: &Job,
+        outcome: Result<Arc<[Payload]>, JobFailure>,
+        now: TimestampMs,
+    ) {
+        let never_ran = matches!(&outcome, Err(failure) if failure.run == RunCertainty::NotRun);
+        let answer = Answer {
+            job: Some(job.id),
+            outcome,
+        };
+        if let Some(record) = &job.record {
+            if never_ran {
+                self.records.remove(record);
+            } else {
+                self.records
+                    .finish(record, answer.clone(), now + self.config.record_life_ms);
+            }
+        }
+        for caller in &job.callers {
+            self.by_caller.remove(caller);
+            self.answer(*caller, answer.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/lagoonhill_core/src/entry/machine/mod.rs
@@ -0,0 +1,257 @@
+//! The entry as a whole: its state, its timers, what it tells others. Each
+//! submodule holds the part of its behaviour that it is named after.
+
+mod admission;
+mod dispatch;
+mod endings;
+mod outcomes;
+mod sessions;
+mod submissions;
+
+use std::collections::{BTreeSet, HashMap, HashSet};
+use std::net::SocketAddr;
+
+use lagoonhill_protocol::{EntryAddress, Load, Message, Packet};
+use lagoonhill_rules::{Class, RuleSet};
+use lagoonhill_types::prelude::*;
+use slotmap::SlotMap;
+
+use super::{
+    CallerId, Decision, DecisionKind, EntryConfig, EntryEffect, EntryStatus, Fleet, Job, JobKey,
+    JobQueue, Placement, Records, RunTimes, TeamUsage, Worker, WorkerKey, WorkerStatus,
+};
+use crate::{FrameHeader, RulesSpread, Verdict};
+
+/// Run time of a task of which nothing at all is known.
+const DEFAULT_RUN_TIME_MS: DurationMs = DurationMs(300);
+
+/// Time between two looks at every worker.
+const WATCH_INTERVAL_MS: DurationMs = DurationMs(100);
+
+/// Pause proposed when nothing better can be computed.
+const DEFAULT_RETRY_MS: DurationMs = DurationMs(1_000);
+
+/// Takes jobs, places their tasks and assembles their answers.
+#[derive(Debug)]
+pub struct Entry<P> {
+    config: EntryConfig,
+    placement: P,
+    rules: RulesSpread,
+    fleet: Fleet,
+    jobs: SlotMap<JobKey, Job>,
+    by_job: HashMap<JobId, JobKey>,
+    by_caller: HashMap<CallerId, JobKey>,
+    queues: HashMap<ServiceName, JobQueue>,
+    queued: HashMap<(ServiceName, Class), usize>,
+    due: BTreeSet<(TimestampMs, JobKey)>,
+    usage: HashMap<TeamName, TeamUsage>,
+    run_times: RunTimes,
+    records: Records,
+    entries: BTreeSet<EntryAddress>,
+    next_number: u64,
+    leaving: bool,
+    last_tick_ms: TimestampMs,
+    last_watch_ms: TimestampMs,
+    dirty: HashSet<WorkerKey>,
+    effects: Vec<EntryEffect>,
+}
+
+impl<P: Placement> Entry<P> {
+    /// An entry that knows no worker and no rules yet.
+    pub fn new(config: EntryConfig, placement: P, now: TimestampMs) -> Self {
+        let entries = BTreeSet::from([config.address]);
+        Self {
+            config,
+            placement,
+            rules: RulesSpread::default(),
+            fleet: Fleet::default(),
+            jobs: SlotMap::with_key(),
+            by_job: HashMap::new(),
+            by_caller: HashMap::new(),
+            queues: HashMap::new(),
+            queued: HashMap::new(),
+            due: BTreeSet::new(),
+            usage: HashMap::new(),
+            run_times: RunTimes::default(),
+            records: Records::default(),
+            entries,
+            next_number: 1,
+            leaving: false,
+            last_tick_ms: now,
+            last_watch_ms: now,
+            dirty: HashSet::new(),
+            effects: Vec::new(),
+        }
+    }
+
+    /// The rules in force here.
+    pub fn rules(&self) -> &RuleSet {
+        self.rules.rules()
+    }
+
+    /// The entries known, this one included.
+    pub fn entries(&self) -> impl Iterator<Item = &EntryAddress> {
+        self.entries.iter()
+    }
+
+    /// The jobs without an answer.
+    pub fn jobs(&self) -> Vec<JobId> {
+        self.by_job.keys().copied().collect()
+    }
+
+    /// Whether every accepted job has its answer.
+    pub fn is_idle(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
+    /// Whether requests are taken: rules are known and the entry stays.
+    pub fn is_ready(&self) -> bool {
+        !self.leaving && self.rules.revision() > Revision(0)
+    }
+
+    /// The entry as `status` shows it.
+    pub fn status(&self) -> EntryStatus {
+        let worker = |(_, worker): (WorkerKey, &Worker)| WorkerStatus {
+            id: worker.id.clone(),
+            zone: worker.zone.clone(),
+            state: worker.state(),
+            quarantined: worker.health.is_quarantined(),
+            service: worker.target.as_ref().map(|target| target.service.clone()),
+            slots: worker.target.as_ref().map_or(0, |target| target.slots.0),
+            load: worker.estimated_load(),
+            rules_revision: worker.session.peer_revision(),
+        };
+        EntryStatus {
+            address: self.config.address,
+            leaving: self.leaving,
+            rules_revision: self.rules.revision(),
+            jobs: self.jobs.len(),
+            queued_tasks: self.queued.values().sum(),
+            workers: self.fleet.iter().map(worker).collect(),
+            entries: self.entries.iter().copied().collect(),
+        }
+    }
+
+    /// Replaces the set of live entries; agents are told of new ones.
+    pub fn set_entries(&mut self, live: impl IntoIterator<Item = EntryAddress>) {
+        let mut entries: BTreeSet<EntryAddress> = live.into_iter().collect();
+        entries.insert(self.config.address);
+        let fresh: Vec<EntryAddress> = entries.difference(&self.entries).copied().collect();
+        self.entries = entries;
+        if !fresh.is_empty() {
+            self.broadcast(&Message::Entries(fresh));
+        }
+    }
+
+    /// Installs rules read from the platform or a peer, if they are newer.
+    pub fn install_rules(&mut self, rules: RuleSet, now: TimestampMs) -> bool {
+        if !self.rules.install(rules) {
+            return false;
+        }
+        self.spread_rules(now);
+        true
+    }
+
+    fn spread_rules(&mut self, now: TimestampMs) {
+        let revision = self.rules.revision();
+        self.decide(now, None, None, DecisionKind::Rules { revision });
+        for (key, worker) in self.fleet.iter_mut() {
+            worker.session.offer_rules(&self.rules);
+            self.dirty.insert(key);
+        }
+        self.dispatch_all(now);
+    }
+
+    /// Refuses new jobs from now on; accepted ones are finished.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Says good-bye to every agent, once idle.
+    pub fn depart(&mut self) {
+        self.broadcast(&Message::Leaving);
+    }
+
+    fn broadcast(&mut self, message: &Message) {
+        for (key, worker) in self.fleet.iter_mut() {
+            worker.session.push(message.clone());
+            self.dirty.insert(key);
+        }
+    }
+
+    fn decide(
+        &mut self,
+        at_ms: TimestampMs,
+        job: Option<JobId>,
+        index: Option<TaskIndex>,
+        kind: DecisionKind,
+    ) {
+        self.effects.push(EntryEffect::Decided(Decision {
+            at_ms,
+            job,
+            index,
+            kind,
+        }));
+    }
+
+    /// Runs timers. Call every few tens of milliseconds.
+    pub fn tick(&mut self, now: TimestampMs) {
+        let frozen = now.since(self.last_tick_ms) >= self.config.timing.freeze_gap_ms;
+        self.last_tick_ms = now;
+        if frozen || now.since(self.last_watch_ms) >= WATCH_INTERVAL_MS {
+            self.last_watch_ms = now;
+            for key in self.fleet.keys() {
+                self.watch(key, frozen, now);
+            }
+            self.quarantine_stuck(now);
+        }
+        self.records.expire(now);
+        self.dispatch_all(now);
+    }
+
+    fn watch(&mut self, key: WorkerKey, frozen: bool, now: TimestampMs) {
+        let Some(worker) = self.fleet.get_mut(key) else {
+            return;
+        };
+        if frozen {
+            worker.session.forgive(now);
+        }
+        let busy = !worker.orders.is_empty();
+        let to: SocketAddr = worker.inbox;
+        match worker.session.tick(busy, now) {
+            Verdict::Alive => {}
+            Verdict::Redial => self.effects.push(EntryEffect::Redial { to }),
+            Verdict::Failed => {
+                self.lose_worker(key, "it does not answer", now);
+                self.effects.push(EntryEffect::Hangup { to });
+                return;
+            }
+        }
+        self.dirty.insert(key);
+    }
+
+    /// Frames due now, and every other effect since the last call.
+    pub fn poll_effects(&mut self, now: TimestampMs) -> Vec<EntryEffect> {
+        let header = FrameHeader {
+            reply_to: self.config.address.inbox,
+            rules_revision: self.rules.revision(),
+            load: Load::default(),
+            sends_heartbeats: false,
+        };
+        let mut dirty: Vec<WorkerKey> = self.dirty.drain().collect();
+        dirty.sort_unstable();
+        for key in dirty {
+            let Some(worker) = self.fleet.get_mut(key) else {
+                continue;
+            };
+            while let Some(frame) = worker.session.poll_frame(header, now) {
+                let packet = Packet::Frame(frame);
+                self.effects.push(EntryEffect::Send {
+                    to: worker.inbox,
+                    packet,
+                });
+            }
+        }
+        std::mem::take(&mut self.effects)
+    }
+}
--- /dev/null
+++ b/crates/lagoonhill_core/src/entry/machine/sessions.rs
@@ -0,0 +1,169 @@
+//! Packets of agents: sessions that begin, carry messages, and end.
+
+use lagoonhill_protocol::{Frame, Hello, Message, Packet, Reset, SessionId, Welcome};
+use lagoonhill_types::prelude::*;
+
+use super::Entry;
+use crate::Session;
+use crate::entry::{Cause, DecisionKind, EntryEffect, Placement, Worker, WorkerKey};
+
+/// Bytes that one idle heartbeat and its answer cost on the wire.
+const HEARTBEAT_COST_BYTES: u64 = 240;
+
+/// Bytes a second that an entry spends on idle heartbeats at most.
+const HEARTBEAT_BUDGET_BYTES_PER_S: u64 = 3_000;
+
+impl<P: Placement> Entry<P> {
+    /// Takes a packet from a link.
+    pub fn receive(&mut self, packet: Packet, now: TimestampMs) {
+        match packet {
+            Packet::Hello(hello) => self.on_hello(hello, now),
+            Packet::Frame(frame) => self.on_frame(frame, now),
+            Packet::Welcome(_) | Packet::Reset(_) | Packet::Entries(_) => {}
+        }
+    }
+
+    pub(super) fn heartbeat(&self) -> DurationMs {
+        let sessions = self.fleet.len() as u64;
+        let interval_ms = sessions * HEARTBEAT_COST_BYTES * 1_000 / HEARTBEAT_BUDGET_BYTES_PER_S;
+        DurationMs(interval_ms).max(self.config.timing.min_heartbeat_ms)
+    }
+
+    pub(super) fn on_hello(&mut self, hello: Hello, now: TimestampMs) {
+        let to = hello.inbox;
+        if hello.session.entry != self.config.address.incarnation {
+            let packet = Packet::Entries(self.entries.iter().copied().collect());
+            return self.effects.push(EntryEffect::Send { to, packet });
+        }
+        let known = self.fleet.find_id(&hello.worker);
+        if let Some(key) = known {
+            let current = self.fleet.get(key).map(|worker| worker.session.id());
+            if current == Some(hello.session) {
+                return self.welcome(key, now);
+            }
+            if current.is_some_and(|current| is_newer(current, hello.session)) {
+                return;
+            }
+            self.lose_worker(key, "its agent began a new session", now);
+        }
+        let heartbeat_ms = self.heartbeat();
+        let mut session = Session::new(hello.session, self.config.timing, heartbeat_ms, now);
+        session.heard(hello.sent_ms, hello.rules_revision, now);
+        session.offer_rules(&self.rules);
+        let mut worker = Worker::new(hello.worker, hello.zone, to, hello.target, session);
+        worker.leaving = hello.leaving;
+        let id = worker.id.clone();
+        let key = self.fleet.insert(worker);
+        self.decide(now, None, None, DecisionKind::Joined { worker: id });
+        self.welcome(key, now);
+        self.dirty.insert(key);
+        self.dispatch_all(now);
+    }
+
+    pub(super) fn welcome(&mut self, key: WorkerKey, now: TimestampMs) {
+        let heartbeat_ms = self.heartbeat();
+        let rules_revision = self.rules.revision();
+        let entries = self.entries.iter().copied().collect();
+        let Some(worker) = self.fleet.get_mut(key) else {
+            return;
+        };
+        worker.told_heartbeat_ms = heartbeat_ms;
+        worker.session.set_heartbeat(heartbeat_ms);
+        let session = worker.session.id();
+        let welcome = Welcome {
+            session,
+            sent_ms: now,
+            heartbeat_ms,
+            rules_revision,
+            entries,
+        };
+        let packet = Packet::Welcome(welcome);
+        self.effects.push(EntryEffect::Send {
+            to: worker.inbox,
+            packet,
+        });
+    }
+
+    pub(super) fn on_frame(&mut self, frame: Frame, now: TimestampMs) {
+        let Some(key) = self.fleet.find_session(frame.session) else {
+            let packet = Packet::Reset(Reset {
+                session: frame.session,
+            });
+            return self.effects.push(EntryEffect::Send {
+                to: frame.reply_to,
+                packet,
+            });
+        };
+        let ping = frame.ping;
+        let heartbeat_ms = self.heartbeat();
+        let worker = self.fleet.get_mut(key).expect("the key was just found");
+        worker.load = frame.load;
+        let messages = worker.session.receive(frame, now);
+        let to = worker.inbox;
+        let told_ms = worker.told_heartbeat_ms;
+        self.dirty.insert(key);
+        if ping >= 2 {
+            self.effects.push(EntryEffect::Redial { to });
+        }
+        if ping > 0 && (heartbeat_ms > told_ms * 2 || told_ms > heartbeat_ms * 2) {
+            self.welcome(key, now);
+        }
+        for message in messages {
+            self.on_message(key, message, now);
+        }
+        if let Some(worker) = self.fleet.get_mut(key) {
+            worker.session.offer_rules(&self.rules);
+        }
+        self.dispatch_all(now);
+    }
+
+    pub(super) fn on_message(&mut self, key: WorkerKey, message: Message, now: TimestampMs) {
+        match message {
+            Message::Outcome(outcome) => self.on_outcome(key, outcome, now),
+            Message::Target(target) => self.fleet.set_target(key, target),
+            Message::Leaving => {
+                if let Some(worker) = self.fleet.get_mut(key) {
+                    worker.leaving = true;
+                    let left = DecisionKind::Left {
+                        worker: worker.id.clone(),
+                        why: "it is leaving",
+                    };
+                    self.decide(now, None, None, left);
+                }
+            }
+            Message::Rules(update) => {
+                if self.rules.install_update(&update) {
+                    self.spread_rules(now);
+                }
+            }
+            Message::Start(_) | Message::CancelJob(_) | Message::Entries(_) => {}
+        }
+    }
+
+    /// Ends a worker's session: whatever it held may have run.
+    pub(super) fn lose_worker(&mut self, key: WorkerKey, why: &'static str, now: TimestampMs) {
+        let Some(worker) = self.fleet.remove(key) else {
+            return;
+        };
+        self.dirty.remove(&key);
+        let left = DecisionKind::Left {
+            worker: worker.id.clone(),
+            why,
+        };
+        self.decide(now, None, None, left);
+        for (task, order) in &worker.orders {
+            self.release_quota(&order.team);
+            if let Some(&job) = self.by_job.get(&task.job) {
+                let cause = Cause::WorkerLost {
+                    index: task.index,
+                    worker: worker.id.clone(),
+                };
+                self.fail_job(job, cause, now);
+            }
+        }
+    }
+}
+
+fn is_newer(left: SessionId, right: SessionId) -> bool {
+    (left.agent, left.number) > (right.agent, right.number)
+}
--- /dev/null
+++ b/crates/lagoonhill_core/src/entry/machine/submissions.rs
@@ -0,0 +1,220 @@
+//! Submissions: plain, under a ticket, under a key; cancelled and abandoned.
+
+use lagoonhill_protocol::EntryAddress;
+use lagoonhill_types::prelude::*;
+
+use super::{DEFAULT_RETRY_MS, Entry};
+use crate::entry::{
+    Answer, CallerId, Cause, EntryEffect, JobFailure, KeyBinding, Placement, Record, RecordKey,
+    RunCertainty, Submission,
+};
+
+impl<P: Placement> Entry<P> {
+    /// Issues tickets, each for one submission that may run at most once.
+    pub fn issue_tickets(&mut self, count: u16, now: TimestampMs) -> Vec<Ticket> {
+        let expires_ms = now + self.config.ticket_life_ms;
+        let EntryAddress {
+            incarnation, http, ..
+        } = self.config.address;
+        let mut ticket = || {
+            let number = self.next_number();
+            Ticket {
+                entry: incarnation,
+                number,
+                expires_ms,
+                address: http,
+            }
+        };
+        (0..count).map(|_| ticket()).collect()
+    }
+
+    pub(super) fn next_number(&mut self) -> u64 {
+        let number = self.next_number;
+        self.next_number += 1;
+        number
+    }
+
+    /// Takes a job that may be repeated.
+    pub fn submit(&mut self, caller: CallerId, submission: Submission, now: TimestampMs) {
+        let number = self.next_number();
+        self.admit(caller, submission, number, None, now);
+        self.dispatch_all(now);
+    }
+
+    /// Takes a job under a ticket that this incarnation issued.
+    pub fn submit_ticket(
+        &mut self,
+        caller: CallerId,
+        ticket: Ticket,
+        submission: Submission,
+        now: TimestampMs,
+    ) {
+        let key = RecordKey::Ticket(ticket.number);
+        if self.replay(&key, caller, &submission) {
+            return;
+        }
+        if now >= ticket.expires_ms || ticket.number >= self.next_number {
+            let failure = JobFailure {
+                run: RunCertainty::MayHaveRun,
+                cause: Cause::TicketExpired,
+                retry_after_ms: None,
+            };
+            return self.answer(
+                caller,
+                Answer {
+                    job: None,
+                    outcome: Err(failure),
+                },
+            );
+        }
+        self.admit(caller, submission, ticket.number, Some(key), now);
+        self.dispatch_all(now);
+    }
+
+    /// Takes a job under the caller's own key. `bound_here` says that the
+    /// platform has shown the key to be bound to this incarnation.
+    pub fn submit_key(
+        &mut self,
+        caller: CallerId,
+        request_key: RequestKey,
+        bound_here: bool,
+        submission: Submission,
+        now: TimestampMs,
+    ) {
+        let key = RecordKey::Key(request_key.clone());
+        if self.replay(&key, caller, &submission) {
+            return;
+        }
+        if bound_here {
+            let number = self.next_number();
+            self.admit(caller, submission, number, Some(key), now);
+            return self.dispatch_all(now);
+        }
+        if let Err(failure) = self.check(&submission) {
+            return self.refuse(caller, failure, now);
+        }
+        let fingerprint = submission.fingerprint();
+        let record = Record::Binding {
+            callers: vec![caller],
+            submission: Box::new(submission),
+        };
+        self.records.insert(key, fingerprint, record);
+        self.effects.push(EntryEffect::BindKey { key: request_key });
+    }
+
+    /// The platform's word on a key.
+    pub fn key_bound(&mut self, request_key: RequestKey, binding: KeyBinding, now: TimestampMs) {
+        let key = RecordKey::Key(request_key);
+        let Some(Record::Binding { .. }) = self.records.get(&key).map(|(_, record)| record) else {
+            return;
+        };
+        let Some(Record::Binding {
+            callers,
+            submission,
+        }) = self.records.remove(&key)
+        else {
+            return;
+        };
+        match binding {
+            KeyBinding::Mine => self.admit_bound(&key, callers, *submission, now),
+            KeyBinding::Other(owner) => {
+                let forward = |caller| EntryEffect::Forward { caller, owner };
+                self.effects.extend(callers.into_iter().map(forward));
+            }
+            KeyBinding::Unavailable => self.refuse_bound(callers, &Cause::StoreUnavailable, now),
+            KeyBinding::OverBudget => self.refuse_bound(callers, &Cause::KeyBudget, now),
+        }
+    }
+
+    /// Refuses a request whose key was not bound: nothing was started.
+    pub(super) fn refuse_bound(&mut self, callers: Vec<CallerId>, cause: &Cause, now: TimestampMs) {
+        for caller in callers {
+            let failure = JobFailure::refused_for_now(cause.clone(), DEFAULT_RETRY_MS);
+            self.refuse(caller, failure, now);
+        }
+    }
+
+    pub(super) fn admit_bound(
+        &mut self,
+        key: &RecordKey,
+        callers: Vec<CallerId>,
+        submission: Submission,
+        now: TimestampMs,
+    ) {
+        let number = self.next_number();
+        let mut callers = callers.into_iter();
+        let Some(first) = callers.next() else {
+            return;
+        };
+        let again = submission.clone();
+        self.admit(first, submission, number, Some(key.clone()), now);
+        for caller in callers {
+            if !self.replay(key, caller, &again) {
+                let failure =
+                    JobFailure::refused_for_now(Cause::StoreUnavailable, DEFAULT_RETRY_MS);
+                self.refuse(caller, failure, now);
+            }
+        }
+        self.dispatch_all(now);
+    }
+
+    /// Attaches a caller to what its key or ticket already stands for.
+    pub(super) fn replay(
+        &mut self,
+        key: &RecordKey,
+        caller: CallerId,
+        submission: &Submission,
+    ) -> bool {
+        let Some((fingerprint, _)) = self.records.get(key) else {
+            return false;
+        };
+        if fingerprint != submission.fingerprint() {
+            let failure = JobFailure::refused(Cause::KeyReused);
+            self.answer(
+                caller,
+                Answer {
+                    job: None,
+                    outcome: Err(failure),
+                },
+            );
+            return true;
+        }
+        match self.records.get_mut(key) {
+            Some(Record::Binding { callers, .. }) => callers.push(caller),
+            Some(Record::Running { job }) => {
+                let key = *job;
+                self.by_caller.insert(caller, key);
+                self.jobs[key].callers.push(caller);
+            }
+            Some(Record::Finished { answer }) => {
+                let answer = answer.clone();
+                self.answer(caller, answer);
+            }
+            None => return false,
+        }
+        true
+    }
+
+    /// Cancels a job; returns whether it was still running.
+    pub fn cancel(&mut self, id: JobId, now: TimestampMs) -> bool {
+        let Some(&key) = self.by_job.get(&id) else {
+            return false;
+        };
+        self.fail_job(key, Cause::Cancelled, now);
+        self.dispatch_all(now);
+        true
+    }
+
+    /// A caller hung up. A job that nobody can ask about any more is cancelled.
+    pub fn abandon(&mut self, caller: CallerId, now: TimestampMs) {
+        let Some(key) = self.by_caller.remove(&caller) else {
+            return;
+        };
+        let job = &mut self.jobs[key];
+        job.callers.retain(|waiting| *waiting != caller);
+        if job.callers.is_empty() && job.record.is_none() {
+            self.fail_job(key, Cause::Cancelled, now);
+            self.dispatch_all(now);
+        }
+    }
+}
--- a/crates/lagoonhill_core/src/entry/mod.rs
+++ b/crates/lagoonhill_core/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! The entry's decisions: admission, queues, placement, jobs, the fleet.
 
 mod answer;
+mod config;
 mod decision;
 mod effect;
 mod fleet;
@@ -12,10 +13,12 @@
 mod placement;
 mod records;
 mod run_times;
+mod status;
 mod submission;
 mod worker;
 
 pub use answer::{Answer, Cause, JobFailure, RunCertainty};
+pub use config::EntryConfig;
 pub use decision::{Decision, DecisionKind};
 pub use effect::EntryEffect;
 pub use fleet::Fleet;
@@ -23,12 +26,13 @@
 pub use job::{Job, JobKey, TaskState};
 pub use job_queue::{Charge, JobQueue};
 pub use limits::{TeamUsage, TokenBucket};
-pub use machine::{Entry, EntryConfig, EntryStatus, WorkerStatus};
+pub use machine::Entry;
 pub use placement::{
     Candidate, LeastExpectedFinish, LeastOutstanding, LeastWeightedLoad, Placement, Random,
     RoundRobin, Situation, TwoChoices,
 };
 pub use records::{KeyBinding, Record, RecordKey, Records};
 pub use run_times::RunTimes;
+pub use status::{EntryStatus, WorkerStatus};
 pub use submission::{CallerId, Needs, Submission};
 pub use worker::{Order, Worker, WorkerKey, WorkerState};
--- /dev/null
+++ b/crates/lagoonhill_daemon/src/meters.rs
@@ -0,0 +1,88 @@
+use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+
+/// Makes and renders the metrics of one daemon. Names are given in code, so a
+/// wrong one is a mistake of ours and panics at the start.
+#[derive(Clone, Debug, Default)]
+pub struct Meters {
+    registry: Registry,
+}
+
+impl Meters {
+    /// A counter.
+    pub fn counter(&self, name: &str, help: &str) -> IntCounter {
+        let counter = IntCounter::new(name, help).expect("the name is valid");
+        self.registry
+            .register(Box::new(counter.clone()))
+            .expect("the name is unique");
+        counter
+    }
+
+    /// Counters told apart by one label.
+    pub fn counters(&self, name: &str, help: &str, label: &str) -> IntCounterVec {
+        let counters =
+            IntCounterVec::new(Opts::new(name, help), &[label]).expect("the name is valid");
+        self.registry
+            .register(Box::new(counters.clone()))
+            .expect("the name is unique");
+        counters
+    }
+
+    /// A gauge.
+    pub fn gauge(&self, name: &str, help: &str) -> IntGauge {
+        let gauge = IntGauge::new(name, help).expect("the name is valid");
+        self.registry
+            .register(Box::new(gauge.clone()))
+            .expect("the name is unique");
+        gauge
+    }
+
+    /// Everything as Prometheus text.
+    pub fn render(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        encoded.expect("gathered metrics always encode");
+        text
+    }
+}
+
+/// Counts packets and their bytes by direction.
+#[derive(Clone, Debug)]
+pub struct PacketMeter {
+    packets: IntCounterVec,
+    bytes: IntCounterVec,
+}
+
+impl PacketMeter {
+    /// Registers the counters.
+    pub fn new(meters: &Meters) -> Self {
+        Self {
+            packets: meters.counters(
+                "lagoonhill_packets_total",
+                "Packets by direction.",
+                "direction",
+            ),
+            bytes: meters.counters(
+                "lagoonhill_packet_bytes_total",
+                "Bytes of packets by direction, without the transport's own.",
+                "direction",
+            ),
+        }
+    }
+
+    /// Counts a packet that was sent.
+    pub fn sent(&self, size_bytes: usize) {
+        self.count("sent", size_bytes);
+    }
+
+    /// Counts a packet that was received.
+    pub fn received(&self, size_bytes: usize) {
+        self.count("received", size_bytes);
+    }
+
+    fn count(&self, direction: &str, size_bytes: usize) {
+        self.packets.with_label_values(&[direction]).inc();
+        self.bytes
+            .with_label_values(&[direction])
+            .inc_by(size_bytes as u64);
+    }
+}
--- a/crates/lagoonhill_entry/src/error.rs
+++ b/crates/lagoonhill_daemon/src/start_error.rs
@@ -3,7 +3,7 @@
 
 use lagoonhill_link::InboxError;
 
-/// Why an entry could not start.
+/// Why a daemon could not start.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
     /// The HTTP address is taken or not ours.
--- a/crates/lagoonhill_entry/src/api.rs
+++ b/crates/lagoonhill_entry/src/api.rs
@@ -148,8 +148,6 @@
     header_text(headers, name)?.map(parse).transpose()
 }
 
-// ----- Jobs -----
-
 async fn post_job(state: &ApiState, request: Request<Incoming>) -> Result<Reply, Problem> {
     let (head, body) = request.into_parts();
     let body = read_body(body, state.max_body_bytes.0).await?;
@@ -383,8 +381,6 @@
     }))
 }
 
-// ----- Other entries, operators, the balancer -----
-
 async fn post_peers(state: &ApiState, request: Request<Incoming>) -> Result<Reply, Problem> {
     let body = read_body(request.into_body(), state.max_body_bytes.0).await?;
     let asked: PeersRequest = parse_body(&body)?;
--- a/crates/lagoonhill_entry/src/control.rs
+++ b/crates/lagoonhill_entry/src/control.rs
@@ -1,10 +1,10 @@
 use std::collections::{HashMap, VecDeque};
-use std::sync::mpsc::{Receiver, RecvTimeoutError};
-use std::time::Duration;
+use std::ops::ControlFlow;
 
 use lagoonhill_core::entry::{
     Answer, CallerId, Decision, Entry, EntryEffect, EntryStatus, KeyBinding, Placement, Submission,
 };
+use lagoonhill_daemon::ControlState;
 use lagoonhill_link::Link;
 use lagoonhill_protocol::{EntryAddress, Packet};
 use lagoonhill_rules::RuleSet;
@@ -14,12 +14,6 @@
 
 use crate::metrics::Metrics;
 
-/// Time between two runs of the timers.
-const TICK: DurationMs = DurationMs(20);
-
-/// Events handled before effects are carried out, at most.
-const MAX_BATCH: usize = 512;
-
 /// Decisions kept for `explain`.
 const MAX_DECISIONS: usize = 20_000;
 
@@ -81,84 +75,23 @@
 pub(crate) struct Control<P, L> {
     entry: Entry<P>,
     link: L,
-    clock: Clock,
     metrics: Metrics,
-    events: Receiver<ControlEvent>,
     keys_to_bind: mpsc::UnboundedSender<RequestKey>,
     callers: HashMap<CallerId, oneshot::Sender<CallerReply>>,
     decisions: VecDeque<Decision>,
 }
 
-impl<P: Placement, L: Link> Control<P, L> {
-    pub(crate) fn new(
-        entry: Entry<P>,
-        link: L,
-        clock: Clock,
-        metrics: Metrics,
-        events: Receiver<ControlEvent>,
-        keys_to_bind: mpsc::UnboundedSender<RequestKey>,
-    ) -> Self {
-        let (callers, decisions) = (HashMap::new(), VecDeque::new());
-        Self {
-            entry,
-            link,
-            clock,
-            metrics,
-            events,
-            keys_to_bind,
-            callers,
-            decisions,
-        }
-    }
+impl<P: Placement, L: Link> ControlState for Control<P, L> {
+    type Event = ControlEvent;
 
-    /// Runs until told to stop.
-    pub(crate) fn run(mut self) {
-        let mut next_tick = self.clock.now() + TICK;
-        loop {
-            let wait = Duration::from(next_tick.since(self.clock.now()));
-            match self.events.recv_timeout(wait) {
-                Ok(ControlEvent::Stop) | Err(RecvTimeoutError::Disconnected) => return,
-                Ok(event) => {
-                    // The first tick after a freeze comes before any event, so
-                    // that nothing is judged by what the freeze made late.
-                    self.tick_if_due(&mut next_tick);
-                    self.handle(event);
-                    if self.drain_batch() {
-                        return;
-                    }
-                }
-                Err(RecvTimeoutError::Timeout) => {}
-            }
-            self.tick_if_due(&mut next_tick);
-            self.carry_out();
-        }
+    fn tick(&mut self, now: TimestampMs) {
+        self.entry.tick(now);
     }
 
-    fn tick_if_due(&mut self, next_tick: &mut TimestampMs) {
-        let now = self.clock.now();
-        if now >= *next_tick {
-            self.entry.tick(now);
-            *next_tick = now + TICK;
-        }
-    }
-
-    /// Handles what has queued up; returns whether to stop.
-    fn drain_batch(&mut self) -> bool {
-        for _ in 0..MAX_BATCH {
-            match self.events.try_recv() {
-                Ok(ControlEvent::Stop) => return true,
-                Ok(event) => self.handle(event),
-                Err(_) => return false,
-            }
-        }
-        false
-    }
-
-    fn handle(&mut self, event: ControlEvent) {
-        let now = self.clock.now();
+    fn handle(&mut self, event: ControlEvent, now: TimestampMs) -> ControlFlow<()> {
         match event {
             ControlEvent::Packet { packet, size_bytes } => {
-                self.metrics.count_packet("received", size_bytes);
+                self.metrics.packets.received(size_bytes);
                 self.entry.receive(packet, now);
             }
             ControlEvent::Submit {
@@ -198,36 +131,17 @@
             }
             ControlEvent::Leave => self.entry.leave(),
             ControlEvent::Depart => self.entry.depart(),
-            ControlEvent::Stop => {}
-        }
-    }
-
-    fn submit(
-        &mut self,
-        caller: CallerId,
-        kind: SubmissionKind,
-        submission: Submission,
-        now: TimestampMs,
-    ) {
-        match kind {
-            SubmissionKind::Plain => self.entry.submit(caller, submission, now),
-            SubmissionKind::Ticket(ticket) => {
-                self.entry.submit_ticket(caller, ticket, submission, now);
-            }
-            SubmissionKind::Key { key, bound_here } => {
-                self.entry
-                    .submit_key(caller, key, bound_here, submission, now);
-            }
+            ControlEvent::Stop => return ControlFlow::Break(()),
         }
+        ControlFlow::Continue(())
     }
 
-    fn carry_out(&mut self) {
-        let now = self.clock.now();
+    fn carry_out(&mut self, now: TimestampMs) {
         for effect in self.entry.poll_effects(now) {
             match effect {
                 EntryEffect::Send { to, packet } => {
                     let size_bytes = self.link.send(to, &packet);
-                    self.metrics.count_packet("sent", size_bytes);
+                    self.metrics.packets.sent(size_bytes);
                 }
                 EntryEffect::Redial { to } => self.link.redial(to),
                 EntryEffect::Hangup { to } => self.link.hangup(to),
@@ -244,6 +158,44 @@
             }
         }
     }
+}
+
+impl<P: Placement, L: Link> Control<P, L> {
+    pub(crate) fn new(
+        entry: Entry<P>,
+        link: L,
+        metrics: Metrics,
+        keys_to_bind: mpsc::UnboundedSender<RequestKey>,
+    ) -> Self {
+        let (callers, decisions) = (HashMap::new(), VecDeque::new());
+        Self {
+            entry,
+            link,
+            metrics,
+            keys_to_bind,
+            callers,
+            decisions,
+        }
+    }
+
+    fn submit(
+        &mut self,
+        caller: CallerId,
+        kind: SubmissionKind,
+        submission: Submission,
+        now: TimestampMs,
+    ) {
+        match kind {
+            SubmissionKind::Plain => self.entry.submit(caller, submission, now),
+            SubmissionKind::Ticket(ticket) => {
+                self.entry.submit_ticket(caller, ticket, submission, now);
+            }
+            SubmissionKind::Key { key, bound_here } => {
+                self.entry
+                    .submit_key(caller, key, bound_here, submission, now);
+            }
+        }
+    }
 
     fn reply(&mut self, caller: CallerId, reply: CallerReply) {
         if let Some(waiting) = self.callers.remove(&caller) {
--- a/crates/lagoonhill_entry/src/daemon.rs
+++ b/crates/lagoonhill_entry/src/daemon.rs
@@ -1,21 +1,21 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::thread;
 use std::time::Duration;
 
 use lagoonhill_core::entry::{Entry, EntryConfig, LeastExpectedFinish};
+use lagoonhill_daemon::{StartError, listen, spawn_control};
 use lagoonhill_http::{HttpClient, serve};
 use lagoonhill_link::{Inbox, InboxHandle, NngLink};
 use lagoonhill_platform::EtcdStore;
 use lagoonhill_protocol::EntryAddress;
 use lagoonhill_types::prelude::*;
 use log::{info, warn};
-use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
+use crate::EntrySettings;
 use crate::api::{Api, ApiState};
 use crate::control::{Control, ControlEvent};
 use crate::handle::ControlHandle;
@@ -23,7 +23,6 @@
 use crate::metrics::Metrics;
 use crate::peers::{Peers, exchange};
 use crate::rules_watch::follow_rules;
-use crate::{EntrySettings, StartError};
 
 /// Time between two looks at whether all jobs have been answered.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
@@ -47,12 +46,7 @@
 impl EntryDaemon {
     /// Starts an entry on the current tokio runtime.
     pub async fn start(settings: EntrySettings) -> Result<Self, StartError> {
-        let listen = |source| StartError::Listen {
-            address: settings.http,
-            source,
-        };
-        let listener = TcpListener::bind(settings.http).await.map_err(listen)?;
-        let http = listener.local_addr().map_err(listen)?;
+        let (listener, http) = listen(settings.http).await?;
         let inbox = Inbox::open(settings.inbox)?;
         let clock = Clock::start();
         let address = EntryAddress {
@@ -70,18 +64,8 @@
         let control = ControlHandle::new(events);
         let (keys_to_bind, key_queue) = mpsc::unbounded_channel();
         let entry = Entry::new(config, LeastExpectedFinish, clock.now());
-        let thread = Control::new(
-            entry,
-            NngLink::new(),
-            clock,
-            metrics.clone(),
-            event_queue,
-            keys_to_bind,
-        );
-        thread::Builder::new()
-            .name("control".to_owned())
-            .spawn(move || thread.run())
-            .map_err(StartError::Thread)?;
+        let state = Control::new(entry, NngLink::new(), metrics.clone(), keys_to_bind);
+        spawn_control(state, clock, event_queue)?;
         let packets = control.clone();
         let inbox = inbox.run(move |packet, size_bytes| {
             packets.tell(ControlEvent::Packet { packet, size_bytes })
--- a/crates/lagoonhill_entry/src/lib.rs
+++ b/crates/lagoonhill_entry/src/lib.rs
@@ -5,7 +5,6 @@
 mod api_types;
 mod control;
 mod daemon;
-mod error;
 mod handle;
 mod key_binder;
 mod metrics;
@@ -14,5 +13,5 @@
 mod settings;
 
 pub use daemon::EntryDaemon;
-pub use error::StartError;
+pub use lagoonhill_daemon::StartError;
 pub use settings::EntrySettings;
--- a/crates/lagoonhill_entry/src/metrics.rs
+++ b/crates/lagoonhill_entry/src/metrics.rs
@@ -1,16 +1,16 @@
 use lagoonhill_core::entry::{DecisionKind, EntryStatus, RunCertainty};
+use lagoonhill_daemon::{Meters, PacketMeter};
 use lagoonhill_platform::{CallCounts, CallKind};
-use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{IntCounter, IntCounterVec, IntGauge};
 
 /// The entry's metrics.
 #[derive(Clone, Debug)]
 pub(crate) struct Metrics {
-    registry: Registry,
+    meters: Meters,
+    pub(crate) packets: PacketMeter,
     jobs: IntCounterVec,
     placed: IntCounter,
     moved: IntCounter,
-    packets: IntCounterVec,
-    packet_bytes: IntCounterVec,
     platform_calls: IntCounterVec,
     queued: IntGauge,
     running_jobs: IntGauge,
@@ -21,67 +21,36 @@
 
 impl Metrics {
     pub(crate) fn new() -> Self {
-        let registry = Registry::new();
-        let counter = |name: &str, help: &str| {
-            let counter = IntCounter::new(name, help).expect("the name is valid");
-            registry
-                .register(Box::new(counter.clone()))
-                .expect("the name is unique");
-            counter
-        };
-        let counters = |name: &str, help: &str, label: &str| {
-            let counters =
-                IntCounterVec::new(Opts::new(name, help), &[label]).expect("the name is valid");
-            registry
-                .register(Box::new(counters.clone()))
-                .expect("the name is unique");
-            counters
-        };
-        let gauge = |name: &str, help: &str| {
-            let gauge = IntGauge::new(name, help).expect("the name is valid");
-            registry
-                .register(Box::new(gauge.clone()))
-                .expect("the name is unique");
-            gauge
-        };
+        let meters = Meters::default();
         Self {
-            jobs: counters(
+            packets: PacketMeter::new(&meters),
+            jobs: meters.counters(
                 "lagoonhill_jobs_total",
                 "Jobs by what became of them.",
                 "outcome",
             ),
-            placed: counter(
+            placed: meters.counter(
                 "lagoonhill_tasks_placed_total",
                 "Tasks ordered from workers.",
             ),
-            moved: counter(
+            moved: meters.counter(
                 "lagoonhill_tasks_moved_total",
                 "Tasks handed back unstarted.",
             ),
-            packets: counters(
-                "lagoonhill_packets_total",
-                "Packets by direction.",
-                "direction",
-            ),
-            packet_bytes: counters(
-                "lagoonhill_packet_bytes_total",
-                "Bytes of packets by direction, without the transport's own.",
-                "direction",
-            ),
-            platform_calls: counters(
+            platform_calls: meters.counters(
                 "lagoonhill_platform_calls_total",
                 "Calls to the platform's store.",
                 "kind",
             ),
-            queued: gauge("lagoonhill_queued_tasks", "Tasks waiting for a worker."),
-            running_jobs: gauge("lagoonhill_jobs", "Jobs without an answer."),
-            workers: gauge("lagoonhill_workers", "Workers with a session."),
-            entries: gauge("lagoonhill_entries", "Live entries known."),
-            rules_revision: gauge(
+            queued: meters.gauge("lagoonhill_queued_tasks", "Tasks waiting for a worker."),
+            running_jobs: meters.gauge("lagoonhill_jobs", "Jobs without an answer."),
+            workers: meters.gauge("lagoonhill_workers", "Workers with a session."),
+            entries: meters.gauge("lagoonhill_entries", "Live entries known."),
+            rules_revision: meters.gauge(
                 "lagoonhill_rules_revision",
                 "Revision of the rules in force.",
             ),
-            registry,
+            meters,
         }
     }
 
@@ -109,13 +78,6 @@
         self.jobs.with_label_values(&[outcome]).inc();
     }
 
-    pub(crate) fn count_packet(&self, direction: &str, size_bytes: usize) {
-        self.packets.with_label_values(&[direction]).inc();
-        self.packet_bytes
-            .with_label_values(&[direction])
-            .inc_by(size_bytes as u64);
-    }
-
     /// Everything as Prometheus text.
     pub(crate) fn render(&self, status: &EntryStatus, calls: Option<&CallCounts>) -> Vec<u8> {
         let gauge =
@@ -133,9 +95,6 @@
             let calls = calls.map_or(0, |calls| calls.get(kind));
             counter.inc_by(calls.saturating_sub(counter.get()));
         }
-        let mut text = Vec::new();
-        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut text);
-        encoded.expect("gathered metrics always encode");
-        text
+        self.meters.render()
     }
 }
--- a/crates/lagoonhill_standin/src/world.rs
+++ b/crates/lagoonhill_standin/src/world.rs
@@ -388,8 +388,6 @@
         }
     }
 
-    // ----- What a test does -----
-
     /// The time.
     pub fn now(&self) -> TimestampMs {
         self.now
@@ -583,8 +581,6 @@
         self.now = until_ms;
     }
 
-    // ----- The event loop -----
-
     fn local(&self, node: NodeId) -> TimestampMs {
         let skew_ms = match node {
             NodeId::Entry(index) => self.entries[index].skew_ms,
@@ -858,8 +854,6 @@
         );
     }
 
-    // ----- Keys -----
-
     fn bind(&mut self, entry: usize, key: RequestKey) {
         let life = self.entries[entry].life;
         let binding = if self.platform_down {
