--- a/crates/lagoonhill_core/src/entry/machine/outcomes.rs
+++ b/crates/lagoonhill_core/src/entry/machine/outcomes.rs
@@ -111,7 +111,9 @@
         match result {
             TaskResult::Done(_) => {
                 let expected_ms = self.run_times.expected(&service, run_ms);
-                if worker.health.is_quarantined() && run_ms > expected_ms * SLOW_PROBE_FACTOR {
+                if worker.health.is_quarantined()
+                    && run_ms > worker.usual_run_time(expected_ms) * SLOW_PROBE_FACTOR
+                {
                     return worker.health.failed(now);
                 }
                 worker.observe(run_ms, expected_ms);
--- a/crates/lagoonhill_core/src/entry/placement.rs
+++ b/crates/lagoonhill_core/src/entry/placement.rs
@@ -115,18 +115,33 @@
 
 /// The worker with room that is expected to finish the task first, learned
 /// speeds included.
+///
+/// Expectations closer than an eighth of the run time count as equal; then the
+/// emptier worker is taken, and each in turn among equals, so that several
+/// entries do not all choose the same one.
 #[derive(Debug, Default)]
-pub struct LeastExpectedFinish;
+pub struct LeastExpectedFinish {
+    turn: usize,
+}
+
+/// Steps into which a run time is divided when expectations are compared.
+const STEPS_PER_RUN: u64 = 8;
 
 impl Placement for LeastExpectedFinish {
     fn choose(&mut self, candidates: &[Candidate], situation: Situation) -> Option<usize> {
-        with_room(candidates, situation.look_ahead)
-            .into_iter()
+        let count = candidates.len();
+        let step_us = (situation.run_time_ms.0 * 1_000 / STEPS_PER_RUN).max(1);
+        self.turn = self.turn.wrapping_add(1);
+        let turn = self.turn;
+        let order = (0..count).map(|offset| (turn.wrapping_add(offset)) % count);
+        order
+            .filter(|index| candidates[*index].has_room(situation.look_ahead))
             .min_by_key(|index| {
                 let candidate = &candidates[*index];
+                let finish_us = candidate.expected_finish_us(situation.run_time_ms);
                 (
-                    candidate.expected_finish_us(situation.run_time_ms),
-                    candidate.load,
+                    finish_us / step_us,
+                    u32::from(candidate.load) * 1_000 / u32::from(candidate.slots.max(1)),
                 )
             })
     }
--- a/crates/lagoonhill_core/src/entry/worker.rs
+++ b/crates/lagoonhill_core/src/entry/worker.rs
@@ -144,13 +144,22 @@
         })
     }
 
-    /// Whether most of its orders take far longer than expected, as on a
-    /// machine that has become slow.
+    /// The run time to expect here, from the one on a worker of average speed.
+    pub fn usual_run_time(&self, expected_ms: DurationMs) -> DurationMs {
+        expected_ms * u64::from(self.slowness_permille) / u64::from(AVERAGE_SLOWNESS_PERMILLE)
+    }
+
+    /// Whether it is full and at least half of our orders take far longer than
+    /// usual here, as on a machine that has become slow. On a worker that is
+    /// not full the long tasks are merely the ones that are left.
     pub fn is_stuck(&self, expected_ms: DurationMs, now: TimestampMs) -> bool {
-        let limit_ms = (expected_ms * STUCK_FACTOR).max(MIN_STUCK_MS);
+        let slots = self.target.as_ref().map_or(0, |target| target.slots.0);
+        let limit_ms = (self.usual_run_time(expected_ms) * STUCK_FACTOR).max(MIN_STUCK_MS);
         let late = |order: &&Order| now.since(order.sent_ms) > limit_ms;
         let late_orders = self.orders.values().filter(late).count();
-        late_orders >= MIN_STUCK_ORDERS && late_orders * 2 >= self.orders.len()
+        self.estimated_load() >= slots
+            && late_orders >= MIN_STUCK_ORDERS
+            && late_orders * 2 >= self.orders.len()
     }
 
     /// Forgets what was learned of its speed while it was slow.
--- a/crates/lagoonhill_entry/src/daemon.rs
+++ b/crates/lagoonhill_entry/src/daemon.rs
@@ -63,7 +63,7 @@
         let (events, event_queue) = std::sync::mpsc::channel();
         let control = ControlHandle::new(events);
         let (keys_to_bind, key_queue) = mpsc::unbounded_channel();
-        let entry = Entry::new(config, LeastExpectedFinish, clock.now());
+        let entry = Entry::new(config, LeastExpectedFinish::default(), clock.now());
         let state = Control::new(entry, NngLink::new(), metrics.clone(), keys_to_bind);
         spawn_control(state, clock, event_queue)?;
         let packets = control.clone();
