--- a/crates/lagoonhill/src/demo.rs
+++ b/crates/lagoonhill/src/demo.rs
@@ -1,6 +1,7 @@
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::process::ExitCode;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use lagoonhill_agent::{AgentDaemon, AgentSettings};
 use lagoonhill_entry::{EntryDaemon, EntrySettings};
@@ -26,6 +27,8 @@
 /// Longest wait for the fleet to come together.
 const JOIN_LIMIT: Duration = Duration::from_secs(15);
 
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
+
 const JOIN_POLL: Duration = Duration::from_millis(50);
 
 const RULES: &str = "\
@@ -57,7 +60,10 @@
         "a morning rush of {} s over steady office work",
         options.seconds
     );
-    let report = rush(&addresses, options.workers, options.seconds).await;
+    let report = tokio::select! {
+        report = rush(&addresses, options.workers, options.seconds) => report,
+        never = show_progress(&fleet) => match never {},
+    };
     let sound = print_report(&report, &fleet, &addresses).await;
     if options.serve {
         println!("staying up; stop with ctrl-c. Try:");
@@ -190,6 +196,20 @@
     }
 }
 
+/// Says every second how far the rush has come.
+async fn show_progress(fleet: &Fleet) -> Infallible {
+    let started = Instant::now();
+    loop {
+        sleep(PROGRESS_INTERVAL).await;
+        let running: u32 = fleet.targets.iter().map(TargetStandin::running).sum();
+        let seconds = started.elapsed().as_secs();
+        println!(
+            "  {seconds:>3} s: {} tasks started, {running} running",
+            fleet.log.total()
+        );
+    }
+}
+
 /// Steady office work, and parents who all come at once.
 async fn rush(entries: &[SocketAddr], workers: u16, seconds: u16) -> LoadReport {
     let slots = f64::from(workers) * f64::from(SLOTS.0);
--- a/crates/lagoonhill_bench/src/bin/policy.rs
+++ b/crates/lagoonhill_bench/src/bin/policy.rs
@@ -5,10 +5,11 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
-use lagoonhill_bench::{PolicyResult, PolicyRun, Scenario, Trouble, run_policy};
-use lagoonhill_core::entry::{
-    LeastExpectedFinish, LeastOutstanding, LeastWeightedLoad, Random, RoundRobin, TwoChoices,
+use lagoonhill_bench::{
+    LeastOutstanding, LeastWeightedLoad, PolicyResult, PolicyRun, Random, RoundRobin, Scenario,
+    Trouble, TwoChoices, run_policy,
 };
+use lagoonhill_core::entry::LeastExpectedFinish;
 use plotters::prelude::*;
 
 /// Compares placement policies.
--- /dev/null
+++ b/crates/lagoonhill_bench/src/candidates.rs
@@ -0,0 +1,85 @@
+//! Placement policies that lost, kept so that the comparison can be run again.
+
+use lagoonhill_core::entry::{Candidate, Placement, Situation};
+
+fn with_room(candidates: &[Candidate], look_ahead: u16) -> Vec<usize> {
+    (0..candidates.len())
+        .filter(|index| candidates[*index].has_room(look_ahead))
+        .collect()
+}
+
+/// Any worker with room.
+#[derive(Debug)]
+pub struct Random(pub fastrand::Rng);
+
+impl Placement for Random {
+    fn choose(&mut self, candidates: &[Candidate], situation: Situation) -> Option<usize> {
+        let open = with_room(candidates, situation.look_ahead);
+        (!open.is_empty()).then(|| open[self.0.usize(..open.len())])
+    }
+}
+
+/// Each worker with room in turn.
+#[derive(Debug, Default)]
+pub struct RoundRobin {
+    turn: usize,
+}
+
+impl Placement for RoundRobin {
+    fn choose(&mut self, candidates: &[Candidate], situation: Situation) -> Option<usize> {
+        let count = candidates.len();
+        let start = self.turn;
+        let offset = (0..count)
+            .find(|offset| candidates[(start + offset) % count].has_room(situation.look_ahead))?;
+        self.turn = (start + offset + 1) % count;
+        Some((start + offset) % count)
+    }
+}
+
+/// The less loaded of two random workers with room.
+#[derive(Debug)]
+pub struct TwoChoices(pub fastrand::Rng);
+
+impl Placement for TwoChoices {
+    fn choose(&mut self, candidates: &[Candidate], situation: Situation) -> Option<usize> {
+        let open = with_room(candidates, situation.look_ahead);
+        if open.is_empty() {
+            return None;
+        }
+        let first = open[self.0.usize(..open.len())];
+        let second = open[self.0.usize(..open.len())];
+        Some(if candidates[second].load < candidates[first].load {
+            second
+        } else {
+            first
+        })
+    }
+}
+
+/// The worker with the fewest tasks.
+#[derive(Debug, Default)]
+pub struct LeastOutstanding;
+
+impl Placement for LeastOutstanding {
+    fn choose(&mut self, candidates: &[Candidate], situation: Situation) -> Option<usize> {
+        with_room(candidates, situation.look_ahead)
+            .into_iter()
+            .min_by_key(|index| candidates[*index].load)
+    }
+}
+
+/// The least loaded worker with room, in proportion to its slots and speed.
+#[derive(Debug, Default)]
+pub struct LeastWeightedLoad;
+
+impl Placement for LeastWeightedLoad {
+    fn choose(&mut self, candidates: &[Candidate], situation: Situation) -> Option<usize> {
+        with_room(candidates, situation.look_ahead)
+            .into_iter()
+            .min_by_key(|index| {
+                let candidate = &candidates[*index];
+                let load = (u64::from(candidate.load) + 1) * u64::from(candidate.slowness_permille);
+                load / u64::from(candidate.slots.max(1))
+            })
+    }
+}
--- a/crates/lagoonhill_bench/src/lib.rs
+++ b/crates/lagoonhill_bench/src/lib.rs
@@ -7,11 +7,13 @@
     reason = "figures are rounded for planning and printing"
 )]
 
+mod candidates;
 mod policy_run;
 mod proc_usage;
 mod scrape;
 mod workload;
 
+pub use candidates::{LeastOutstanding, LeastWeightedLoad, Random, RoundRobin, TwoChoices};
 pub use policy_run::{PolicyResult, PolicyRun, Trouble, run_policy};
 pub use proc_usage::{CpuTime, Usage, read_usage};
 pub use scrape::{Counters, scrape};
