Give a worker under an operator's quarantine one task at a time

Cause: only workers quarantined by their own failures left the round of candidates after one task; docs/RULES.md promised it for the rule too. Found by reading. an_operators_quarantine_gives_one_task_at_a_time fails without the change.

--- a/crates/lagoonhill/src/demo.rs
+++ b/crates/lagoonhill/src/demo.rs
@@ -6,7 +6,7 @@
 use lagoonhill_agent::{AgentDaemon, AgentSettings};
 use lagoonhill_entry::{EntryDaemon, EntrySettings};
 use lagoonhill_http::HttpClient;
-use lagoonhill_operator::{new_edit_id, query_entry, submit_edit};
+use lagoonhill_operator::{count_serving, new_edit_id, submit_edit};
 use lagoonhill_platform::EtcdStore;
 use lagoonhill_rules::{Edit, RuleSet, parse_rules};
 use lagoonhill_standin::{
@@ -163,18 +163,7 @@
         let http = HttpClient::new();
         let joined = async {
             for entry in &self.entries {
-                loop {
-                    let report = query_entry(&http, entry.http()).await;
-                    let serving = report.map_or(0, |report| {
-                        report
-                            .workers
-                            .iter()
-                            .filter(|worker| worker.state == "serving")
-                            .count()
-                    });
-                    if serving == self.agents.len() {
-                        break;
-                    }
+                while count_serving(&http, entry.http()).await != self.agents.len() {
                     sleep(JOIN_POLL).await;
                 }
             }
--- a/crates/lagoonhill_bench/src/bin/fleet.rs
+++ b/crates/lagoonhill_bench/src/bin/fleet.rs
@@ -11,7 +11,7 @@
 use lagoonhill_agent::{AgentDaemon, AgentSettings};
 use lagoonhill_bench::{Usage, read_usage, scrape};
 use lagoonhill_http::HttpClient;
-use lagoonhill_operator::{new_edit_id, query_entry, read_rules, submit_edit};
+use lagoonhill_operator::{count_serving, new_edit_id, query_entry, read_rules, submit_edit};
 use lagoonhill_platform::EtcdStore;
 use lagoonhill_rules::{Edit, RuleLine, RuleSet, parse_rules};
 use lagoonhill_standin::{
@@ -163,18 +163,7 @@
 
     async fn until_joined(&self) {
         for entry in &self.entries {
-            loop {
-                let report = query_entry(&self.http, entry.http).await;
-                let serving = report.map_or(0, |report| {
-                    report
-                        .workers
-                        .iter()
-                        .filter(|worker| worker.state == "serving")
-                        .count()
-                });
-                if serving == self.agents.len() {
-                    break;
-                }
+            while count_serving(&self.http, entry.http).await != self.agents.len() {
                 sleep(POLL).await;
             }
         }
--- a/crates/lagoonhill_core/src/entry/fleet.rs
+++ b/crates/lagoonhill_core/src/entry/fleet.rs
@@ -133,13 +133,22 @@
         rules: &RuleSet,
         now: TimestampMs,
     ) -> Vec<Candidate> {
-        let workers = self.of_service(service).iter().filter_map(|key| {
+        let candidate = |key: &WorkerKey| {
             let worker = self.workers.get(*key)?;
-            may_get_work(worker, rules, now)
-                .then(|| worker.candidate(*key))
-                .flatten()
-        });
-        workers.collect()
+            let takes_one = match allowance(worker, rules, now) {
+                Allowance::Nothing => return None,
+                Allowance::OneTask => true,
+                Allowance::Anything => false,
+            };
+            Some(Candidate {
+                takes_one,
+                ..worker.candidate(*key)?
+            })
+        };
+        self.of_service(service)
+            .iter()
+            .filter_map(candidate)
+            .collect()
     }
 
     /// Whether any announced worker of the service offers what is needed.
@@ -177,17 +186,25 @@
     }
 }
 
-fn may_get_work(worker: &Worker, rules: &RuleSet, now: TimestampMs) -> bool {
+/// What a worker may be given now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Allowance {
+    Nothing,
+    OneTask,
+    Anything,
+}
+
+fn allowance(worker: &Worker, rules: &RuleSet, now: TimestampMs) -> Allowance {
     if worker.state() != WorkerState::Serving {
-        return false;
+        return Allowance::Nothing;
     }
-    let probe_only = worker.health.is_quarantined();
+    let is_free = worker.orders.is_empty();
     match rules.serving_state(&worker.id, &worker.zone) {
-        ServingState::Drain => false,
-        ServingState::Quarantine => worker.orders.is_empty(),
-        ServingState::Serve if probe_only => {
-            worker.orders.is_empty() && worker.health.may_probe(now)
-        }
-        ServingState::Serve => true,
+        ServingState::Drain => Allowance::Nothing,
+        ServingState::Quarantine if is_free => Allowance::OneTask,
+        ServingState::Quarantine => Allowance::Nothing,
+        ServingState::Serve if !worker.health.is_quarantined() => Allowance::Anything,
+        ServingState::Serve if is_free && worker.health.may_probe(now) => Allowance::OneTask,
+        ServingState::Serve => Allowance::Nothing,
     }
 }
--- a/crates/lagoonhill_core/src/entry/machine/dispatch.rs
+++ b/crates/lagoonhill_core/src/entry/machine/dispatch.rs
@@ -63,7 +63,7 @@
                     let index = fitting[choice];
                     self.place(key, candidates[index], &open, now);
                     candidates[index].load += 1;
-                    if candidates[index].is_probe {
+                    if candidates[index].takes_one {
                         candidates.swap_remove(index);
                     }
                 }
--- a/crates/lagoonhill_core/src/entry/worker.rs
+++ b/crates/lagoonhill_core/src/entry/worker.rs
@@ -141,6 +141,7 @@
             load: self.estimated_load(),
             slowness_permille: self.slowness_permille,
             is_probe: self.health.is_quarantined(),
+            takes_one: self.health.is_quarantined(),
         })
     }
 
--- a/crates/lagoonhill_core/tests/entry.rs
+++ b/crates/lagoonhill_core/tests/entry.rs
@@ -33,6 +33,7 @@
         load,
         slowness_permille,
         is_probe: false,
+        takes_one: false,
     }
 }
 
@@ -269,6 +270,18 @@
         assert_eq!(world.starts_at[1], 40);
     }
 
+    an_operators_quarantine_gives_one_task_at_a_time => {
+        let text = format!("{SERVICE}team parents  # tests\nworker worker-0 state=quarantine  # tests\n");
+        let mut world = with_rules(&text);
+        for number in 0..20 {
+            world.submit(0, job(&format!("job{number}"), 4, 60));
+            world.run_for(20);
+            let running = world.agent(0).map_or(0, lagoonhill_core::agent::Agent::held);
+            assert!(running <= 1, "{running} tasks are held by a quarantined worker");
+        }
+        assert!(world.starts_at[0] > 0);
+    }
+
     an_entry_frozen_past_a_deadline_starts_nothing_overdue_when_it_wakes => {
         let mut world = with_rules(&format!("{SERVICE}team parents  # tests\n"));
         world.submit(0, job("first", 6, 1_000));
--- a/crates/lagoonhill_operator/src/fleet_status.rs
+++ b/crates/lagoonhill_operator/src/fleet_status.rs
@@ -128,6 +128,18 @@
     })
 }
 
+/// How many workers serve at an entry; none while it does not answer.
+pub async fn count_serving(http: &HttpClient, address: SocketAddr) -> usize {
+    let report = query_entry(http, address).await;
+    report.map_or(0, |report| {
+        report
+            .workers
+            .iter()
+            .filter(|worker| worker.state == "serving")
+            .count()
+    })
+}
+
 /// Asks every entry that `address` knows; each process once, by the highest
 /// revision that anybody has seen of it.
 pub async fn query_fleet(
--- a/crates/lagoonhill_operator/src/lib.rs
+++ b/crates/lagoonhill_operator/src/lib.rs
@@ -6,6 +6,6 @@
 
 pub use edit_store::{EditError, new_edit_id, read_rules, submit_edit};
 pub use fleet_status::{
-    EntryReport, ProcessRevision, QueryError, WorkerReport, explain, query_entry, query_fleet,
-    rules_in_force,
+    EntryReport, ProcessRevision, QueryError, WorkerReport, count_serving, explain, query_entry,
+    query_fleet, rules_in_force,
 };
