Let the order reach the leaving agent in its test

leaving_refuses_orders_that_are_under_way cut the link both ways, so no order arrived and it passed with the check taken out. It now silences one direction and asserts the arrival; with the check taken out it fails.

--- a/crates/lagoonhill_core/src/entry/fleet.rs
+++ b/crates/lagoonhill_core/src/entry/fleet.rs
@@ -199,12 +199,11 @@
         return Allowance::Nothing;
     }
     let is_free = worker.orders.is_empty();
+    let quarantined = worker.health.is_quarantined();
     match rules.serving_state(&worker.id, &worker.zone) {
-        ServingState::Drain => Allowance::Nothing,
-        ServingState::Quarantine if is_free => Allowance::OneTask,
-        ServingState::Quarantine => Allowance::Nothing,
-        ServingState::Serve if !worker.health.is_quarantined() => Allowance::Anything,
+        ServingState::Serve if !quarantined => Allowance::Anything,
         ServingState::Serve if is_free && worker.health.may_probe(now) => Allowance::OneTask,
-        ServingState::Serve => Allowance::Nothing,
+        ServingState::Quarantine if is_free => Allowance::OneTask,
+        ServingState::Serve | ServingState::Quarantine | ServingState::Drain => Allowance::Nothing,
     }
 }
--- a/crates/lagoonhill_core/tests/agent.rs
+++ b/crates/lagoonhill_core/tests/agent.rs
@@ -93,9 +93,11 @@
 
     leaving_refuses_orders_that_are_under_way => {
         let mut world = world(&config(1, 1, 5));
-        world.cut(AGENT, ENTRY);
+        // The entry does not hear that the agent is leaving.
+        world.silence(AGENT, ENTRY);
         world.with_agent(0, Agent::leave);
         world.submit(0, job("under-way", 1, 50));
+        assert!(world.run_until_step(Step::Received, 500), "the order did not arrive");
         world.run_for(500);
         assert_eq!(starts(&world), 0, "a leaving agent started new work");
     }
