Keep one slot in eight for the rush while it is on

Cause: over 60% office work a rush job waits for a slot to come free. Test: a_slot_of_each_worker_stays_free_while_a_rush_is_on.

--- a/crates/lagoonhill_bench/src/candidates.rs
+++ b/crates/lagoonhill_bench/src/candidates.rs
@@ -1,10 +1,10 @@
 //! Placement policies that lost, kept so that the comparison can be run again.
 
-use lagoonhill_core::entry::{Candidate, Placement, Situation};
+use lagoonhill_core::entry::{Candidate, Placement, Room, Situation};
 
-fn with_room(candidates: &[Candidate], look_ahead: u16) -> Vec<usize> {
+fn with_room(candidates: &[Candidate], room: Room) -> Vec<usize> {
     (0..candidates.len())
-        .filter(|index| candidates[*index].has_room(look_ahead))
+        .filter(|index| candidates[*index].has_room(room))
         .collect()
 }
 
@@ -14,7 +14,7 @@
 
 impl Placement for Random {
     fn choose(&mut self, candidates: &[Candidate], situation: Situation) -> Option<usize> {
-        let open = with_room(candidates, situation.look_ahead);
+        let open = with_room(candidates, situation.room);
         (!open.is_empty()).then(|| open[self.0.usize(..open.len())])
     }
 }
@@ -30,7 +30,7 @@
         let count = candidates.len();
         let start = self.turn;
         let offset = (0..count)
-            .find(|offset| candidates[(start + offset) % count].has_room(situation.look_ahead))?;
+            .find(|offset| candidates[(start + offset) % count].has_room(situation.room))?;
         self.turn = (start + offset + 1) % count;
         Some((start + offset) % count)
     }
@@ -42,7 +42,7 @@
 
 impl Placement for TwoChoices {
     fn choose(&mut self, candidates: &[Candidate], situation: Situation) -> Option<usize> {
-        let open = with_room(candidates, situation.look_ahead);
+        let open = with_room(candidates, situation.room);
         if open.is_empty() {
             return None;
         }
@@ -62,7 +62,7 @@
 
 impl Placement for LeastOutstanding {
     fn choose(&mut self, candidates: &[Candidate], situation: Situation) -> Option<usize> {
-        with_room(candidates, situation.look_ahead)
+        with_room(candidates, situation.room)
             .into_iter()
             .min_by_key(|index| candidates[*index].load)
     }
@@ -74,7 +74,7 @@
 
 impl Placement for LeastWeightedLoad {
     fn choose(&mut self, candidates: &[Candidate], situation: Situation) -> Option<usize> {
-        with_room(candidates, situation.look_ahead)
+        with_room(candidates, situation.room)
             .into_iter()
             .min_by_key(|index| {
                 let candidate = &candidates[*index];
--- a/crates/lagoonhill_core/src/entry/job_queue.rs
+++ b/crates/lagoonhill_core/src/entry/job_queue.rs
@@ -79,8 +79,16 @@
 
     /// The job to serve next among those `eligible`: classes in order of use,
     /// then teams, then ranks.
-    pub fn next(&self, mut eligible: impl FnMut(&TeamName, JobKey) -> bool) -> Option<JobKey> {
-        let mut classes: Vec<(&Class, &ClassQueue)> = self.classes.iter().collect();
+    pub fn next(
+        &self,
+        class_eligible: impl Fn(Class) -> bool,
+        mut eligible: impl FnMut(&TeamName, JobKey) -> bool,
+    ) -> Option<JobKey> {
+        let mut classes: Vec<(&Class, &ClassQueue)> = self
+            .classes
+            .iter()
+            .filter(|(class, _)| class_eligible(**class))
+            .collect();
         classes.sort_by_key(|(class, queue)| (queue.pass, **class));
         for (_, queue) in classes {
             let mut teams: Vec<(&TeamName, &TeamQueue)> = queue
--- a/crates/lagoonhill_core/src/entry/machine/admission.rs
+++ b/crates/lagoonhill_core/src/entry/machine/admission.rs
@@ -82,6 +82,9 @@
             self.records
                 .insert(record, fingerprint, Record::Running { job: key });
         }
+        if class == Class::Rush {
+            self.last_rush_ms.insert(service.clone(), now);
+        }
         let queued = self.queued_tasks(&service);
         *self.queued.entry((service.clone(), class)).or_default() += count;
         self.queues
--- a/crates/lagoonhill_core/src/entry/machine/dispatch.rs
+++ b/crates/lagoonhill_core/src/entry/machine/dispatch.rs
@@ -3,10 +3,23 @@
 use std::collections::HashSet;
 
 use lagoonhill_protocol::{Message, Start};
+use lagoonhill_rules::Class;
 use lagoonhill_types::prelude::*;
 
 use super::{DEFAULT_RUN_TIME_MS, Entry};
-use crate::entry::{Candidate, Cause, Charge, DecisionKind, JobKey, Order, Placement, Situation};
+use crate::entry::{
+    Candidate, Cause, Charge, DecisionKind, JobKey, Order, Placement, Room, Situation,
+};
+
+/// How long a slot of each worker stays free after a job of the rush.
+const RUSH_MEMORY_MS: DurationMs = DurationMs(5_000);
+
+/// What found no worker in the present round.
+#[derive(Debug, Default)]
+struct Blocked {
+    jobs: HashSet<JobKey>,
+    classes: HashSet<Class>,
+}
 
 impl<P: Placement> Entry<P> {
     /// Fails every job whose deadline has passed. Runs before each placement,
@@ -37,11 +50,9 @@
     /// Places ready tasks of a service while workers have room.
     pub(super) fn dispatch(&mut self, service: &ServiceName, now: TimestampMs) {
         let mut candidates = self.fleet.candidates(service, self.rules.rules(), now);
-        let mut blocked: HashSet<JobKey> = HashSet::new();
-        while candidates
-            .iter()
-            .any(|candidate| candidate.has_room(self.config.look_ahead))
-        {
+        let mut blocked = Blocked::default();
+        let most = Room::LookAhead(self.config.look_ahead);
+        while candidates.iter().any(|candidate| candidate.has_room(most)) {
             let Some(key) = self.next_job(service, &blocked) else {
                 return;
             };
@@ -54,7 +65,8 @@
                 })
                 .collect();
             let open: Vec<Candidate> = fitting.iter().map(|index| candidates[*index]).collect();
-            let situation = self.situation(service);
+            let class = self.jobs[key].class;
+            let situation = self.situation(service, class, now);
             // A probe goes first: a policy that prefers other workers would
             // never find out that this one has recovered.
             let probe = open.iter().position(|candidate| candidate.is_probe);
@@ -67,20 +79,22 @@
                         candidates.swap_remove(index);
                     }
                 }
+                None if situation.room == Room::KeepReserve => {
+                    blocked.classes.insert(class);
+                }
                 None => {
-                    blocked.insert(key);
+                    blocked.jobs.insert(key);
                 }
             }
         }
     }
 
-    pub(super) fn next_job(
-        &self,
-        service: &ServiceName,
-        blocked: &HashSet<JobKey>,
-    ) -> Option<JobKey> {
+    fn next_job(&self, service: &ServiceName, blocked: &Blocked) -> Option<JobKey> {
         let queue = self.queues.get(service)?;
-        queue.next(|team, key| !blocked.contains(&key) && self.has_quota(team))
+        queue.next(
+            |class| !blocked.classes.contains(&class),
+            |team, key| !blocked.jobs.contains(&key) && self.has_quota(team),
+        )
     }
 
     pub(super) fn has_quota(&self, team: &TeamName) -> bool {
@@ -92,14 +106,25 @@
         f64::from(in_flight) < share.max(1.0)
     }
 
-    pub(super) fn situation(&self, service: &ServiceName) -> Situation {
+    fn situation(&self, service: &ServiceName, class: Class, now: TimestampMs) -> Situation {
         let prior_ms = self.prior_run_time(service);
+        let keeps_reserve = class > Class::Rush && self.is_rush_on(service, now);
         Situation {
             run_time_ms: self.run_times.expected(service, prior_ms),
-            look_ahead: self.config.look_ahead,
+            room: if keeps_reserve {
+                Room::KeepReserve
+            } else {
+                Room::LookAhead(self.config.look_ahead)
+            },
         }
     }
 
+    /// Whether jobs of the most urgent class have come lately.
+    fn is_rush_on(&self, service: &ServiceName, now: TimestampMs) -> bool {
+        let last_ms = self.last_rush_ms.get(service);
+        last_ms.is_some_and(|last_ms| now.since(*last_ms) < RUSH_MEMORY_MS)
+    }
+
     /// The run time that operators expect, before any has been learned.
     pub(super) fn prior_run_time(&self, service: &ServiceName) -> DurationMs {
         let rule = self.rules().service(service);
@@ -137,11 +162,8 @@
             }
         }
         self.usage.entry(team.clone()).or_default().in_flight += 1;
-        let look_ahead = self.config.look_ahead;
-        let alternatives = open
-            .iter()
-            .filter(|other| other.has_room(look_ahead))
-            .count();
+        let room = Room::LookAhead(self.config.look_ahead);
+        let alternatives = open.iter().filter(|other| other.has_room(room)).count();
         let worker = self
             .fleet
             .get_mut(chosen.key)
--- a/crates/lagoonhill_core/src/entry/machine/mod.rs
+++ b/crates/lagoonhill_core/src/entry/machine/mod.rs
@@ -45,6 +45,8 @@
     queued: HashMap<(ServiceName, Class), usize>,
     due: BTreeSet<(TimestampMs, JobKey)>,
     usage: HashMap<TeamName, TeamUsage>,
+    /// When each service last got a job of the most urgent class.
+    last_rush_ms: HashMap<ServiceName, TimestampMs>,
     run_times: RunTimes,
     records: Records,
     entries: BTreeSet<EntryAddress>,
@@ -72,6 +74,7 @@
             queued: HashMap::new(),
             due: BTreeSet::new(),
             usage: HashMap::new(),
+            last_rush_ms: HashMap::new(),
             run_times: RunTimes::default(),
             records: Records::default(),
             entries,
--- a/crates/lagoonhill_core/src/entry/mod.rs
+++ b/crates/lagoonhill_core/src/entry/mod.rs
@@ -27,7 +27,7 @@
 pub use job_queue::{Charge, JobQueue};
 pub use limits::{TeamUsage, TokenBucket};
 pub use machine::Entry;
-pub use placement::{Candidate, LeastExpectedFinish, Placement, Situation};
+pub use placement::{Candidate, LeastExpectedFinish, Placement, Room, Situation};
 pub use records::{KeyBinding, Record, RecordKey, Records};
 pub use run_times::RunTimes;
 pub use status::{EntryStatus, WorkerStatus};
--- a/crates/lagoonhill_core/src/entry/placement.rs
+++ b/crates/lagoonhill_core/src/entry/placement.rs
@@ -20,10 +20,12 @@
 }
 
 impl Candidate {
-    /// Whether a task sent now would find a slot, or wait at most for the
-    /// look-ahead.
-    pub fn has_room(&self, look_ahead: u16) -> bool {
-        self.load < self.slots.saturating_add(look_ahead)
+    /// Whether a task sent now would be within what may be used of the worker.
+    pub fn has_room(&self, room: Room) -> bool {
+        match room {
+            Room::LookAhead(tasks) => self.load < self.slots.saturating_add(tasks),
+            Room::KeepReserve => self.load < self.slots - self.slots / RESERVE_DIVISOR,
+        }
     }
 
     /// Expected time until a task sent now has finished, in microseconds.
@@ -34,13 +36,25 @@
     }
 }
 
+/// The part of the slots that is kept for the most urgent class: one in eight.
+const RESERVE_DIVISOR: u16 = 8;
+
+/// How much of a worker a task may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Room {
+    /// All slots, and tasks that wait at the agent.
+    LookAhead(u16),
+    /// All slots but those kept for the most urgent class.
+    KeepReserve,
+}
+
 /// What placement knows besides the candidates.
 #[derive(Clone, Copy, Debug)]
 pub struct Situation {
     /// Expected run time on a worker of average speed.
     pub run_time_ms: DurationMs,
-    /// Tasks that an agent may hold beyond its slots.
-    pub look_ahead: u16,
+    /// How much of a worker the task may use.
+    pub room: Room,
 }
 
 /// Chooses the worker for the next task, or none when all are full.
@@ -71,7 +85,7 @@
         let turn = self.turn;
         let order = (0..count).map(|offset| (turn.wrapping_add(offset)) % count);
         order
-            .filter(|index| candidates[*index].has_room(situation.look_ahead))
+            .filter(|index| candidates[*index].has_room(situation.room))
             .min_by_key(|index| {
                 let candidate = &candidates[*index];
                 let finish_us = candidate.expected_finish_us(situation.run_time_ms);
--- a/crates/lagoonhill_core/tests/entry.rs
+++ b/crates/lagoonhill_core/tests/entry.rs
@@ -3,7 +3,8 @@
 mod support;
 
 use lagoonhill_core::entry::{
-    Candidate, Health, JobQueue, LeastExpectedFinish, Placement, Situation, TokenBucket, WorkerKey,
+    Candidate, Health, JobQueue, LeastExpectedFinish, Placement, Room, Situation, TokenBucket,
+    WorkerKey,
 };
 use lagoonhill_rules::{RuleSet, parse_rules};
 use lagoonhill_standin::{NodeId, TargetModel};
@@ -40,7 +41,7 @@
 fn situation() -> Situation {
     Situation {
         run_time_ms: DurationMs(200),
-        look_ahead: 1,
+        room: Room::LookAhead(1),
     }
 }
 
@@ -149,6 +150,29 @@
         assert!(is_complete(&world, rush), "the rush waits behind office work");
     }
 
+    a_slot_of_each_worker_stays_free_while_a_rush_is_on => {
+        let mut config = config(1, 1, 15);
+        config.slots = 8;
+        let text = format!("{SERVICE}team parents class=rush  # tests\nteam offices class=office  # tests\n");
+        config.rules = RuleSet::new(Revision(1), parse_rules(&text).expect("the rules are valid"));
+        let mut world = world(&config);
+        world.submit(0, job("rush", 1, 10));
+        world.run_for(100);
+        let mut office = job("office", 60, 300);
+        office.team = "offices".parse().expect("the name is valid");
+        world.submit(0, office);
+        for _ in 0..40 {
+            world.run_for(50);
+            let held = world.agent(0).map_or(0, lagoonhill_core::agent::Agent::held);
+            assert!(held <= 7, "office work took {held} of 8 slots");
+        }
+        // The reserve is given up once the rush is over.
+        world.run_for(6_000);
+        world.submit(0, { let mut more = job("more", 60, 300); more.team = "offices".parse().expect("valid"); more });
+        world.run_for(200);
+        assert!(world.agent(0).map_or(0, lagoonhill_core::agent::Agent::held) >= 8);
+    }
+
     office_work_is_not_starved_by_a_rush => {
         let text = format!("{SERVICE}team parents class=rush  # tests\nteam offices class=office  # tests\n");
         let mut world = with_rules(&text);
@@ -175,7 +199,7 @@
         }
         let mut served = [0_u32; 2];
         for _ in 0..400 {
-            let next = queue.next(|_, _| true).expect("both have work");
+            let next = queue.next(|_| true, |_, _| true).expect("both have work");
             let index = usize::from(next == jobs[1]);
             served[index] += 1;
             let team_weight = [3, 1][index];
