--- a/crates/lagoonhill/tests/processes.rs
+++ b/crates/lagoonhill/tests/processes.rs
@@ -31,6 +31,19 @@
         assert_eq!(fleet.log.duplicates(), 0);
     }
 
+    three_entries_and_eleven_agents_serve_through_any_entry => {
+        let fleet = Fleet::start(3, 11).await;
+        for entry in 0..3 {
+            let mark = format!("fleet-{entry}");
+            let answer = fleet.submit(entry, &[], &mark, 88, 20).await.expect("an answer");
+            answer.assert_whole(&mark, 88);
+        }
+        assert_eq!(fleet.log.duplicates(), 0);
+        for worker in &fleet.workers {
+            assert!(worker.target.most_running() <= 8, "a target ran more than its slots");
+        }
+    }
+
     sixteen_hundred_tasks_in_one_answer => {
         let fleet = Fleet::start(1, 2).await;
         let answer = fleet.submit(0, &[], "large", 1_600, 1).await.expect("an answer");
