Do not let a job with special needs hold up its class during a rush

Cause: while slots are kept for a rush, a job that found no room blocked its whole class for the round, also when only the few workers it fits were full. Now the class is blocked only by a job that every candidate fits; any other is set aside alone, as without a rush.

a_job_with_special_needs_does_not_hold_up_its_class_during_a_rush: 0 tasks on the free worker before, at least 7 after.

--- a/crates/lagoonhill_core/src/entry/machine/dispatch.rs
+++ b/crates/lagoonhill_core/src/entry/machine/dispatch.rs
@@ -79,7 +79,7 @@
                         candidates.swap_remove(index);
                     }
                 }
-                None if situation.room == Room::KeepReserve => {
+                None if situation.room == Room::KeepReserve && open.len() == candidates.len() => {
                     blocked.classes.insert(class);
                 }
                 None => {
--- a/crates/lagoonhill_core/tests/entry.rs
+++ b/crates/lagoonhill_core/tests/entry.rs
@@ -173,6 +173,30 @@
         assert!(world.agent(0).map_or(0, lagoonhill_core::agent::Agent::held) >= 8);
     }
 
+    a_job_with_special_needs_does_not_hold_up_its_class_during_a_rush => {
+        let mut config = config(1, 2, 16);
+        config.slots = 8;
+        config.network.jitter_ms = 0;
+        let text = format!("{SERVICE}team parents class=rush  # tests\nteam offices class=office  # tests\n");
+        config.rules = RuleSet::new(Revision(1), parse_rules(&text).expect("the rules are valid"));
+        let mut world = world(&config);
+        let mut special = world.agent(0).and_then(|agent| agent.target().cloned()).expect("a target");
+        special.accelerators = 1;
+        world.with_agent(0, |agent, now| agent.set_target(Some(special), now));
+        world.run_for(100);
+        world.submit(0, job("rush", 1, 10));
+        let office = |mark, tasks, accelerators| {
+            let mut submission = job(mark, tasks, 1_000);
+            submission.team = "offices".parse().expect("the name is valid");
+            submission.needs.accelerators = accelerators;
+            submission
+        };
+        world.submit(0, office("special", 30, 1));
+        world.submit(0, office("plain", 60, 0));
+        world.run_for(500);
+        assert!(world.starts_at[1] >= 7, "{} tasks run beside the special ones", world.starts_at[1]);
+    }
+
     office_work_is_not_starved_by_a_rush => {
         let text = format!("{SERVICE}team parents class=rush  # tests\nteam offices class=office  # tests\n");
         let mut world = with_rules(&text);
