--- a/crates/lagoonhill_core/src/entry/machine/admission.rs
+++ b/crates/lagoonhill_core/src/entry/machine/admission.rs
@@ -104,16 +104,13 @@
         );
     }
 
-    pub(super) fn new_job(&self, submission: Submission, number: u64, now: TimestampMs) -> Job {
+    fn new_job(&self, submission: Submission, number: u64, now: TimestampMs) -> Job {
         let rule = self
             .rules()
             .service(&submission.service)
             .cloned()
             .unwrap_or_default();
-        let needs = submission.needs.max(Needs {
-            memory_bytes: rule.memory_bytes,
-            accelerators: rule.accelerators,
-        });
+        let needs = self.needs_of(&submission);
         let deadline_ms = self.deadline(&submission);
         Job::new(
             JobId {
@@ -131,7 +128,17 @@
         )
     }
 
-    pub(super) fn class_of(&self, service: &ServiceName, team: &TeamName) -> Class {
+    /// The stricter of what the service and the caller ask of a worker.
+    fn needs_of(&self, submission: &Submission) -> Needs {
+        let by_rule = self.rules().service(&submission.service);
+        let by_rule = by_rule.map_or_else(Needs::default, |rule| Needs {
+            memory_bytes: rule.memory_bytes,
+            accelerators: rule.accelerators,
+        });
+        submission.needs.max(by_rule)
+    }
+
+    fn class_of(&self, service: &ServiceName, team: &TeamName) -> Class {
         let by_team = self.rules().team(team).and_then(|rule| rule.class);
         by_team.unwrap_or_else(|| {
             self.rules()
@@ -140,7 +147,7 @@
         })
     }
 
-    pub(super) fn deadline(&self, submission: &Submission) -> DurationMs {
+    fn deadline(&self, submission: &Submission) -> DurationMs {
         let by_rule = self
             .rules()
             .service(&submission.service)
@@ -151,7 +158,7 @@
             .min(self.config.max_deadline_ms)
     }
 
-    pub(super) fn expected_run_time(&self, submission: &Submission) -> DurationMs {
+    fn expected_run_time(&self, submission: &Submission) -> DurationMs {
         let by_rule_ms = self.prior_run_time(&submission.service);
         let prior_ms = submission.run_time_ms.unwrap_or(by_rule_ms);
         self.run_times.expected(&submission.service, prior_ms)
@@ -164,7 +171,7 @@
             .sum()
     }
 
-    pub(super) fn queued_in(&self, service: &ServiceName, class: Class) -> usize {
+    fn queued_in(&self, service: &ServiceName, class: Class) -> usize {
         self.queued
             .get(&(service.clone(), class))
             .copied()
@@ -172,11 +179,7 @@
     }
 
     /// What depends on the fleet and the queues.
-    pub(super) fn check_load(
-        &mut self,
-        submission: &Submission,
-        now: TimestampMs,
-    ) -> Result<(), JobFailure> {
+    fn check_load(&mut self, submission: &Submission, now: TimestampMs) -> Result<(), JobFailure> {
         let Submission {
             service,
             team,
@@ -187,11 +190,7 @@
             let cause = Cause::NoWorkers(service.clone());
             return Err(JobFailure::refused_for_now(cause, DEFAULT_RETRY_MS));
         }
-        let rule = self.rules().service(service).cloned().unwrap_or_default();
-        let needs = submission.needs.max(Needs {
-            memory_bytes: rule.memory_bytes,
-            accelerators: rule.accelerators,
-        });
+        let needs = self.needs_of(submission);
         if !self.fleet.any_fits(service, needs) {
             return Err(JobFailure::refused(Cause::NeverFits(needs.to_string())));
         }
@@ -212,7 +211,7 @@
         f64::from(u32::try_from(self.entries.len().max(1)).unwrap_or(u32::MAX))
     }
 
-    pub(super) fn check_queue(&self, submission: &Submission) -> Result<(), JobFailure> {
+    fn check_queue(&self, submission: &Submission) -> Result<(), JobFailure> {
         let Submission {
             service,
             team,
--- a/crates/lagoonhill_core/src/entry/machine/dispatch.rs
+++ b/crates/lagoonhill_core/src/entry/machine/dispatch.rs
@@ -24,7 +24,7 @@
 impl<P: Placement> Entry<P> {
     /// Fails every job whose deadline has passed. Runs before each placement,
     /// so that nothing overdue starts after the process itself was frozen.
-    pub(super) fn expire_jobs(&mut self, now: TimestampMs) {
+    fn expire_jobs(&mut self, now: TimestampMs) {
         while let Some(&(due_ms, key)) = self.due.first() {
             if due_ms > now {
                 break;
@@ -48,7 +48,7 @@
     }
 
     /// Places ready tasks of a service while workers have room.
-    pub(super) fn dispatch(&mut self, service: &ServiceName, now: TimestampMs) {
+    fn dispatch(&mut self, service: &ServiceName, now: TimestampMs) {
         let mut candidates = self.fleet.candidates(service, self.rules.rules(), now);
         let mut blocked = Blocked::default();
         let most = Room::LookAhead(self.config.look_ahead);
@@ -97,7 +97,7 @@
         )
     }
 
-    pub(super) fn has_quota(&self, team: &TeamName) -> bool {
+    fn has_quota(&self, team: &TeamName) -> bool {
         let Some(limit) = self.rules().team(team).and_then(|rule| rule.concurrency) else {
             return true;
         };
@@ -107,10 +107,9 @@
     }
 
     fn situation(&self, service: &ServiceName, class: Class, now: TimestampMs) -> Situation {
-        let prior_ms = self.prior_run_time(service);
         let keeps_reserve = class > Class::Rush && self.is_rush_on(service, now);
         Situation {
-            run_time_ms: self.run_times.expected(service, prior_ms),
+            run_time_ms: self.usual_run_time(service),
             room: if keeps_reserve {
                 Room::KeepReserve
             } else {
@@ -131,13 +130,13 @@
         rule.map_or(DEFAULT_RUN_TIME_MS, |rule| rule.run_time_ms)
     }
 
-    pub(super) fn place(
-        &mut self,
-        key: JobKey,
-        chosen: Candidate,
-        open: &[Candidate],
-        now: TimestampMs,
-    ) {
+    /// The run time learned, or else expected by operators.
+    pub(super) fn usual_run_time(&self, service: &ServiceName) -> DurationMs {
+        self.run_times
+            .expected(service, self.prior_run_time(service))
+    }
+
+    fn place(&mut self, key: JobKey, chosen: Candidate, open: &[Candidate], now: TimestampMs) {
         let job = &mut self.jobs[key];
         let Some((index, payload)) = job.send_next(chosen.key) else {
             return;
@@ -146,9 +145,8 @@
         let (service, team, class) = (job.service.clone(), job.team.clone(), job.class);
         let (run_limit_ms, rank_ms, emptied) =
             (job.run_limit_ms, job.rank_ms, job.ready_count() == 0);
-        let prior_ms = self.prior_run_time(&service);
         let charge = Charge {
-            run_time_ms: self.run_times.expected(&service, prior_ms),
+            run_time_ms: self.usual_run_time(&service),
             class_weight: self.rules().class_weight(class),
             team_weight: self.rules().team(&team).map_or(1, |rule| rule.weight),
         };
--- a/crates/lagoonhill_core/src/entry/machine/outcomes.rs
+++ b/crates/lagoonhill_core/src/entry/machine/outcomes.rs
@@ -177,9 +177,7 @@
     /// half of their service does.
     pub(super) fn quarantine_stuck(&mut self, now: TimestampMs) {
         for service in self.fleet.services() {
-            let expected_ms = self
-                .run_times
-                .expected(&service, self.prior_run_time(&service));
+            let expected_ms = self.usual_run_time(&service);
             let keys = self.fleet.of_service(&service).to_vec();
             let is_stuck = |key: &WorkerKey| {
                 self.fleet
