--- a/crates/lagoonhill/src/commands.rs
+++ b/crates/lagoonhill/src/commands.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use lagoonhill_agent::AgentDaemon;
+use lagoonhill_daemon::logging;
 use lagoonhill_entry::EntryDaemon;
 use lagoonhill_http::HttpClient;
 use lagoonhill_operator::{
@@ -16,7 +17,6 @@
 use tokio::time::sleep;
 
 use crate::cli::{AgentOptions, CommonOptions, EntryOptions, RulesCommand, StoreOptions};
-use crate::logging;
 use crate::settings::{check_agent, check_entry, read_address, read_value};
 
 /// Time within which accepted rules must be in force everywhere.
--- a/crates/lagoonhill/src/demo.rs
+++ b/crates/lagoonhill/src/demo.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use lagoonhill_agent::{AgentDaemon, AgentSettings};
+use lagoonhill_daemon::logging::{self, LogFormat};
 use lagoonhill_entry::{EntryDaemon, EntrySettings};
 use lagoonhill_http::HttpClient;
 use lagoonhill_operator::{count_serving, new_edit_id, submit_edit};
@@ -16,8 +17,7 @@
 use tokio::time::sleep;
 
 use crate::cli::DemoOptions;
-use crate::logging;
-use crate::settings::{LogFormat, read_value};
+use crate::settings::read_value;
 
 const SERVICE: &str = "bus-dispatch";
 const SLOTS: SlotCount = SlotCount(8);
--- a/crates/lagoonhill/src/main.rs
+++ b/crates/lagoonhill/src/main.rs
@@ -3,7 +3,6 @@
 mod cli;
 mod commands;
 mod demo;
-mod logging;
 mod settings;
 
 use std::process::ExitCode;
--- a/crates/lagoonhill/src/settings.rs
+++ b/crates/lagoonhill/src/settings.rs
@@ -3,54 +3,12 @@
 use std::str::FromStr;
 
 use lagoonhill_agent::AgentSettings;
+use lagoonhill_core::Timing;
+use lagoonhill_daemon::logging::{LogFormat, LogLevel};
 use lagoonhill_entry::EntrySettings;
 
 use crate::cli::{AgentOptions, CommonOptions, EntryOptions};
 
-/// How log records look.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum LogFormat {
-    Text,
-    Json,
-}
-
-impl FromStr for LogFormat {
-    type Err = String;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        match text {
-            "text" => Ok(Self::Text),
-            "json" => Ok(Self::Json),
-            _ => Err(format!("`{text}` is not a log format: write text or json")),
-        }
-    }
-}
-
-/// Which log records are kept.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum LogLevel {
-    Error,
-    Warn,
-    Info,
-    Debug,
-}
-
-impl FromStr for LogLevel {
-    type Err = String;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        match text {
-            "error" => Ok(Self::Error),
-            "warn" => Ok(Self::Warn),
-            "info" => Ok(Self::Info),
-            "debug" => Ok(Self::Debug),
-            _ => Err(format!(
-                "`{text}` is not a log level: write error, warn, info or debug"
-            )),
-        }
-    }
-}
-
 /// Logging settings of a daemon.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct LogSettings {
@@ -154,6 +112,7 @@
             max_body_bytes: max_body_bytes?,
             look_ahead: look_ahead?,
             key_rate: key_rate?,
+            timing: Timing::default(),
         };
         Some((settings, log?))
     };
--- a/crates/lagoonhill_agent/src/api.rs
+++ b/crates/lagoonhill_agent/src/api.rs
@@ -34,18 +34,31 @@
     memory_bytes: u64,
     #[serde(default)]
     accelerators: u16,
+    #[serde(default)]
+    labels: Vec<Label>,
 }
 
 /// The agent's HTTP interface, for the target beside it.
-#[derive(Clone, Debug)]
-pub(crate) struct Api {
+#[derive(Debug)]
+pub(crate) struct Api<E> {
     pub(crate) worker: WorkerId,
     pub(crate) zone: AvailabilityZone,
-    pub(crate) control: Sender<ControlEvent>,
+    pub(crate) control: Sender<ControlEvent<E>>,
     pub(crate) metrics: Metrics,
 }
 
-impl tower::Service<Request<Incoming>> for Api {
+impl<E> Clone for Api<E> {
+    fn clone(&self) -> Self {
+        Self {
+            worker: self.worker.clone(),
+            zone: self.zone.clone(),
+            control: self.control.clone(),
+            metrics: self.metrics.clone(),
+        }
+    }
+}
+
+impl<E: Send + 'static> tower::Service<Request<Incoming>> for Api<E> {
     type Response = Reply;
     type Error = Infallible;
     type Future = Pin<Box<dyn Future<Output = Result<Reply, Infallible>> + Send>>;
@@ -65,7 +78,7 @@
     }
 }
 
-impl Api {
+impl<E: Send + 'static> Api<E> {
     async fn route(&self, request: Request<Incoming>) -> Result<Reply, Problem> {
         match (request.method(), request.uri().path()) {
             (&Method::PUT, "/v1/target") => self.put_target(request).await,
@@ -105,9 +118,12 @@
             address: asked.address,
             slots: SlotCount(asked.slots),
             connections: asked.connections.unwrap_or(asked.slots),
-            processors: asked.processors,
-            memory_bytes: ByteCount(asked.memory_bytes),
-            accelerators: asked.accelerators,
+            capacity: Resources {
+                processors: MilliProcessors(u32::from(asked.processors) * 1_000),
+                memory_bytes: ByteCount(asked.memory_bytes),
+                accelerators: asked.accelerators,
+            },
+            labels: asked.labels,
         };
         info!("the target announced itself: {target:?}");
         let _ = self.control.send(ControlEvent::Target(Some(target)));
--- a/crates/lagoonhill_agent/src/control.rs
+++ b/crates/lagoonhill_agent/src/control.rs
@@ -1,21 +1,18 @@
-use std::collections::HashMap;
 use std::ops::ControlFlow;
 use std::sync::mpsc::Sender;
 
 use lagoonhill_core::agent::{Agent, AgentEffect, TaskKey};
 use lagoonhill_daemon::ControlState;
-use lagoonhill_http::HttpClient;
 use lagoonhill_link::Link;
-use lagoonhill_protocol::{EntryAddress, Packet, Start, Target, TaskResult};
+use lagoonhill_protocol::{EntryAddress, Packet, Start, Target};
 use lagoonhill_rules::RuleSet;
 use lagoonhill_types::prelude::*;
 use log::info;
-use tokio::runtime::Handle;
 use tokio::sync::{oneshot, watch};
-use tokio::task::AbortHandle;
 
+use crate::leased_runner::describe;
 use crate::metrics::Metrics;
-use crate::runner::run_task;
+use crate::target_runner::{RunnerReport, TargetRunner};
 
 /// An agent, as its status page shows it.
 #[derive(Clone, Debug)]
@@ -31,10 +28,10 @@
 
 /// What reaches the control thread.
 #[derive(Debug)]
-pub(crate) enum ControlEvent {
+pub(crate) enum ControlEvent<E> {
     Packet { packet: Packet, size_bytes: usize },
     Target(Option<Target>),
-    Finished { key: TaskKey, result: TaskResult },
+    Runner(E),
     Entries(Vec<EntryAddress>),
     Rules(RuleSet),
     Status(oneshot::Sender<AgentStatus>),
@@ -42,35 +39,51 @@
     Stop,
 }
 
+/// Reports to the control thread what came of a runner's work.
+#[derive(Debug)]
+pub struct AgentHandle<E>(pub(crate) Sender<ControlEvent<E>>);
+
+impl<E> Clone for AgentHandle<E> {
+    fn clone(&self) -> Self {
+        Self(self.0.clone())
+    }
+}
+
+impl<E> AgentHandle<E> {
+    /// Delivers an event; returns whether the agent still runs.
+    pub fn report(&self, event: E) -> bool {
+        self.0.send(ControlEvent::Runner(event)).is_ok()
+    }
+}
+
 /// The thread that owns the agent's state.
-pub(crate) struct Control<L> {
+pub(crate) struct Control<L, R> {
     pub(crate) agent: Agent,
     pub(crate) link: L,
     pub(crate) metrics: Metrics,
-    pub(crate) to_self: Sender<ControlEvent>,
-    pub(crate) runtime: Handle,
-    pub(crate) client: HttpClient,
-    pub(crate) running: HashMap<TaskKey, AbortHandle>,
+    pub(crate) runner: R,
     pub(crate) drained: watch::Sender<bool>,
 }
 
-impl<L: Link> ControlState for Control<L> {
-    type Event = ControlEvent;
+impl<L: Link, R: TargetRunner> ControlState for Control<L, R> {
+    type Event = ControlEvent<R::Event>;
 
     fn tick(&mut self, now: TimestampMs) {
+        self.runner.tick(now);
+        self.take_reports(now);
         self.agent.tick(now);
     }
 
-    fn handle(&mut self, event: ControlEvent, now: TimestampMs) -> ControlFlow<()> {
+    fn handle(&mut self, event: Self::Event, now: TimestampMs) -> ControlFlow<()> {
         match event {
             ControlEvent::Packet { packet, size_bytes } => {
                 self.metrics.packets.received(size_bytes);
                 self.agent.receive(packet, now);
             }
             ControlEvent::Target(target) => self.agent.set_target(target, now),
-            ControlEvent::Finished { key, result } => {
-                self.running.remove(&key);
-                self.agent.finished(key, result, now);
+            ControlEvent::Runner(event) => {
+                self.runner.handle(event, now);
+                self.take_reports(now);
             }
             ControlEvent::Entries(entries) => self.agent.add_entries(&entries, now),
             ControlEvent::Rules(rules) => {
@@ -94,17 +107,21 @@
                 }
                 AgentEffect::Redial { to } => self.link.redial(to),
                 AgentEffect::Hangup { to } => self.link.hangup(to),
-                AgentEffect::Run { key, start, target } => self.spawn(key, start, target),
-                AgentEffect::Stop { key } => self.stop(key),
+                AgentEffect::Run { key, start, target } => self.run(key, start, target, now),
+                AgentEffect::Stop { key } => {
+                    info!(target: "decision", "run={key:?} to be stopped");
+                    self.runner.stop(key, now);
+                }
                 AgentEffect::Drained => {
                     let _ = self.drained.send(true);
                 }
             }
         }
+        self.take_reports(now);
     }
 }
 
-impl<L: Link> Control<L> {
+impl<L: Link, R: TargetRunner> Control<L, R> {
     fn status(&self) -> AgentStatus {
         AgentStatus {
             target: self.agent.target().cloned(),
@@ -117,24 +134,29 @@
         }
     }
 
-    fn spawn(&mut self, key: TaskKey, start: Start, target: Target) {
-        info!(target: "decision", "task={} started target={}", start.task, target.address);
+    fn run(&mut self, key: TaskKey, start: Start, target: Target, now: TimestampMs) {
+        let name = start.name.as_ref().map(ToString::to_string);
+        info!(
+            target: "decision",
+            "task={} run={key:?} name={} attempt={} started target={}",
+            start.task,
+            name.as_deref().unwrap_or("-"),
+            start.run,
+            target.address
+        );
         self.metrics.started.inc();
-        let client = self.client.clone();
-        let events = self.to_self.clone();
-        let run = self.runtime.spawn(async move {
-            let result = run_task(client, start, target).await;
-            let _ = events.send(ControlEvent::Finished { key, result });
-        });
-        self.running.insert(key, run.abort_handle());
+        self.runner.run(key, start, target, now);
     }
 
-    /// Closes the request; the target sees its caller hang up.
-    fn stop(&mut self, key: TaskKey) {
-        if let Some(run) = self.running.remove(&key) {
-            run.abort();
-            let result = TaskResult::MayHaveRun("it was stopped while it ran".to_owned());
-            let _ = self.to_self.send(ControlEvent::Finished { key, result });
+    fn take_reports(&mut self, now: TimestampMs) {
+        for report in self.runner.poll_reports() {
+            match report {
+                RunnerReport::Finished { key, result } => {
+                    info!(target: "decision", "run={key:?} ended {}", describe(&result));
+                    self.agent.finished(key, result, now);
+                }
+                RunnerReport::Target(target) => self.agent.set_target(target, now),
+            }
         }
     }
 }
--- a/crates/lagoonhill_agent/src/daemon.rs
+++ b/crates/lagoonhill_agent/src/daemon.rs
@@ -1,42 +1,56 @@
-use std::collections::HashMap;
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::mpsc::{Sender, channel};
 use std::time::Duration;
 
-use lagoonhill_core::Timing;
 use lagoonhill_core::agent::{Agent, AgentConfig};
 use lagoonhill_daemon::{StartError, listen, spawn_control};
-use lagoonhill_http::{HttpClient, serve};
+use lagoonhill_http::serve;
 use lagoonhill_link::{Inbox, InboxHandle, NngLink};
-use lagoonhill_platform::EtcdStore;
+use lagoonhill_platform::{EtcdStore, Store};
 use lagoonhill_types::prelude::*;
 use log::{info, warn};
-use tokio::runtime::Handle;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
 use crate::AgentSettings;
 use crate::api::Api;
-use crate::control::{Control, ControlEvent};
+use crate::control::{AgentHandle, Control, ControlEvent};
 use crate::discovery::discover;
+use crate::http_runner::{HttpRunner, RunAnswered};
 use crate::metrics::Metrics;
+use crate::target_runner::TargetRunner;
 
-/// A running agent.
+/// A running agent, whose runner's events are `E`.
 #[derive(Debug)]
-pub struct AgentDaemon {
+pub struct AgentDaemon<E: Send + 'static = RunAnswered> {
     http: SocketAddr,
     inbox_address: SocketAddr,
     drain_limit_ms: DurationMs,
-    control: Sender<ControlEvent>,
+    control: Sender<ControlEvent<E>>,
     drained: watch::Receiver<bool>,
     tasks: Vec<JoinHandle<()>>,
     _inbox: InboxHandle,
 }
 
 impl AgentDaemon {
-    /// Starts an agent on the current tokio runtime.
+    /// Starts an agent on the current tokio runtime whose target answers each
+    /// task's request at the task's end.
     pub async fn start(settings: AgentSettings) -> Result<Self, StartError> {
+        let store = settings.platform.map(EtcdStore::new);
+        Self::start_with(settings, store, |events, _| HttpRunner::new(events)).await
+    }
+}
+
+impl<E: fmt::Debug + Send + 'static> AgentDaemon<E> {
+    /// Starts an agent on the current tokio runtime, with a runner for its
+    /// kind of target.
+    pub async fn start_with<S: Store, R: TargetRunner<Event = E>>(
+        settings: AgentSettings,
+        store: Option<S>,
+        make_runner: impl FnOnce(AgentHandle<E>, TimestampMs) -> R,
+    ) -> Result<Self, StartError> {
         let (listener, http) = listen(settings.http).await?;
         let inbox = Inbox::open(settings.inbox)?;
         let inbox_address = settings.advertise.unwrap_or_else(|| inbox.address());
@@ -47,7 +61,7 @@
             zone: settings.zone.clone(),
             inbox: inbox_address,
             overcommit: settings.overcommit,
-            timing: Timing::default(),
+            timing: settings.timing,
         };
         let metrics = Metrics::new();
         let (control, events) = channel();
@@ -56,10 +70,7 @@
             agent: Agent::new(config, clock.now()),
             link: NngLink::new(),
             metrics: metrics.clone(),
-            to_self: control.clone(),
-            runtime: Handle::current(),
-            client: HttpClient::new(),
-            running: HashMap::new(),
+            runner: make_runner(AgentHandle(control.clone()), clock.now()),
             drained: drained_sender,
         };
         spawn_control(state, clock, events)?;
@@ -75,7 +86,6 @@
             control: control.clone(),
             metrics,
         };
-        let store = settings.platform.map(EtcdStore::new);
         let tasks = vec![
             tokio::spawn(serve(listener, api, std::future::pending())),
             tokio::spawn(discover(store, settings.balancer, control.clone())),
@@ -96,6 +106,11 @@
         })
     }
 
+    /// Reaches the agent's runner.
+    pub fn handle(&self) -> AgentHandle<E> {
+        AgentHandle(self.control.clone())
+    }
+
     /// Where the target announces itself.
     pub fn http(&self) -> SocketAddr {
         self.http
@@ -125,7 +140,7 @@
     }
 }
 
-impl Drop for AgentDaemon {
+impl<E: Send + 'static> Drop for AgentDaemon<E> {
     fn drop(&mut self) {
         for task in &self.tasks {
             task.abort();
--- a/crates/lagoonhill_agent/src/discovery.rs
+++ b/crates/lagoonhill_agent/src/discovery.rs
@@ -22,10 +22,10 @@
 const CALL_LIMIT: Duration = Duration::from_secs(1);
 
 /// Finds entries while no session is open; sessions tell of the rest.
-pub(crate) async fn discover<S: Store>(
+pub(crate) async fn discover<S: Store, E: Send + 'static>(
     store: Option<S>,
     balancer: Option<SocketAddr>,
-    control: Sender<ControlEvent>,
+    control: Sender<ControlEvent<E>>,
 ) {
     let http = HttpClient::new();
     let mut pause_ms = 250;
@@ -51,18 +51,18 @@
     }
 }
 
-async fn ask_status(control: &Sender<ControlEvent>) -> Option<AgentStatus> {
+async fn ask_status<E>(control: &Sender<ControlEvent<E>>) -> Option<AgentStatus> {
     let (reply, answer) = oneshot::channel();
     control.send(ControlEvent::Status(reply)).ok()?;
     answer.await.ok()
 }
 
 /// Asks the platform, then the balancer; returns whether any entry was named.
-async fn search<S: Store>(
+async fn search<S: Store, E>(
     store: Option<&S>,
     balancer: Option<SocketAddr>,
     http: &HttpClient,
-    control: &Sender<ControlEvent>,
+    control: &Sender<ControlEvent<E>>,
 ) -> bool {
     let mut entries: Vec<EntryAddress> = Vec::new();
     if let Some(store) = store {
--- /dev/null
+++ b/crates/lagoonhill_agent/src/leased_runner.rs
@@ -0,0 +1,158 @@
+use std::future::Future;
+
+use lagoonhill_core::agent::TaskKey;
+use lagoonhill_core::leased::{
+    Announcement, CallId, FencingToken, LeaseTiming, LeasedEffect, LeasedRuns, TargetCall,
+    TargetLife, TargetReply,
+};
+use lagoonhill_protocol::{Start, Target, TaskResult};
+use lagoonhill_types::prelude::*;
+use log::{debug, info};
+use tokio::runtime::Handle;
+
+use crate::control::AgentHandle;
+use crate::target_runner::{RunnerReport, TargetRunner};
+
+/// A target that lets runs go on only under a lease, as its adapter speaks to
+/// it.
+pub trait LeasedTarget: Clone + Send + Sync + 'static {
+    /// Makes one call. Every failure is a [`TargetReply`] too.
+    fn call(
+        &self,
+        life: TargetLife,
+        token: FencingToken,
+        call: TargetCall,
+        limit_ms: DurationMs,
+    ) -> impl Future<Output = TargetReply> + Send;
+}
+
+/// What reaches a [`LeasedRunner`].
+#[derive(Debug)]
+pub enum LeasedEvent {
+    /// The target announced itself.
+    Announced(Box<Announcement>),
+    /// The target said good-bye.
+    Left(WorkerId),
+    /// A call was answered, or its time is over.
+    Answered(CallId, TargetReply),
+}
+
+/// Runs tasks on a leased target.
+#[derive(Debug)]
+pub struct LeasedRunner<T> {
+    runtime: Handle,
+    port: T,
+    events: AgentHandle<LeasedEvent>,
+    runs: LeasedRuns,
+    reports: Vec<RunnerReport>,
+}
+
+impl<T: LeasedTarget> LeasedRunner<T> {
+    /// A runner without a target. Must be made on a tokio runtime.
+    pub fn new(
+        port: T,
+        timing: LeaseTiming,
+        token: FencingToken,
+        events: AgentHandle<LeasedEvent>,
+        now: TimestampMs,
+    ) -> Self {
+        Self {
+            runtime: Handle::current(),
+            port,
+            events,
+            runs: LeasedRuns::new(timing, token, now),
+            reports: Vec::new(),
+        }
+    }
+
+    fn carry_out(&mut self) {
+        for effect in self.runs.poll_effects() {
+            match effect {
+                LeasedEffect::Call {
+                    id,
+                    life,
+                    token,
+                    call,
+                    limit_ms,
+                } => {
+                    let (port, events) = (self.port.clone(), self.events.clone());
+                    self.runtime.spawn(async move {
+                        let reply = port.call(life, token, call, limit_ms).await;
+                        if let TargetReply::Unanswered(why) = &reply {
+                            debug!("the target did not answer: {why}");
+                        }
+                        events.report(LeasedEvent::Answered(id, reply));
+                    });
+                }
+                LeasedEffect::Ended { key, result } => {
+                    self.reports.push(RunnerReport::Finished { key, result });
+                }
+                LeasedEffect::Target(target) => {
+                    match &target {
+                        Some(target) => info!(
+                            "the target takes work: service={} capacity=\"{}\"",
+                            target.service, target.capacity
+                        ),
+                        None => info!("the target takes no work"),
+                    }
+                    self.reports.push(RunnerReport::Target(target));
+                }
+            }
+        }
+    }
+}
+
+impl<T: LeasedTarget> TargetRunner for LeasedRunner<T> {
+    type Event = LeasedEvent;
+
+    fn run(&mut self, key: TaskKey, start: Start, _: Target, now: TimestampMs) {
+        self.runs.start(key, &start, now);
+        self.carry_out();
+    }
+
+    fn stop(&mut self, key: TaskKey, now: TimestampMs) {
+        self.runs.stop(key, now);
+        self.carry_out();
+    }
+
+    fn handle(&mut self, event: LeasedEvent, now: TimestampMs) {
+        match event {
+            LeasedEvent::Announced(announcement) => {
+                let life = announcement.life.clone();
+                let known = self.runs.life() == Some(&life);
+                let accepted = self.runs.announce(*announcement, now);
+                if !accepted {
+                    info!("an announcement of {life} is out of date");
+                } else if !known {
+                    info!("the target is {life}");
+                }
+            }
+            LeasedEvent::Left(name) => {
+                info!("the target {name} has left");
+                self.runs.left(&name);
+            }
+            LeasedEvent::Answered(id, reply) => self.runs.answered(id, reply, now),
+        }
+        self.carry_out();
+    }
+
+    fn tick(&mut self, now: TimestampMs) {
+        self.runs.tick(now);
+        self.carry_out();
+    }
+
+    fn poll_reports(&mut self) -> Vec<RunnerReport> {
+        std::mem::take(&mut self.reports)
+    }
+}
+
+/// Logs how a run ended.
+pub(crate) fn describe(result: &TaskResult) -> String {
+    match result {
+        TaskResult::Done(_) => "done".to_owned(),
+        TaskResult::Failed(why) => format!("failed why=\"{why}\""),
+        TaskResult::NotRun(why) => format!("not-run why=\"{why}\""),
+        TaskResult::MayHaveRun(why) => format!("may-have-run why=\"{why}\""),
+        TaskResult::Interrupted(why) => format!("interrupted why=\"{why}\""),
+    }
+}
--- a/crates/lagoonhill_agent/src/settings.rs
+++ b/crates/lagoonhill_agent/src/settings.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 
+use lagoonhill_core::Timing;
 use lagoonhill_types::prelude::*;
 
 /// Settings of an agent.
@@ -23,6 +24,8 @@
     pub drain_limit_ms: DurationMs,
     /// Tasks held beyond the slots before an order is refused.
     pub overcommit: u16,
+    /// Session limits; the same at every entry and agent.
+    pub timing: Timing,
 }
 
 impl AgentSettings {
@@ -39,6 +42,7 @@
             balancer: None,
             drain_limit_ms: DurationMs::from_secs(60),
             overcommit: 8,
+            timing: Timing::default(),
         }
     }
 }
--- a/crates/lagoonhill_core/src/agent/link.rs
+++ b/crates/lagoonhill_core/src/agent/link.rs
@@ -26,6 +26,8 @@
     pub last_heard_ms: TimestampMs,
     /// Tasks held for the entry.
     pub held: u16,
+    /// Processors that they take.
+    pub held_processors: MilliProcessors,
 }
 
 impl EntryLink {
@@ -39,6 +41,19 @@
             unanswered: 0,
             last_heard_ms: now,
             held: 0,
+            held_processors: MilliProcessors(0),
         }
     }
+
+    /// Counts a task that is held for the entry.
+    pub fn hold(&mut self, processors: MilliProcessors) {
+        self.held += 1;
+        self.held_processors.0 = self.held_processors.0.saturating_add(processors.0);
+    }
+
+    /// Counts a task that is no longer held.
+    pub fn release(&mut self, processors: MilliProcessors) {
+        self.held = self.held.saturating_sub(1);
+        self.held_processors.0 = self.held_processors.0.saturating_sub(processors.0);
+    }
 }
--- a/crates/lagoonhill_core/src/agent/machine.rs
+++ b/crates/lagoonhill_core/src/agent/machine.rs
@@ -10,11 +10,14 @@
 use slotmap::SlotMap;
 
 use super::{AgentEffect, EntryKey, EntryLink, HeldTask, TaskKey, TaskPhase};
-use crate::{FrameHeader, RulesSpread, Session, Timing, Verdict};
+use crate::{FrameHeader, Heartbeat, RulesSpread, Session, Timing, Verdict};
 
 /// Longest pause between greetings of an entry that does not answer.
 const MAX_HELLO_INTERVAL_MS: DurationMs = DurationMs(10_000);
 
+/// An entry for which tasks are held is heard this often within a run lease.
+const BEATS_PER_LEASE: u64 = 3;
+
 /// Time that entries are given to learn of an edit by themselves.
 const RULES_ECHO_DELAY_MS: DurationMs = DurationMs(3_000);
 
@@ -48,6 +51,8 @@
     tasks: SlotMap<TaskKey, HeldTask>,
     waiting: VecDeque<TaskKey>,
     running: u16,
+    /// What the running tasks take of the target.
+    used: Resources,
     rules: RulesSpread,
     rules_installed_ms: TimestampMs,
     leaving: bool,
@@ -68,6 +73,7 @@
             tasks: SlotMap::with_key(),
             waiting: VecDeque::new(),
             running: 0,
+            used: Resources::default(),
             rules: RulesSpread::default(),
             rules_installed_ms: TimestampMs(0),
             leaving: false,
@@ -173,6 +179,7 @@
             return;
         };
         self.running -= 1;
+        self.used = self.used - task.start.needs;
         let run_ms = match result {
             TaskResult::NotRun(_) => DurationMs::ZERO,
             _ => now.since(started_ms),
@@ -201,6 +208,9 @@
     /// Frames due now, and every other effect since the last call.
     pub fn poll_effects(&mut self, now: TimestampMs) -> Vec<AgentEffect> {
         let total = u16::try_from(self.tasks.len()).unwrap_or(u16::MAX);
+        let total_processors = self.tasks.values().fold(MilliProcessors(0), |sum, task| {
+            MilliProcessors(sum.0.saturating_add(task.start.needs.processors.0))
+        });
         for link in self.entries.values_mut() {
             let Some(session) = &mut link.session else {
                 continue;
@@ -211,8 +221,14 @@
                 load: Load {
                     total,
                     yours: link.held,
+                    total_processors,
+                    your_processors: link.held_processors,
+                },
+                heartbeat: if link.held > 0 {
+                    Heartbeat::AtLeastEvery(self.config.timing.run_lease_ms / BEATS_PER_LEASE)
+                } else {
+                    Heartbeat::AsAgreed
                 },
-                sends_heartbeats: true,
             };
             while let Some(frame) = session.poll_frame(header, now) {
                 let packet = Packet::Frame(frame);
@@ -283,6 +299,11 @@
             }
             return;
         };
+        let is_busy = link.held > 0;
+        let silent_ms = now.since(session.alive_ms());
+        if is_busy && silent_ms > timing.run_lease_ms {
+            return self.end_session(key, now);
+        }
         match session.tick(false, now) {
             Verdict::Alive => {}
             Verdict::Redial => self.effects.push(AgentEffect::Redial { to }),
@@ -466,13 +487,13 @@
     fn on_start(&mut self, entry: EntryKey, start: Start, now: TimestampMs) {
         let refusal = self.refuse_start(entry, &start, now);
         let link = &mut self.entries[entry];
-        let Some(session) = link.session.as_ref() else {
+        let Some(session) = link.session.as_ref().map(Session::id) else {
             return;
         };
-        link.held += 1;
+        link.hold(start.needs.processors);
         let task = HeldTask {
             entry,
-            session: session.id(),
+            session,
             start,
             phase: TaskPhase::Waiting,
         };
@@ -493,8 +514,17 @@
         if self.is_expired(key, start, now) {
             return Some(NotRunReason::Expired);
         }
+        if !start.needs.fits_in(target.capacity) {
+            return Some(NotRunReason::Full);
+        }
         let limit = usize::from(target.slots.0) + usize::from(self.config.overcommit);
-        (self.tasks.len() >= limit).then_some(NotRunReason::Full)
+        let too_many = self.tasks.len() >= limit;
+        let too_long = self.waiting.len() >= usize::from(self.config.overcommit);
+        (too_many || too_long && !self.has_room(start.needs, target)).then_some(NotRunReason::Full)
+    }
+
+    fn has_room(&self, needs: Resources, target: &Target) -> bool {
+        self.running < target.slots.0 && (self.used + needs).fits_in(target.capacity)
     }
 
     fn is_expired(&self, key: EntryKey, start: &Start, now: TimestampMs) -> bool {
@@ -536,7 +566,7 @@
 
     fn release(&mut self, task: &HeldTask) {
         if let Some(link) = self.entries.get_mut(task.entry) {
-            link.held = link.held.saturating_sub(1);
+            link.release(task.start.needs.processors);
         }
     }
 
@@ -564,7 +594,7 @@
             return;
         };
         while self.running < target.slots.0 {
-            let Some(key) = self.waiting.pop_front() else {
+            let Some(&key) = self.waiting.front() else {
                 return;
             };
             let task = &self.tasks[key];
@@ -572,9 +602,14 @@
                 self.withdraw(key, NotRunReason::Expired);
                 continue;
             }
-            let start = task.start.clone();
+            if !(self.used + task.start.needs).fits_in(target.capacity) {
+                return;
+            }
+            self.waiting.pop_front();
+            let start = self.tasks[key].start.clone();
             self.tasks[key].phase = TaskPhase::Running { started_ms: now };
             self.running += 1;
+            self.used = self.used + start.needs;
             self.effects.push(AgentEffect::Run {
                 key,
                 start,
--- a/crates/lagoonhill_core/src/entry/answer.rs
+++ b/crates/lagoonhill_core/src/entry/answer.rs
@@ -35,6 +35,9 @@
         "service `{0}` does not exist: check the name, or have an operator add a `service` line"
     )]
     UnknownService(ServiceName),
+    /// No such queue.
+    #[error("queue `{0}` does not exist: check the name, or have an operator add a `queue` line")]
+    UnknownQueue(QueueName),
     /// No such team.
     #[error("team `{0}` does not exist: check the name, or have an operator add a `team` line")]
     UnknownTeam(TeamName),
@@ -98,6 +101,20 @@
         /// Where.
         worker: WorkerId,
     },
+    /// A task failed as often as its queue allows.
+    #[error(
+        "task {index} failed in each of its {attempts} runs, the last on worker {worker}: {message}"
+    )]
+    AttemptsUsedUp {
+        /// Which task.
+        index: TaskIndex,
+        /// Runs that failed.
+        attempts: u16,
+        /// Where it ran last.
+        worker: WorkerId,
+        /// The target's last message.
+        message: String,
+    },
     /// A task was moved too often.
     #[error("no worker would take task {index}: send the request again later")]
     NoTaker {
--- a/crates/lagoonhill_core/src/entry/decision.rs
+++ b/crates/lagoonhill_core/src/entry/decision.rs
@@ -42,6 +42,20 @@
         /// Why.
         reason: NotRunReason,
     },
+    /// A task is queued again after a run that ended without success.
+    Rerun {
+        /// Where it ran.
+        worker: WorkerId,
+        /// Why the run ended.
+        why: String,
+    },
+    /// A task's worker was lost; it is queued again once it can't run there.
+    Unsettled {
+        /// Where it may run.
+        worker: WorkerId,
+        /// Until when.
+        over_ms: TimestampMs,
+    },
     /// The job was completed.
     Completed,
     /// The job failed.
@@ -128,6 +142,12 @@
             DecisionKind::Moved { worker, reason } => {
                 write!(f, "moved from={worker} why=\"{reason}\"")
             }
+            DecisionKind::Rerun { worker, why } => {
+                write!(f, "rerun from={worker} why=\"{why}\"")
+            }
+            DecisionKind::Unsettled { worker, over_ms } => {
+                write!(f, "unsettled worker={worker} until={over_ms}")
+            }
             DecisionKind::Completed => f.write_str("completed"),
             DecisionKind::Failed { run, cause } => write!(f, "failed run={run} why=\"{cause}\""),
             DecisionKind::Joined { worker } => write!(f, "joined worker={worker}"),
--- a/crates/lagoonhill_core/src/entry/fleet.rs
+++ b/crates/lagoonhill_core/src/entry/fleet.rs
@@ -126,15 +126,16 @@
         self.by_service.keys().cloned().collect()
     }
 
-    /// The workers that may get a task now, full ones included.
+    /// The workers that may get a task of these needs now, full ones included.
     pub fn candidates(
         &self,
         service: &ServiceName,
+        needs: &Needs,
         rules: &RuleSet,
         now: TimestampMs,
     ) -> Vec<Candidate> {
         let candidate = |key: &WorkerKey| {
-            let worker = self.workers.get(*key)?;
+            let worker = self.workers.get(*key).filter(|worker| worker.fits(needs))?;
             let takes_one = match allowance(worker, rules, now) {
                 Allowance::Nothing => return None,
                 Allowance::OneTask => true,
@@ -142,7 +143,7 @@
             };
             Some(Candidate {
                 takes_one,
-                ..worker.candidate(*key)?
+                ..worker.candidate(*key, needs)?
             })
         };
         self.of_service(service)
@@ -152,7 +153,7 @@
     }
 
     /// Whether any announced worker of the service offers what is needed.
-    pub fn any_fits(&self, service: &ServiceName, needs: Needs) -> bool {
+    pub fn any_fits(&self, service: &ServiceName, needs: &Needs) -> bool {
         let fits = |key: &WorkerKey| self.workers.get(*key).is_some_and(|w| w.fits(needs));
         self.of_service(service).iter().any(fits)
     }
@@ -170,6 +171,19 @@
             .sum()
     }
 
+    /// Processors of the service's serving workers together.
+    pub fn processors(&self, service: &ServiceName) -> u64 {
+        let workers = self
+            .of_service(service)
+            .iter()
+            .filter_map(|key| self.workers.get(*key));
+        workers
+            .filter(|worker| worker.state() == WorkerState::Serving)
+            .filter_map(|worker| worker.target.as_ref())
+            .map(|target| u64::from(target.capacity.processors.0))
+            .sum()
+    }
+
     /// Whether so many of a service's workers fail that the service itself,
     /// not a worker, is at fault.
     pub fn service_is_failing(&self, service: &ServiceName) -> bool {
--- a/crates/lagoonhill_core/src/entry/job.rs
+++ b/crates/lagoonhill_core/src/entry/job.rs
@@ -5,7 +5,7 @@
 use lagoonhill_types::prelude::*;
 use slotmap::new_key_type;
 
-use super::{CallerId, Needs, RecordKey, RunCertainty, WorkerKey};
+use super::{CallerId, Needs, RecordKey, RunCertainty, Step, WorkerKey};
 
 new_key_type! {
     /// Names a job within an entry.
@@ -15,24 +15,48 @@
 /// Where a task stands.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum TaskState {
-    /// Queued; provably not started.
+    /// Waits for earlier steps, or is queued; provably not running.
     Ready,
     /// Ordered from a worker; may have started.
     Sent(WorkerKey),
+    /// Its worker was lost; it may run there until then.
+    Unsettled(TimestampMs),
     /// Ran and answered.
     Done(Payload),
 }
 
 #[derive(Debug)]
 struct Task {
+    step: u16,
     payload: Payload,
     state: TaskState,
     moves: u8,
+    runs: u32,
+    failures: u16,
 }
 
-/// A job: complete with every task's result, or failed as a whole.
 #[derive(Debug)]
-pub struct Job {
+struct StepProgress {
+    step: Step,
+    first: u16,
+    done: u16,
+    released: bool,
+}
+
+/// What a submission's queue adds to a job.
+#[derive(Clone, Debug)]
+pub struct QueuedAs {
+    /// The queue.
+    pub queue: QueueName,
+    /// The caller's name of the job.
+    pub name: RequestKey,
+    /// Failed runs of one task that fail the job.
+    pub attempts: u16,
+}
+
+/// What a job is made of.
+#[derive(Debug)]
+pub struct JobPlan {
     /// Its name.
     pub id: JobId,
     /// The service.
@@ -41,70 +65,121 @@
     pub team: TeamName,
     /// The scheduling class.
     pub class: Class,
-    /// What it needs of a worker.
-    pub needs: Needs,
-    /// Who waits for the answer.
-    pub callers: Vec<CallerId>,
-    /// The ticket or key it was submitted under.
-    pub record: Option<RecordKey>,
     /// When it was admitted.
     pub accepted_ms: TimestampMs,
     /// Time allowed for the answer.
     pub deadline_ms: DurationMs,
     /// Time allowed for one run on a target.
     pub run_limit_ms: DurationMs,
+    /// Its queue, if it was submitted to one.
+    pub queued_as: Option<QueuedAs>,
+}
+
+/// A job: complete with every task's result, or failed as a whole.
+#[derive(Debug)]
+pub struct Job {
+    /// What it is made of.
+    pub plan: JobPlan,
+    /// Who waits for the answer.
+    pub callers: Vec<CallerId>,
+    /// The ticket or key it was submitted under.
+    pub record: Option<RecordKey>,
     /// Its place among the team's jobs; lower is sooner.
     pub rank_ms: u64,
     tasks: Vec<Task>,
+    steps: Vec<StepProgress>,
     ready: VecDeque<TaskIndex>,
     done: usize,
     sent: usize,
+    has_run: bool,
+}
+
+/// A run that was taken from a job to be ordered from a worker.
+#[derive(Debug)]
+pub struct NextRun {
+    /// Which task.
+    pub index: TaskIndex,
+    /// Which run of it.
+    pub run: RunNumber,
+    /// The task's name towards the target.
+    pub name: Option<TaskName>,
+    /// What it takes.
+    pub needs: Resources,
+    /// The input.
+    pub payload: Payload,
 }
 
 impl Job {
-    /// A job whose tasks are all ready.
-    #[allow(clippy::too_many_arguments, reason = "the caller names every field")]
-    pub fn new(
-        id: JobId,
-        service: ServiceName,
-        team: TeamName,
-        class: Class,
-        needs: Needs,
-        accepted_ms: TimestampMs,
-        deadline_ms: DurationMs,
-        run_limit_ms: DurationMs,
-        payloads: Vec<Payload>,
-    ) -> Self {
-        let ready = (0..u16::try_from(payloads.len()).unwrap_or(u16::MAX))
-            .map(TaskIndex)
-            .collect();
-        let task = |payload| Task {
+    /// A job whose first steps are ready. The steps hold the payloads in order.
+    pub fn new(plan: JobPlan, steps: Vec<Step>, payloads: Vec<Payload>) -> Self {
+        let mut first = 0;
+        let mut progress = Vec::with_capacity(steps.len());
+        let mut step_of = Vec::with_capacity(payloads.len());
+        for (position, step) in (0_u16..).zip(steps) {
+            let count = step.count;
+            step_of.extend((0..count).map(|_| position));
+            progress.push(StepProgress {
+                step,
+                first,
+                done: 0,
+                released: false,
+            });
+            first = first.saturating_add(count);
+        }
+        let task = |(step, payload)| Task {
+            step,
             payload,
             state: TaskState::Ready,
             moves: 0,
+            runs: 0,
+            failures: 0,
         };
-        Self {
-            id,
-            service,
-            team,
-            class,
-            needs,
+        let rank_ms = plan.accepted_ms.0;
+        let mut job = Self {
+            plan,
             callers: Vec::new(),
             record: None,
-            accepted_ms,
-            deadline_ms,
-            run_limit_ms,
-            rank_ms: accepted_ms.0,
-            tasks: payloads.into_iter().map(task).collect(),
-            ready,
+            rank_ms,
+            tasks: step_of.into_iter().zip(payloads).map(task).collect(),
+            steps: progress,
+            ready: VecDeque::new(),
             done: 0,
             sent: 0,
+            has_run: false,
+        };
+        job.release_steps();
+        job
+    }
+
+    /// Makes the tasks of every step ready whose earlier steps are done;
+    /// returns how many became ready.
+    fn release_steps(&mut self) -> usize {
+        let mut released = 0;
+        for position in 0..self.steps.len() {
+            let progress = &self.steps[position];
+            let is_done = |earlier: &u16| {
+                let earlier = &self.steps[usize::from(*earlier)];
+                earlier.done == earlier.step.count
+            };
+            if progress.released || !progress.step.after.iter().all(is_done) {
+                continue;
+            }
+            let (first, count) = (progress.first, progress.step.count);
+            self.ready.extend((first..first + count).map(TaskIndex));
+            self.steps[position].released = true;
+            released += usize::from(count);
         }
+        released
     }
 
     /// When the answer is due.
     pub fn due_ms(&self) -> TimestampMs {
-        self.accepted_ms + self.deadline_ms
+        self.plan.accepted_ms + self.plan.deadline_ms
+    }
+
+    /// Whether tasks may run again after a run that ended without success.
+    pub fn may_rerun(&self) -> bool {
+        self.plan.queued_as.is_some()
     }
 
     /// How many tasks wait in the queue.
@@ -127,22 +202,66 @@
         self.done == self.tasks.len()
     }
 
+    /// Whether any task has been ordered from a worker.
+    pub fn has_started(&self) -> bool {
+        self.has_run || self.sent > 0 || self.done > 0
+    }
+
     /// Whether any task may have run.
     pub fn certainty(&self) -> RunCertainty {
-        if self.sent == 0 && self.done == 0 {
-            RunCertainty::NotRun
-        } else {
+        if self.has_started() {
             RunCertainty::MayHaveRun
+        } else {
+            RunCertainty::NotRun
         }
     }
 
+    /// What the next ready task asks of a worker.
+    pub fn next_needs(&self) -> Option<&Needs> {
+        let index = self.ready.front()?;
+        let task = &self.tasks[usize::from(index.0)];
+        Some(&self.steps[usize::from(task.step)].step.needs)
+    }
+
+    /// Declared run time of the next ready task; zero when unknown.
+    pub fn next_estimate_ms(&self) -> DurationMs {
+        let step = self
+            .ready
+            .front()
+            .map(|index| usize::from(self.tasks[usize::from(index.0)].step));
+        step.map_or(DurationMs::ZERO, |step| self.steps[step].step.estimate_ms)
+    }
+
+    /// Tasks of the next ready task's step that a worker holds.
+    pub fn siblings_at(&self, worker: WorkerKey) -> u16 {
+        let Some(index) = self.ready.front() else {
+            return 0;
+        };
+        let step = self.tasks[usize::from(index.0)].step;
+        let held = |task: &&Task| task.step == step && task.state == TaskState::Sent(worker);
+        u16::try_from(self.tasks.iter().filter(held).count()).unwrap_or(u16::MAX)
+    }
+
     /// Takes the next ready task and marks it as ordered from `worker`.
-    pub fn send_next(&mut self, worker: WorkerKey) -> Option<(TaskIndex, Payload)> {
+    pub fn send_next(&mut self, worker: WorkerKey) -> Option<NextRun> {
         let index = self.ready.pop_front()?;
         let task = &mut self.tasks[usize::from(index.0)];
         task.state = TaskState::Sent(worker);
+        task.runs += 1;
         self.sent += 1;
-        Some((index, task.payload.clone()))
+        let progress = &self.steps[usize::from(task.step)];
+        let name = self.plan.queued_as.as_ref().map(|order| TaskName {
+            job: order.name.clone(),
+            step: task.step,
+            index: index.0 - progress.first,
+        });
+        Some(NextRun {
+            index,
+            run: RunNumber(task.runs),
+            name,
+            needs: progress.step.needs.resources,
+            payload: task.payload.clone(),
+        })
     }
 
     fn sent_task(&mut self, index: TaskIndex, worker: WorkerKey) -> Option<&mut Task> {
@@ -151,15 +270,21 @@
     }
 
     /// Records a result; anything but the ordered worker's first is ignored.
-    pub fn finish(&mut self, index: TaskIndex, worker: WorkerKey, result: Payload) -> bool {
-        let Some(task) = self.sent_task(index, worker) else {
-            return false;
-        };
+    /// Returns how many tasks of later steps became ready.
+    pub fn finish(
+        &mut self,
+        index: TaskIndex,
+        worker: WorkerKey,
+        result: Payload,
+    ) -> Option<usize> {
+        let task = self.sent_task(index, worker)?;
         task.state = TaskState::Done(result);
         task.payload = Payload::default();
+        let step = usize::from(task.step);
         self.sent -= 1;
         self.done += 1;
-        true
+        self.steps[step].done += 1;
+        Some(self.release_steps())
     }
 
     /// Makes a task ready again after its worker proved that it never
@@ -174,11 +299,53 @@
         Some(moves)
     }
 
+    /// Makes a task ready again after a run that ended without success.
+    /// Returns false when `failed` and no attempt is left.
+    pub fn rerun(&mut self, index: TaskIndex, worker: WorkerKey, failed: bool) -> Option<bool> {
+        let attempts = self
+            .plan
+            .queued_as
+            .as_ref()
+            .map_or(1, |queue| queue.attempts);
+        let task = self.sent_task(index, worker)?;
+        task.failures += u16::from(failed);
+        let has_attempt = !failed || task.failures < attempts;
+        task.state = TaskState::Ready;
+        self.sent -= 1;
+        self.has_run = true;
+        self.ready.push_front(index);
+        Some(has_attempt)
+    }
+
+    /// Marks a task whose worker was lost: it may run there until `over_ms`.
+    pub fn unsettle(&mut self, index: TaskIndex, worker: WorkerKey, over_ms: TimestampMs) -> bool {
+        let Some(task) = self.sent_task(index, worker) else {
+            return false;
+        };
+        task.state = TaskState::Unsettled(over_ms);
+        self.sent -= 1;
+        self.has_run = true;
+        true
+    }
+
+    /// Makes a task ready whose worker was lost; returns whether it was one.
+    pub fn settle(&mut self, index: TaskIndex, now: TimestampMs) -> bool {
+        let Some(task) = self.tasks.get_mut(usize::from(index.0)) else {
+            return false;
+        };
+        let is_over = matches!(task.state, TaskState::Unsettled(over_ms) if over_ms <= now);
+        if is_over {
+            task.state = TaskState::Ready;
+            self.ready.push_front(index);
+        }
+        is_over
+    }
+
     /// The results in task order, once complete.
     pub fn results(&self) -> Option<Arc<[Payload]>> {
         let result = |task: &Task| match &task.state {
             TaskState::Done(result) => Some(result.clone()),
-            TaskState::Ready | TaskState::Sent(_) => None,
+            TaskState::Ready | TaskState::Sent(_) | TaskState::Unsettled(_) => None,
         };
         self.tasks.iter().map(result).collect()
     }
@@ -190,7 +357,7 @@
             .iter()
             .filter_map(|task| match task.state {
                 TaskState::Sent(worker) => Some(worker),
-                TaskState::Ready | TaskState::Done(_) => None,
+                TaskState::Ready | TaskState::Unsettled(_) | TaskState::Done(_) => None,
             })
             .collect();
         workers.sort_unstable();
--- a/crates/lagoonhill_core/src/entry/machine/admission.rs
+++ b/crates/lagoonhill_core/src/entry/machine/admission.rs
@@ -5,9 +5,13 @@
 
 use super::{DEFAULT_RETRY_MS, Entry};
 use crate::entry::{
-    CallerId, Cause, DecisionKind, Job, JobFailure, Needs, Placement, Record, RecordKey, Submission,
+    CallerId, Cause, DecisionKind, Job, JobFailure, JobPlan, Placement, QueuedAs, Record,
+    RecordKey, Step, Submission, WorkKind,
 };
 
+/// One, in thousandths.
+const PERMILLE: u64 = 1_000;
+
 impl<P: Placement> Entry<P> {
     /// What can be refused without regard to load.
     pub(super) fn check(&self, submission: &Submission) -> Result<(), JobFailure> {
@@ -27,8 +31,14 @@
         let Some(service) = self.rules().service(&submission.service) else {
             return refused(Cause::UnknownService(submission.service.clone()));
         };
-        if self.rules().team(&submission.team).is_none() {
-            return refused(Cause::UnknownTeam(submission.team.clone()));
+        match &submission.order {
+            Some(order) if self.rules().queue(&order.queue).is_none() => {
+                return refused(Cause::UnknownQueue(order.queue.clone()));
+            }
+            None if self.rules().team(&submission.team).is_none() => {
+                return refused(Cause::UnknownTeam(submission.team.clone()));
+            }
+            Some(_) | None => {}
         }
         if submission.tasks.is_empty() {
             return refused(Cause::NoTasks {
@@ -67,13 +77,13 @@
             ..
         } = &submission;
         let (service, team, count) = (service.clone(), team.clone(), tasks.len());
-        let run_time_ms = self.expected_run_time(&submission);
+        let rank_ms = self.rank(&submission, now);
         let mut job = self.new_job(submission, number, now);
         job.callers.push(caller);
         job.record.clone_from(&record);
-        let slots = u64::from(self.fleet.slots(&service).max(1));
-        job.rank_ms = now.0 + run_time_ms.0 * count as u64 / slots;
-        let (id, class, due_ms, rank_ms) = (job.id, job.class, job.due_ms(), job.rank_ms);
+        job.rank_ms = rank_ms;
+        let ready = job.ready_count();
+        let (id, class, due_ms) = (job.plan.id, job.plan.class, job.due_ms());
         let key = self.jobs.insert(job);
         self.by_job.insert(id, key);
         self.by_caller.insert(caller, key);
@@ -86,7 +96,7 @@
             self.last_rush_ms.insert(service.clone(), now);
         }
         let queued = self.queued_tasks(&service);
-        *self.queued.entry((service.clone(), class)).or_default() += count;
+        *self.queued.entry((service.clone(), class)).or_default() += ready;
         self.queues
             .entry(service.clone())
             .or_default()
@@ -104,47 +114,90 @@
         );
     }
 
+    /// A job's place in its queue: by the latest start that keeps the queue's
+    /// objective, or short before long.
+    fn rank(&self, submission: &Submission, now: TimestampMs) -> u64 {
+        let run_time_ms = self.expected_run_time(submission);
+        let rule = submission
+            .order
+            .as_ref()
+            .and_then(|order| self.rules().queue(&order.queue));
+        if let Some(rule) = rule {
+            let promised_ms = run_time_ms.0 * u64::from(rule.slack_permille) / PERMILLE;
+            return now.0 + (promised_ms + rule.objective_ms.0).saturating_sub(run_time_ms.0);
+        }
+        let slots = u64::from(self.fleet.slots(&submission.service).max(1));
+        now.0 + run_time_ms.0 * submission.tasks.len() as u64 / slots
+    }
+
     fn new_job(&self, submission: Submission, number: u64, now: TimestampMs) -> Job {
         let rule = self
             .rules()
             .service(&submission.service)
             .cloned()
             .unwrap_or_default();
-        let needs = self.needs_of(&submission);
         let deadline_ms = self.deadline(&submission);
-        Job::new(
-            JobId {
+        let steps = self.steps_of(&submission);
+        let queued_as = submission.order.as_ref().map(|order| QueuedAs {
+            queue: order.queue.clone(),
+            name: order.name.clone(),
+            attempts: self
+                .rules()
+                .queue(&order.queue)
+                .map_or(1, |rule| rule.attempts),
+        });
+        let plan = JobPlan {
+            id: JobId {
                 entry: self.config.address.incarnation,
                 number,
             },
-            submission.service.clone(),
-            submission.team.clone(),
-            self.class_of(&submission.service, &submission.team),
-            needs,
-            now,
+            class: self.class_of(&submission),
+            service: submission.service,
+            team: submission.team,
+            accepted_ms: now,
             deadline_ms,
-            rule.run_limit_ms.min(deadline_ms),
-            submission.tasks,
-        )
+            run_limit_ms: rule.run_limit_ms.min(deadline_ms),
+            queued_as,
+        };
+        Job::new(plan, steps, submission.tasks)
     }
 
-    /// The stricter of what the service and the caller ask of a worker.
-    fn needs_of(&self, submission: &Submission) -> Needs {
+    /// The steps, each with the stricter of what the service and the caller
+    /// ask of a worker.
+    fn steps_of(&self, submission: &Submission) -> Vec<Step> {
         let by_rule = self.rules().service(&submission.service);
-        let by_rule = by_rule.map_or_else(Needs::default, |rule| Needs {
+        let by_rule = by_rule.map_or_else(Resources::default, |rule| Resources {
             memory_bytes: rule.memory_bytes,
             accelerators: rule.accelerators,
+            ..Resources::default()
         });
-        submission.needs.max(by_rule)
+        let mut steps = submission.steps();
+        for step in &mut steps {
+            step.needs.resources = step.needs.resources.max(by_rule);
+        }
+        steps
+    }
+
+    pub(super) fn work_kind(submission: &Submission) -> WorkKind {
+        WorkKind {
+            service: submission.service.clone(),
+            queue: submission.order.as_ref().map(|order| order.queue.clone()),
+        }
     }
 
-    fn class_of(&self, service: &ServiceName, team: &TeamName) -> Class {
-        let by_team = self.rules().team(team).and_then(|rule| rule.class);
-        by_team.unwrap_or_else(|| {
-            self.rules()
-                .service(service)
+    fn class_of(&self, submission: &Submission) -> Class {
+        let rules = self.rules();
+        let by_queue = submission
+            .order
+            .as_ref()
+            .and_then(|order| rules.queue(&order.queue)?.class);
+        let by_team = || rules.team(&submission.team).and_then(|rule| rule.class);
+        let by_service = || {
+            rules
+                .service(&submission.service)
                 .map_or_else(Class::default, |rule| rule.class)
-        })
+        };
+        by_queue.or_else(by_team).unwrap_or_else(by_service)
     }
 
     fn deadline(&self, submission: &Submission) -> DurationMs {
@@ -161,7 +214,8 @@
     fn expected_run_time(&self, submission: &Submission) -> DurationMs {
         let by_rule_ms = self.prior_run_time(&submission.service);
         let prior_ms = submission.run_time_ms.unwrap_or(by_rule_ms);
-        self.run_times.expected(&submission.service, prior_ms)
+        self.run_times
+            .expected(&Self::work_kind(submission), prior_ms)
     }
 
     pub(super) fn queued_tasks(&self, service: &ServiceName) -> usize {
@@ -190,9 +244,15 @@
             let cause = Cause::NoWorkers(service.clone());
             return Err(JobFailure::refused_for_now(cause, DEFAULT_RETRY_MS));
         }
-        let needs = self.needs_of(submission);
-        if !self.fleet.any_fits(service, needs) {
-            return Err(JobFailure::refused(Cause::NeverFits(needs.to_string())));
+        let fits_none = |step: &Step| !self.fleet.any_fits(service, &step.needs);
+        if let Some(step) = self
+            .steps_of(submission)
+            .iter()
+            .find(|step| fits_none(step))
+        {
+            return Err(JobFailure::refused(Cause::NeverFits(
+                step.needs.to_string(),
+            )));
         }
         self.check_queue(submission)?;
         let rate = self.rules().team(team).and_then(|rule| rule.rate);
@@ -211,16 +271,24 @@
         f64::from(u32::try_from(self.entries.len().max(1)).unwrap_or(u32::MAX))
     }
 
+    /// Tasks like these that the service runs at the same time.
+    fn slots_for(&self, submission: &Submission) -> u64 {
+        let service = &submission.service;
+        let slots = u64::from(self.fleet.slots(service));
+        let steps = submission.steps();
+        let need = steps
+            .iter()
+            .map(|step| u64::from(step.needs.resources.processors.0))
+            .max();
+        let by_processors = need.and_then(|need| self.fleet.processors(service).checked_div(need));
+        by_processors.map_or(slots, |count| count.min(slots))
+    }
+
     fn check_queue(&self, submission: &Submission) -> Result<(), JobFailure> {
-        let Submission {
-            service,
-            team,
-            tasks,
-            ..
-        } = submission;
-        let class = self.class_of(service, team);
+        let Submission { service, tasks, .. } = submission;
+        let class = self.class_of(submission);
         let run_time_ms = self.expected_run_time(submission);
-        let slots = u64::from(self.fleet.slots(service)).max(1);
+        let slots = self.slots_for(submission).max(1);
         let slots = (slots / self.entries.len().max(1) as u64).max(1);
         let ahead: usize = Class::ALL
             .iter()
--- a/crates/lagoonhill_core/src/entry/machine/dispatch.rs
+++ b/crates/lagoonhill_core/src/entry/machine/dispatch.rs
@@ -8,17 +8,33 @@
 
 use super::{DEFAULT_RUN_TIME_MS, Entry};
 use crate::entry::{
-    Candidate, Cause, Charge, DecisionKind, JobKey, Order, Placement, Room, Situation,
+    Candidate, Cause, Charge, DecisionKind, JobKey, Needs, Order, Placement, Room, Situation,
+    WorkKind,
 };
 
 /// How long a slot of each worker stays free after a job of the rush.
 const RUSH_MEMORY_MS: DurationMs = DurationMs(5_000);
 
+/// Jobs without a worker that one round looks at before it ends; the rest
+/// waits for the next outcome.
+const MAX_BLOCKED_LOOKS: usize = 64;
+
 /// What found no worker in the present round.
 #[derive(Debug, Default)]
 struct Blocked {
     jobs: HashSet<JobKey>,
     classes: HashSet<Class>,
+    /// Needs that found no room on any worker.
+    needs: Option<Resources>,
+    looks: usize,
+}
+
+impl Blocked {
+    /// Whether a task of these needs is known to find no room either.
+    fn covers(&self, needs: &Needs) -> bool {
+        self.needs
+            .is_some_and(|blocked| blocked.fits_in(needs.resources))
+    }
 }
 
 impl<P: Placement> Entry<P> {
@@ -29,7 +45,7 @@
             if due_ms > now {
                 break;
             }
-            let deadline_ms = self.jobs[key].deadline_ms;
+            let deadline_ms = self.jobs[key].plan.deadline_ms;
             self.fail_job(key, Cause::DeadlinePassed { deadline_ms }, now);
         }
     }
@@ -49,41 +65,43 @@
 
     /// Places ready tasks of a service while workers have room.
     fn dispatch(&mut self, service: &ServiceName, now: TimestampMs) {
-        let mut candidates = self.fleet.candidates(service, self.rules.rules(), now);
         let mut blocked = Blocked::default();
-        let most = Room::LookAhead(self.config.look_ahead);
-        while candidates.iter().any(|candidate| candidate.has_room(most)) {
+        while blocked.looks < MAX_BLOCKED_LOOKS {
             let Some(key) = self.next_job(service, &blocked) else {
                 return;
             };
-            let needs = self.jobs[key].needs;
-            let fitting: Vec<usize> = (0..candidates.len())
-                .filter(|index| {
-                    self.fleet
-                        .get(candidates[*index].key)
-                        .is_some_and(|worker| worker.fits(needs))
-                })
-                .collect();
-            let open: Vec<Candidate> = fitting.iter().map(|index| candidates[*index]).collect();
-            let class = self.jobs[key].class;
-            let situation = self.situation(service, class, now);
+            let Some(needs) = self.jobs[key].next_needs().cloned() else {
+                blocked.jobs.insert(key);
+                continue;
+            };
+            if blocked.covers(&needs) {
+                blocked.jobs.insert(key);
+                continue;
+            }
+            let mut open = self
+                .fleet
+                .candidates(service, &needs, self.rules.rules(), now);
+            let all = open.len();
+            if let Some(most) = needs.max_per_worker {
+                let job = &self.jobs[key];
+                open.retain(|candidate| job.siblings_at(candidate.key) < most);
+            }
+            let situation = self.situation(key, now);
             // A probe goes first: a policy that prefers other workers would
             // never find out that this one has recovered.
             let probe = open.iter().position(|candidate| candidate.is_probe);
             match probe.or_else(|| self.placement.choose(&open, situation)) {
-                Some(choice) => {
-                    let index = fitting[choice];
-                    self.place(key, candidates[index], &open, now);
-                    candidates[index].load += 1;
-                    if candidates[index].takes_one {
-                        candidates.swap_remove(index);
-                    }
-                }
-                None if situation.room == Room::KeepReserve && open.len() == candidates.len() => {
-                    blocked.classes.insert(class);
+                Some(choice) => self.place(key, open[choice], &open, now),
+                None if situation.room == Room::KeepReserve && needs == Needs::default() => {
+                    blocked.classes.insert(self.jobs[key].plan.class);
                 }
                 None => {
+                    blocked.looks += 1;
                     blocked.jobs.insert(key);
+                    let is_plain = needs.label.is_none() && open.len() == all;
+                    if is_plain && situation.room != Room::KeepReserve {
+                        blocked.needs = Some(needs.resources);
+                    }
                 }
             }
         }
@@ -106,10 +124,11 @@
         f64::from(in_flight) < share.max(1.0)
     }
 
-    fn situation(&self, service: &ServiceName, class: Class, now: TimestampMs) -> Situation {
-        let keeps_reserve = class > Class::Rush && self.is_rush_on(service, now);
+    fn situation(&self, key: JobKey, now: TimestampMs) -> Situation {
+        let plan = &self.jobs[key].plan;
+        let keeps_reserve = plan.class > Class::Rush && self.is_rush_on(&plan.service, now);
         Situation {
-            run_time_ms: self.usual_run_time(service),
+            run_time_ms: self.usual_run_time(&self.kind_of(key)),
             room: if keeps_reserve {
                 Room::KeepReserve
             } else {
@@ -131,22 +150,40 @@
     }
 
     /// The run time learned, or else expected by operators.
-    pub(super) fn usual_run_time(&self, service: &ServiceName) -> DurationMs {
+    pub(super) fn usual_run_time(&self, kind: &WorkKind) -> DurationMs {
         self.run_times
-            .expected(service, self.prior_run_time(service))
+            .expected(kind, self.prior_run_time(&kind.service))
+    }
+
+    fn kind_of(&self, key: JobKey) -> WorkKind {
+        let plan = &self.jobs[key].plan;
+        WorkKind {
+            service: plan.service.clone(),
+            queue: plan.queued_as.as_ref().map(|order| order.queue.clone()),
+        }
     }
 
     fn place(&mut self, key: JobKey, chosen: Candidate, open: &[Candidate], now: TimestampMs) {
+        let kind = self.kind_of(key);
+        let expected_ms = self.usual_run_time(&kind);
         let job = &mut self.jobs[key];
-        let Some((index, payload)) = job.send_next(chosen.key) else {
+        let Some(next) = job.send_next(chosen.key) else {
             return;
         };
-        let task = TaskId { job: job.id, index };
-        let (service, team, class) = (job.service.clone(), job.team.clone(), job.class);
+        let index = next.index;
+        let task = TaskId {
+            job: job.plan.id,
+            index,
+        };
+        let (service, team, class) = (
+            job.plan.service.clone(),
+            job.plan.team.clone(),
+            job.plan.class,
+        );
         let (run_limit_ms, rank_ms, emptied) =
-            (job.run_limit_ms, job.rank_ms, job.ready_count() == 0);
+            (job.plan.run_limit_ms, job.rank_ms, job.ready_count() == 0);
         let charge = Charge {
-            run_time_ms: self.usual_run_time(&service),
+            run_time_ms: expected_ms,
             class_weight: self.rules().class_weight(class),
             team_weight: self.rules().team(&team).map_or(1, |rule| rule.weight),
         };
@@ -166,12 +203,22 @@
             .fleet
             .get_mut(chosen.key)
             .expect("the candidate was taken from the fleet");
-        worker.orders.insert(task, Order { sent_ms: now, team });
+        let order = Order {
+            sent_ms: now,
+            team,
+            needs: next.needs,
+            kind,
+            expected_ms,
+        };
+        worker.orders.insert(task, order);
         worker.session.push(Message::Start(Start {
             task,
             decided_ms: now,
             run_limit_ms,
-            payload,
+            needs: next.needs,
+            run: next.run,
+            name: next.name,
+            payload: next.payload,
         }));
         let kind = DecisionKind::Placed {
             worker: worker.id.clone(),
--- a/crates/lagoonhill_core/src/entry/machine/endings.rs
+++ b/crates/lagoonhill_core/src/entry/machine/endings.rs
@@ -37,18 +37,21 @@
     /// Takes a job out of every index; orders at workers stay accounted for.
     pub(super) fn remove_job(&mut self, key: JobKey) -> Option<Job> {
         let job = self.jobs.remove(key)?;
-        self.by_job.remove(&job.id);
+        self.by_job.remove(&job.plan.id);
         self.due.remove(&(job.due_ms(), key));
         self.unqueue(&job, key, job.ready_count());
         Some(job)
     }
 
     pub(super) fn unqueue(&mut self, job: &Job, key: JobKey, tasks: usize) {
-        if let Some(count) = self.queued.get_mut(&(job.service.clone(), job.class)) {
+        if let Some(count) = self
+            .queued
+            .get_mut(&(job.plan.service.clone(), job.plan.class))
+        {
             *count = count.saturating_sub(tasks);
         }
-        if let Some(queue) = self.queues.get_mut(&job.service) {
-            queue.remove(job.class, &job.team, job.rank_ms, key);
+        if let Some(queue) = self.queues.get_mut(&job.plan.service) {
+            queue.remove(job.plan.class, &job.plan.team, job.rank_ms, key);
         }
     }
 
@@ -59,7 +62,7 @@
         let Some(results) = job.results() else {
             return;
         };
-        self.decide(now, Some(job.id), None, DecisionKind::Completed);
+        self.decide(now, Some(job.plan.id), None, DecisionKind::Completed);
         self.close_job(&job, Ok(results), now);
     }
 
@@ -71,7 +74,7 @@
         };
         for worker_key in job.workers() {
             if let Some(worker) = self.fleet.get_mut(worker_key) {
-                worker.session.push(Message::CancelJob(job.id));
+                worker.session.push(Message::CancelJob(job.plan.id));
                 self.dirty.insert(worker_key);
             }
         }
@@ -79,7 +82,7 @@
         let retry_after_ms = (run == RunCertainty::NotRun).then_some(DEFAULT_RETRY_MS);
         self.decide(
             now,
-            Some(job.id),
+            Some(job.plan.id),
             None,
             DecisionKind::Failed {
                 run,
@@ -105,11 +108,12 @@
     ) {
         let never_ran = matches!(&outcome, Err(failure) if failure.run == RunCertainty::NotRun);
         let answer = Answer {
-            job: Some(job.id),
+            job: Some(job.plan.id),
             outcome,
         };
         if let Some(record) = &job.record {
-            if never_ran {
+            // A job of a queue may run again, so its failure is not the last word.
+            if never_ran || (job.may_rerun() && answer.outcome.is_err()) {
                 self.records.remove(record);
             } else {
                 self.records
--- a/crates/lagoonhill_core/src/entry/machine/mod.rs
+++ b/crates/lagoonhill_core/src/entry/machine/mod.rs
@@ -20,7 +20,7 @@
     CallerId, Decision, DecisionKind, EntryConfig, EntryEffect, EntryStatus, Fleet, Job, JobKey,
     JobQueue, Placement, Records, RunTimes, TeamUsage, Worker, WorkerKey, WorkerStatus,
 };
-use crate::{FrameHeader, RulesSpread, Verdict};
+use crate::{FrameHeader, Heartbeat, RulesSpread, Verdict};
 
 /// Run time of a task of which nothing at all is known.
 const DEFAULT_RUN_TIME_MS: DurationMs = DurationMs(300);
@@ -44,6 +44,8 @@
     queues: HashMap<ServiceName, JobQueue>,
     queued: HashMap<(ServiceName, Class), usize>,
     due: BTreeSet<(TimestampMs, JobKey)>,
+    /// Tasks of lost workers, by when they can't run there any more.
+    unsettled: BTreeSet<(TimestampMs, JobKey, TaskIndex)>,
     usage: HashMap<TeamName, TeamUsage>,
     /// When each service last got a job of the most urgent class.
     last_rush_ms: HashMap<ServiceName, TimestampMs>,
@@ -73,6 +75,7 @@
             queues: HashMap::new(),
             queued: HashMap::new(),
             due: BTreeSet::new(),
+            unsettled: BTreeSet::new(),
             usage: HashMap::new(),
             last_rush_ms: HashMap::new(),
             run_times: RunTimes::default(),
@@ -97,6 +100,15 @@
         self.entries.iter()
     }
 
+    /// Jobs of a queue of which no task has been ordered yet.
+    pub fn waiting_jobs(&self, queue: &QueueName) -> usize {
+        let is_waiting = |job: &&Job| {
+            let queued_as = job.plan.queued_as.as_ref();
+            queued_as.is_some_and(|order| order.queue == *queue) && !job.has_started()
+        };
+        self.jobs.values().filter(is_waiting).count()
+    }
+
     /// The jobs without an answer.
     pub fn jobs(&self) -> Vec<JobId> {
         self.by_job.keys().copied().collect()
@@ -209,6 +221,7 @@
             self.quarantine_stuck(now);
         }
         self.records.expire(now);
+        self.settle(now);
         self.dispatch_all(now);
     }
 
@@ -239,7 +252,7 @@
             reply_to: self.config.address.inbox,
             rules_revision: self.rules.revision(),
             load: Load::default(),
-            sends_heartbeats: false,
+            heartbeat: Heartbeat::None,
         };
         let mut dirty: Vec<WorkerKey> = self.dirty.drain().collect();
         dirty.sort_unstable();
--- a/crates/lagoonhill_core/src/entry/machine/outcomes.rs
+++ b/crates/lagoonhill_core/src/entry/machine/outcomes.rs
@@ -4,7 +4,7 @@
 use lagoonhill_types::prelude::*;
 
 use super::Entry;
-use crate::entry::{Cause, DecisionKind, Health, JobKey, Placement, WorkerKey};
+use crate::entry::{Cause, DecisionKind, Health, JobKey, Placement, WorkKind, WorkerKey};
 
 /// A probe that took this many times the expected run time was not well run.
 const SLOW_PROBE_FACTOR: u64 = 3;
@@ -23,7 +23,7 @@
             return;
         };
         self.release_quota(&order.team);
-        self.learn(key, &result, run_ms, now);
+        self.learn(key, &order.kind, &result, run_ms, now);
         let Some(&job_key) = self.by_job.get(&task.job) else {
             return;
         };
@@ -35,22 +35,35 @@
         match result {
             TaskResult::Done(payload) => {
                 let job = &mut self.jobs[job_key];
-                if job.finish(index, key, payload) && job.is_complete() {
+                let Some(released) = job.finish(index, key, payload) else {
+                    return;
+                };
+                if job.is_complete() {
                     self.complete_job(job_key, now);
+                } else if released > 0 {
+                    self.enqueue(job_key, released);
                 }
             }
+            TaskResult::Failed(message) if self.jobs[job_key].may_rerun() => {
+                self.rerun(job_key, index, key, &worker, Some(message), now);
+            }
             TaskResult::Failed(message) => {
-                self.fail_job(
-                    job_key,
-                    Cause::TaskFailed {
-                        index,
-                        worker,
-                        message,
-                    },
-                    now,
-                );
+                let cause = Cause::TaskFailed {
+                    index,
+                    worker,
+                    message,
+                };
+                self.fail_job(job_key, cause, now);
+            }
+            TaskResult::Interrupted(why) if self.jobs[job_key].may_rerun() => {
+                let kind = DecisionKind::Rerun {
+                    worker: worker.clone(),
+                    why,
+                };
+                self.decide(now, Some(task.job), Some(index), kind);
+                self.rerun(job_key, index, key, &worker, None, now);
             }
-            TaskResult::MayHaveRun(_) => {
+            TaskResult::MayHaveRun(_) | TaskResult::Interrupted(_) => {
                 self.fail_job(job_key, Cause::WorkerLost { index, worker }, now);
             }
             TaskResult::NotRun(reason) => {
@@ -65,25 +78,89 @@
         }
     }
 
-    pub(super) fn hand_back(
+    /// Queues a task again, or fails its job when no attempt is left.
+    fn rerun(
         &mut self,
         key: JobKey,
         index: TaskIndex,
-        worker: WorkerKey,
+        from: WorkerKey,
+        worker: &WorkerId,
+        failure: Option<String>,
         now: TimestampMs,
     ) {
         let job = &mut self.jobs[key];
-        let Some(moves) = job.hand_back(index, worker) else {
+        let Some(has_attempt) = job.rerun(index, from, failure.is_some()) else {
+            return;
+        };
+        let id = job.plan.id;
+        let attempts = job
+            .plan
+            .queued_as
+            .as_ref()
+            .map_or(1, |queue| queue.attempts);
+        self.enqueue(key, 1);
+        let Some(message) = failure else {
             return;
         };
-        let (service, team) = (job.service.clone(), job.team.clone());
-        let (class, rank_ms) = (job.class, job.rank_ms);
-        *self.queued.entry((service.clone(), class)).or_default() += 1;
+        if has_attempt {
+            let kind = DecisionKind::Rerun {
+                worker: worker.clone(),
+                why: message,
+            };
+            return self.decide(now, Some(id), Some(index), kind);
+        }
+        let cause = Cause::AttemptsUsedUp {
+            index,
+            attempts,
+            worker: worker.clone(),
+            message,
+        };
+        self.fail_job(key, cause, now);
+    }
+
+    /// Enters a job with ready tasks into its queue.
+    pub(super) fn enqueue(&mut self, key: JobKey, tasks: usize) {
+        let job = &self.jobs[key];
+        let (service, team) = (job.plan.service.clone(), job.plan.team.clone());
+        let (class, rank_ms) = (job.plan.class, job.rank_ms);
+        *self.queued.entry((service.clone(), class)).or_default() += tasks;
         self.queues
             .entry(service)
             .or_default()
             .insert(class, &team, rank_ms, key);
-        if moves > self.config.max_moves {
+    }
+
+    /// Queues tasks again whose lost worker can't run them any more.
+    pub(super) fn settle(&mut self, now: TimestampMs) {
+        while let Some(&(over_ms, key, index)) = self.unsettled.first() {
+            if over_ms > now {
+                return;
+            }
+            self.unsettled.pop_first();
+            let settled = self
+                .jobs
+                .get_mut(key)
+                .is_some_and(|job| job.settle(index, now));
+            if settled {
+                self.enqueue(key, 1);
+            }
+        }
+    }
+
+    pub(super) fn hand_back(
+        &mut self,
+        key: JobKey,
+        index: TaskIndex,
+        worker: WorkerKey,
+        now: TimestampMs,
+    ) {
+        let job = &mut self.jobs[key];
+        let Some(moves) = job.hand_back(index, worker) else {
+            return;
+        };
+        let bounded = !job.may_rerun();
+        self.enqueue(key, 1);
+        if bounded && moves > self.config.max_moves {
             self.fail_job(key, Cause::NoTaker { index }, now);
         }
     }
@@ -98,6 +175,7 @@
     pub(super) fn learn(
         &mut self,
         key: WorkerKey,
+        kind: &WorkKind,
         result: &TaskResult,
         run_ms: DurationMs,
         now: TimestampMs,
@@ -110,25 +188,26 @@
         };
         match result {
             TaskResult::Done(_) => {
-                let expected_ms = self.run_times.expected(&service, run_ms);
+                let expected_ms = self.run_times.expected(kind, run_ms);
                 if worker.health.is_quarantined()
                     && run_ms > worker.usual_run_time(expected_ms) * SLOW_PROBE_FACTOR
                 {
                     return worker.health.failed(now);
                 }
                 worker.observe(run_ms, expected_ms);
-                self.run_times.observe(&service, run_ms);
+                self.run_times.observe(kind, run_ms);
                 if worker.health.succeeded() {
                     worker.reset_speed();
                     let id = worker.id.clone();
                     self.decide(now, None, None, DecisionKind::Recovered { worker: id });
                 }
             }
-            TaskResult::Failed(_) | TaskResult::NotRun(NotRunReason::TargetRefused) => {
+            TaskResult::Failed(_)
+            | TaskResult::NotRun(NotRunReason::TargetRefused | NotRunReason::TargetUnhealthy) => {
                 worker.health.failed(now);
                 self.quarantine_if_alone(key, &service, now);
             }
-            TaskResult::NotRun(_) | TaskResult::MayHaveRun(_) => {}
+            TaskResult::NotRun(_) | TaskResult::MayHaveRun(_) | TaskResult::Interrupted(_) => {}
         }
     }
 
@@ -177,12 +256,11 @@
     /// half of their service does.
     pub(super) fn quarantine_stuck(&mut self, now: TimestampMs) {
         for service in self.fleet.services() {
-            let expected_ms = self.usual_run_time(&service);
             let keys = self.fleet.of_service(&service).to_vec();
             let is_stuck = |key: &WorkerKey| {
                 self.fleet
                     .get(*key)
-                    .is_some_and(|worker| worker.is_stuck(expected_ms, now))
+                    .is_some_and(|worker| worker.is_stuck(now))
             };
             let stuck: Vec<WorkerKey> = keys.iter().copied().filter(is_stuck).collect();
             if stuck.len() * 2 > keys.len() {
--- a/crates/lagoonhill_core/src/entry/machine/sessions.rs
+++ b/crates/lagoonhill_core/src/entry/machine/sessions.rs
@@ -5,7 +5,7 @@
 
 use super::Entry;
 use crate::Session;
-use crate::entry::{Cause, DecisionKind, EntryEffect, Placement, Worker, WorkerKey};
+use crate::entry::{Cause, DecisionKind, EntryEffect, JobKey, Placement, Worker, WorkerKey};
 
 /// Bytes that one idle heartbeat and its answer cost on the wire.
 const HEARTBEAT_COST_BYTES: u64 = 240;
@@ -13,6 +13,10 @@
 /// Bytes a second that an entry spends on idle heartbeats at most.
 const HEARTBEAT_BUDGET_BYTES_PER_S: u64 = 3_000;
 
+/// A target's clock is at most one part in this slower than ours; twice the
+/// 2% that targets are allowed.
+const SLOW_CLOCK_DIVISOR: u64 = 25;
+
 impl<P: Placement> Entry<P> {
     /// Takes a packet from a link.
     pub fn receive(&mut self, packet: Packet, now: TimestampMs) {
@@ -151,16 +155,52 @@
             why,
         };
         self.decide(now, None, None, left);
+        let over_ms = self.over_at(&worker);
         for (task, order) in &worker.orders {
             self.release_quota(&order.team);
-            if let Some(&job) = self.by_job.get(&task.job) {
-                let cause = Cause::WorkerLost {
-                    index: task.index,
-                    worker: worker.id.clone(),
-                };
-                self.fail_job(job, cause, now);
+            let Some(&job) = self.by_job.get(&task.job) else {
+                continue;
+            };
+            if self.jobs[job].may_rerun() {
+                self.unsettle(job, task.index, key, &worker.id, over_ms, now);
+                continue;
             }
+            let cause = Cause::WorkerLost {
+                index: task.index,
+                worker: worker.id.clone(),
+            };
+            self.fail_job(job, cause, now);
+        }
+    }
+
+    /// When a lost worker certainly runs nothing of ours: its agent lets our
+    /// tasks run for the run lease after our last frame, and its target for
+    /// the hold after that.
+    fn over_at(&self, worker: &Worker) -> TimestampMs {
+        let timing = self.config.timing;
+        let hold_ms = timing.hold_ms + timing.hold_ms / SLOW_CLOCK_DIVISOR;
+        worker.session.last_sent_ms() + timing.run_lease_ms + hold_ms
+    }
+
+    fn unsettle(
+        &mut self,
+        job: JobKey,
+        index: TaskIndex,
+        from: WorkerKey,
+        worker: &WorkerId,
+        over_ms: TimestampMs,
+        now: TimestampMs,
+    ) {
+        if !self.jobs[job].unsettle(index, from, over_ms) {
+            return;
         }
+        self.unsettled.insert((over_ms, job, index));
+        let id = self.jobs[job].plan.id;
+        let kind = DecisionKind::Unsettled {
+            worker: worker.clone(),
+            over_ms,
+        };
+        self.decide(now, Some(id), Some(index), kind);
     }
 }
 
--- a/crates/lagoonhill_core/src/entry/machine/submissions.rs
+++ b/crates/lagoonhill_core/src/entry/machine/submissions.rs
@@ -212,7 +212,7 @@
         };
         let job = &mut self.jobs[key];
         job.callers.retain(|waiting| *waiting != caller);
-        if job.callers.is_empty() && job.record.is_none() {
+        if job.callers.is_empty() && (job.record.is_none() || job.may_rerun()) {
             self.fail_job(key, Cause::Cancelled, now);
             self.dispatch_all(now);
         }
--- a/crates/lagoonhill_core/src/entry/submission.rs
+++ b/crates/lagoonhill_core/src/entry/submission.rs
@@ -7,36 +7,64 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CallerId(pub u64);
 
-/// What a job asks of a worker beyond its service.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+/// What one task asks of a worker beyond its service.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Needs {
-    /// Memory for one task.
-    pub memory_bytes: ByteCount,
-    /// Accelerators.
-    pub accelerators: u16,
+    /// What a run takes of the target.
+    pub resources: Resources,
+    /// A label that the target must have.
+    pub label: Option<Label>,
+    /// A label that the target had better have, because the data is there.
+    pub near: Option<Label>,
+    /// Tasks of the same step at most on one worker.
+    pub max_per_worker: Option<u16>,
 }
 
 impl Needs {
-    /// The stricter of two.
-    #[must_use]
-    pub fn max(self, other: Self) -> Self {
+    /// Needs of resources only.
+    pub fn of(resources: Resources) -> Self {
         Self {
-            memory_bytes: self.memory_bytes.max(other.memory_bytes),
-            accelerators: self.accelerators.max(other.accelerators),
+            resources,
+            ..Self::default()
         }
     }
 }
 
 impl fmt::Display for Needs {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            f,
-            "memory {}, accelerators {}",
-            self.memory_bytes, self.accelerators
-        )
+        write!(f, "{}", self.resources)?;
+        if let Some(label) = &self.label {
+            write!(f, ", label {label}")?;
+        }
+        Ok(())
     }
 }
 
+/// Tasks of one job that start together.
+#[derive(Clone, Debug, Default)]
+pub struct Step {
+    /// How many tasks there are.
+    pub count: u16,
+    /// Positions of earlier steps that must be done first.
+    pub after: Vec<u16>,
+    /// What each task asks of a worker.
+    pub needs: Needs,
+    /// Declared run time of a task; zero when unknown.
+    pub estimate_ms: DurationMs,
+}
+
+/// What a job submitted to a queue says beyond its tasks. Its tasks may run
+/// again after a run that ended without success.
+#[derive(Clone, Debug)]
+pub struct QueueOrder {
+    /// The queue.
+    pub queue: QueueName,
+    /// The caller's name of the job.
+    pub name: RequestKey,
+    /// The steps, which together hold the submission's tasks in order.
+    pub steps: Vec<Step>,
+}
+
 /// A job as a caller submits it.
 #[derive(Clone, Debug)]
 pub struct Submission {
@@ -48,10 +76,12 @@
     pub deadline_ms: Option<DurationMs>,
     /// Declared run time of a task, if any.
     pub run_time_ms: Option<DurationMs>,
-    /// Needs beyond the service's.
+    /// Needs of each task beyond the service's.
     pub needs: Needs,
     /// One input a task.
     pub tasks: Vec<Payload>,
+    /// Present when the job was submitted to a queue.
+    pub order: Option<QueueOrder>,
 }
 
 impl Submission {
@@ -65,4 +95,17 @@
         }
         hasher.finish()
     }
+
+    /// The steps: those ordered, or one that holds every task.
+    pub fn steps(&self) -> Vec<Step> {
+        if let Some(order) = &self.order {
+            return order.steps.clone();
+        }
+        vec![Step {
+            count: u16::try_from(self.tasks.len()).unwrap_or(u16::MAX),
+            after: Vec::new(),
+            needs: self.needs.clone(),
+            estimate_ms: self.run_time_ms.unwrap_or_default(),
+        }]
+    }
 }
--- a/crates/lagoonhill_core/src/entry/worker.rs
+++ b/crates/lagoonhill_core/src/entry/worker.rs
@@ -5,7 +5,7 @@
 use lagoonhill_types::prelude::*;
 use slotmap::new_key_type;
 
-use super::{Candidate, Health, Needs};
+use super::{Candidate, Health, Needs, WorkKind};
 use crate::Session;
 
 new_key_type! {
@@ -34,6 +34,12 @@
     pub sent_ms: TimestampMs,
     /// The team whose concurrency it counts against.
     pub team: TeamName,
+    /// What it takes of the target.
+    pub needs: Resources,
+    /// What it is expected to be like.
+    pub kind: WorkKind,
+    /// How long it is expected to run on a worker of average speed.
+    pub expected_ms: DurationMs,
 }
 
 /// A task that has taken this many times the expected run time is late.
@@ -117,9 +123,53 @@
     }
 
     /// Whether it offers what is needed.
-    pub fn fits(&self, needs: Needs) -> bool {
+    pub fn fits(&self, needs: &Needs) -> bool {
         self.target.as_ref().is_some_and(|target| {
-            target.accelerators >= needs.accelerators && target.memory_bytes >= needs.memory_bytes
+            needs.resources.fits_in(target.capacity)
+                && needs
+                    .label
+                    .as_ref()
+                    .is_none_or(|label| target.labels.contains(label))
+        })
+    }
+
+    /// Resources taken there, as far as this entry knows.
+    fn estimated_use(&self) -> Resources {
+        let others = self
+            .load
+            .total_processors
+            .0
+            .saturating_sub(self.load.your_processors.0);
+        let others = Resources {
+            processors: MilliProcessors(others),
+            ..Resources::default()
+        };
+        self.orders
+            .values()
+            .fold(others, |sum, order| sum + order.needs)
+    }
+
+    /// How many tasks of these needs the target runs at the same time, and how
+    /// many of that are taken or waited for: by its slots or by its resources,
+    /// whichever leaves less room.
+    fn slots_for(&self, needs: Resources) -> Option<(u16, u16)> {
+        let target = self.target.as_ref()?;
+        let by_slots = (target.slots.0, self.estimated_load());
+        if needs == Resources::default() {
+            return Some(by_slots);
+        }
+        let used = self.estimated_use();
+        let slots = times(target.capacity, needs);
+        let over = (used - target.capacity).processors.0;
+        let waiting = over.checked_div(needs.processors.0).unwrap_or(0);
+        let waiting = u16::try_from(waiting).unwrap_or(u16::MAX);
+        let taken = slots.saturating_sub(times(target.capacity - used, needs));
+        let by_resources = (slots, taken.saturating_add(waiting));
+        let room = |(slots, load): (u16, u16)| i32::from(slots) - i32::from(load);
+        Some(if room(by_slots) < room(by_resources) {
+            by_slots
+        } else {
+            by_resources
         })
     }
 
@@ -133,13 +183,23 @@
     }
 
     /// The worker as placement sees it.
-    pub fn candidate(&self, key: WorkerKey) -> Option<Candidate> {
-        let slots = self.target.as_ref()?.slots.0;
+    pub fn candidate(&self, key: WorkerKey, needs: &Needs) -> Option<Candidate> {
+        let (slots, load) = self.slots_for(needs.resources)?;
+        let target = self.target.as_ref()?;
+        let is_far = needs
+            .near
+            .as_ref()
+            .is_some_and(|label| !target.labels.contains(label));
+        let slowness_permille = if is_far {
+            self.slowness_permille + self.slowness_permille / 2
+        } else {
+            self.slowness_permille
+        };
         Some(Candidate {
             key,
             slots,
-            load: self.estimated_load(),
-            slowness_permille: self.slowness_permille,
+            load,
+            slowness_permille,
             is_probe: self.health.is_quarantined(),
             takes_one: self.health.is_quarantined(),
         })
@@ -153,14 +213,21 @@
     /// Whether it is full and at least half of our orders take far longer than
     /// usual here, as on a machine that has become slow. On a worker that is
     /// not full the long tasks are merely the ones that are left.
-    pub fn is_stuck(&self, expected_ms: DurationMs, now: TimestampMs) -> bool {
-        let slots = self.target.as_ref().map_or(0, |target| target.slots.0);
-        let limit_ms = (self.usual_run_time(expected_ms) * STUCK_FACTOR).max(MIN_STUCK_MS);
-        let late = |order: &&Order| now.since(order.sent_ms) > limit_ms;
+    pub fn is_stuck(&self, now: TimestampMs) -> bool {
+        let late = |order: &&Order| {
+            let limit_ms = self.usual_run_time(order.expected_ms) * STUCK_FACTOR;
+            now.since(order.sent_ms) > limit_ms.max(MIN_STUCK_MS)
+        };
         let late_orders = self.orders.values().filter(late).count();
-        self.estimated_load() >= slots
-            && late_orders >= MIN_STUCK_ORDERS
-            && late_orders * 2 >= self.orders.len()
+        let least = self
+            .orders
+            .values()
+            .map(|order| order.needs)
+            .min_by_key(|needs| needs.processors);
+        let full = least
+            .and_then(|needs| self.slots_for(needs))
+            .is_some_and(|(slots, load)| load >= slots);
+        full && late_orders >= MIN_STUCK_ORDERS && late_orders * 2 >= self.orders.len()
     }
 
     /// Forgets what was learned of its speed while it was slow.
@@ -179,3 +246,12 @@
         self.slowness_permille = u32::try_from(mean).unwrap_or(AVERAGE_SLOWNESS_PERMILLE);
     }
 }
+
+/// How often `needs` fit into `room`.
+fn times(room: Resources, needs: Resources) -> u16 {
+    let count = |room: u64, need: u64| room.checked_div(need).unwrap_or(u64::MAX);
+    let least = count(room.processors.0.into(), needs.processors.0.into())
+        .min(count(room.memory_bytes.0, needs.memory_bytes.0))
+        .min(count(room.accelerators.into(), needs.accelerators.into()));
+    u16::try_from(least).unwrap_or(u16::MAX)
+}
--- a/crates/lagoonhill_core/src/lib.rs
+++ b/crates/lagoonhill_core/src/lib.rs
@@ -6,10 +6,11 @@
 
 pub mod agent;
 pub mod entry;
+pub mod leased;
 mod rules_spread;
 mod session;
 mod timing;
 
 pub use rules_spread::RulesSpread;
-pub use session::{FrameHeader, Session, Verdict};
+pub use session::{FrameHeader, Heartbeat, Session, Verdict};
 pub use timing::Timing;
--- a/crates/lagoonhill_core/src/session.rs
+++ b/crates/lagoonhill_core/src/session.rs
@@ -43,6 +43,8 @@
     early: BTreeMap<Sequence, Message>,
     ack_due_ms: Option<TimestampMs>,
     last_heard_ms: TimestampMs,
+    /// When the newest sign of life left the peer, on our clock.
+    alive_ms: TimestampMs,
     last_sent_ms: TimestampMs,
     /// When the answer that is now expected began to be expected.
     waiting_since_ms: Option<TimestampMs>,
@@ -73,6 +75,7 @@
             early: BTreeMap::new(),
             ack_due_ms: None,
             last_heard_ms: now,
+            alive_ms: now,
             last_sent_ms: now,
             waiting_since_ms: None,
             pings: 0,
@@ -98,6 +101,17 @@
         self.last_heard_ms
     }
 
+    /// When the peer is known to have been alive: unlike the time of its last
+    /// packet, this does not count how long the packet was on its way.
+    pub fn alive_ms(&self) -> TimestampMs {
+        self.alive_ms
+    }
+
+    /// When a frame was last sent.
+    pub fn last_sent_ms(&self) -> TimestampMs {
+        self.last_sent_ms
+    }
+
     /// Whether every message has been acknowledged.
     pub fn is_drained(&self) -> bool {
         self.unacked.is_empty()
@@ -140,6 +154,8 @@
             .map_or(offset_ms, |least| least.min(offset_ms));
         self.min_offset_ms = Some(least);
         self.peer_revision = self.peer_revision.max(revision);
+        let sent_ms = now - self.age(sent_ms, now);
+        self.alive_ms = self.alive_ms.max(sent_ms);
         self.last_heard_ms = now;
         self.waiting_since_ms = None;
         self.pings = 0;
@@ -250,8 +266,13 @@
         let skip = usize::try_from(self.transmitted.0 - self.acked.0).unwrap_or(usize::MAX);
         let has_new = skip < self.unacked.len();
         let ack_due = self.ack_due_ms.is_some_and(|due_ms| due_ms <= now);
-        let heartbeat_due =
-            header.sends_heartbeats && now.since(self.last_sent_ms) >= self.heartbeat_ms;
+        let interval_ms = match header.heartbeat {
+            Heartbeat::None => None,
+            Heartbeat::AsAgreed => Some(self.heartbeat_ms),
+            Heartbeat::AtLeastEvery(most_ms) => Some(self.heartbeat_ms.min(most_ms)),
+        };
+        let silent_ms = now.since(self.last_sent_ms);
+        let heartbeat_due = interval_ms.is_some_and(|interval_ms| silent_ms >= interval_ms);
         if !has_new && !ack_due && !heartbeat_due && !self.ping_due {
             return None;
         }
@@ -298,6 +319,17 @@
     pub rules_revision: Revision,
     /// The owner's load.
     pub load: Load,
-    /// Whether the owner is the side that sends heartbeats.
-    pub sends_heartbeats: bool,
+    /// How often the owner asks for a sign of life.
+    pub heartbeat: Heartbeat,
+}
+
+/// How often one side of a session asks the other for a sign of life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heartbeat {
+    /// Never: the other side does.
+    None,
+    /// At the interval that the session agreed on.
+    AsAgreed,
+    /// At that interval or this one, whichever is shorter.
+    AtLeastEvery(DurationMs),
 }
--- a/crates/lagoonhill_core/src/timing.rs
+++ b/crates/lagoonhill_core/src/timing.rs
@@ -14,6 +14,11 @@
     pub session_timeout_ms: DurationMs,
     /// Age after which an agent no longer starts a task.
     pub start_lease_ms: DurationMs,
+    /// Time after an entry's last sign of life for which an agent lets its
+    /// tasks run on.
+    pub run_lease_ms: DurationMs,
+    /// Longest time that a target runs on without a word of its agent.
+    pub hold_ms: DurationMs,
     /// Shortest time between an idle session's heartbeats.
     pub min_heartbeat_ms: DurationMs,
     /// A gap between two ticks that means the process itself was frozen.
@@ -32,6 +37,8 @@
             ping_interval_ms: DurationMs(1_000),
             session_timeout_ms: DurationMs(5_000),
             start_lease_ms: DurationMs(4_000),
+            run_lease_ms: DurationMs(10_000),
+            hold_ms: DurationMs(1_000),
             min_heartbeat_ms: DurationMs(2_000),
             freeze_gap_ms: DurationMs(1_500),
             hello_interval_ms: DurationMs(500),
--- a/crates/lagoonhill_core/tests/entry.rs
+++ b/crates/lagoonhill_core/tests/entry.rs
@@ -76,7 +76,7 @@
     a_job_that_no_announced_worker_fits_is_refused_at_once => {
         let mut world = with_rules(&format!("{SERVICE}team parents  # tests\n"));
         let mut impossible = job("impossible", 1, 10);
-        impossible.needs.accelerators = 3;
+        impossible.needs.resources.accelerators = 3;
         let caller = world.submit(0, impossible);
         let (run, cause) = failure(&world, caller).expect("a refusal");
         assert_eq!(run.to_string(), "not-run");
@@ -181,14 +181,14 @@
         config.rules = RuleSet::new(Revision(1), parse_rules(&text).expect("the rules are valid"));
         let mut world = world(&config);
         let mut special = world.agent(0).and_then(|agent| agent.target().cloned()).expect("a target");
-        special.accelerators = 1;
+        special.capacity.accelerators = 1;
         world.with_agent(0, |agent, now| agent.set_target(Some(special), now));
         world.run_for(100);
         world.submit(0, job("rush", 1, 10));
         let office = |mark, tasks, accelerators| {
             let mut submission = job(mark, tasks, 1_000);
             submission.team = "offices".parse().expect("the name is valid");
-            submission.needs.accelerators = accelerators;
+            submission.needs.resources.accelerators = accelerators;
             submission
         };
         world.submit(0, office("special", 30, 1));
--- a/crates/lagoonhill_core/tests/session.rs
+++ b/crates/lagoonhill_core/tests/session.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use lagoonhill_core::{FrameHeader, Session, Timing, Verdict};
+use lagoonhill_core::{FrameHeader, Heartbeat, Session, Timing, Verdict};
 use lagoonhill_protocol::{Frame, Load, Message, SessionId};
 use lagoonhill_types::prelude::*;
 
@@ -26,7 +26,7 @@
         reply_to: SocketAddr::from(([127, 0, 0, 1], 1)),
         rules_revision: Revision(1),
         load: Load::default(),
-        sends_heartbeats: false,
+        heartbeat: Heartbeat::None,
     }
 }
 
--- a/crates/lagoonhill_daemon/src/lib.rs
+++ b/crates/lagoonhill_daemon/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod control_loop;
 mod listen;
+pub mod logging;
 mod meters;
 mod start_error;
 
--- a/crates/lagoonhill_entry/src/api.rs
+++ b/crates/lagoonhill_entry/src/api.rs
@@ -14,7 +14,7 @@
     Answer, Cause, EntryStatus, JobFailure, Needs, RunCertainty, Submission, WorkerState,
 };
 use lagoonhill_http::{HttpClient, Problem, Reply, read_body, reply};
-use lagoonhill_platform::EtcdStore;
+use lagoonhill_platform::CallCounts;
 use lagoonhill_protocol::{EntryAddress, PeersAnswer, PeersRequest, RulesDocument};
 use lagoonhill_types::prelude::*;
 use serde::de::DeserializeOwned;
@@ -48,7 +48,7 @@
     pub(crate) control: ControlHandle,
     pub(crate) metrics: Metrics,
     pub(crate) peers: Peers,
-    pub(crate) store: Option<EtcdStore>,
+    pub(crate) calls: Option<Arc<CallCounts>>,
     pub(crate) client: HttpClient,
     pub(crate) max_body_bytes: ByteCount,
     pub(crate) ticket_life_ms: DurationMs,
@@ -198,11 +198,13 @@
         team: job.team,
         deadline_ms: job.deadline_ms.map(DurationMs),
         run_time_ms: job.run_time_ms.map(DurationMs),
-        needs: Needs {
+        needs: Needs::of(Resources {
             memory_bytes: ByteCount(job.memory_bytes),
             accelerators: job.accelerators,
-        },
+            ..Resources::default()
+        }),
         tasks: job.tasks.into_iter().map(payload).collect(),
+        order: None,
     }
 }
 
@@ -296,12 +298,16 @@
 
 fn failure_status(cause: &Cause) -> StatusCode {
     match cause {
-        Cause::UnknownService(_) | Cause::UnknownTeam(_) => StatusCode::NOT_FOUND,
+        Cause::UnknownService(_) | Cause::UnknownTeam(_) | Cause::UnknownQueue(_) => {
+            StatusCode::NOT_FOUND
+        }
         Cause::NoTasks { .. } => StatusCode::BAD_REQUEST,
         Cause::TooManyTasks { .. } => StatusCode::PAYLOAD_TOO_LARGE,
         Cause::NeverFits(_) | Cause::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
         Cause::RateLimited(_) | Cause::KeyBudget => StatusCode::TOO_MANY_REQUESTS,
-        Cause::TaskFailed { .. } | Cause::WorkerLost { .. } => StatusCode::BAD_GATEWAY,
+        Cause::TaskFailed { .. } | Cause::AttemptsUsedUp { .. } | Cause::WorkerLost { .. } => {
+            StatusCode::BAD_GATEWAY
+        }
         Cause::DeadlinePassed { .. } => StatusCode::GATEWAY_TIMEOUT,
         Cause::Cancelled => StatusCode::CONFLICT,
         Cause::TicketExpired | Cause::OwnerGone => StatusCode::GONE,
@@ -423,7 +429,7 @@
 
 async fn get_metrics(state: &ApiState) -> Result<Reply, Problem> {
     let status = entry_status(state).await?;
-    let calls = state.store.as_ref().map(EtcdStore::counts);
+    let calls = state.calls.as_deref();
     Ok(reply(
         StatusCode::OK,
         "text/plain; version=0.0.4",
--- a/crates/lagoonhill_entry/src/control.rs
+++ b/crates/lagoonhill_entry/src/control.rs
@@ -1,5 +1,6 @@
 use std::collections::{HashMap, VecDeque};
 use std::ops::ControlFlow;
+use std::sync::Arc;
 
 use lagoonhill_core::entry::{
     Answer, CallerId, Decision, Entry, EntryEffect, EntryStatus, KeyBinding, Placement, Submission,
@@ -10,7 +11,7 @@
 use lagoonhill_rules::RuleSet;
 use lagoonhill_types::prelude::*;
 use log::info;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::metrics::Metrics;
 
@@ -61,6 +62,10 @@
     Rules(RuleSet),
     Entries(Vec<EntryAddress>),
     Status(oneshot::Sender<EntryStatus>),
+    Waiting {
+        queue: QueueName,
+        reply: oneshot::Sender<usize>,
+    },
     CurrentRules(oneshot::Sender<RuleSet>),
     Explain {
         job: JobId,
@@ -79,6 +84,7 @@
     keys_to_bind: mpsc::UnboundedSender<RequestKey>,
     callers: HashMap<CallerId, oneshot::Sender<CallerReply>>,
     decisions: VecDeque<Decision>,
+    rules: watch::Sender<Arc<RuleSet>>,
 }
 
 impl<P: Placement, L: Link> ControlState for Control<P, L> {
@@ -122,6 +128,9 @@
             ControlEvent::Status(reply) => {
                 let _ = reply.send(self.entry.status());
             }
+            ControlEvent::Waiting { queue, reply } => {
+                let _ = reply.send(self.entry.waiting_jobs(&queue));
+            }
             ControlEvent::CurrentRules(reply) => {
                 let _ = reply.send(self.entry.rules().clone());
             }
@@ -137,6 +146,10 @@
     }
 
     fn carry_out(&mut self, now: TimestampMs) {
+        if self.rules.borrow().revision != self.entry.rules().revision {
+            self.rules
+                .send_replace(Arc::new(self.entry.rules().clone()));
+        }
         for effect in self.entry.poll_effects(now) {
             match effect {
                 EntryEffect::Send { to, packet } => {
@@ -166,6 +179,7 @@
         link: L,
         metrics: Metrics,
         keys_to_bind: mpsc::UnboundedSender<RequestKey>,
+        rules: watch::Sender<Arc<RuleSet>>,
     ) -> Self {
         let (callers, decisions) = (HashMap::new(), VecDeque::new());
         Self {
@@ -175,6 +189,7 @@
             keys_to_bind,
             callers,
             decisions,
+            rules,
         }
     }
 
--- a/crates/lagoonhill_entry/src/daemon.rs
+++ b/crates/lagoonhill_entry/src/daemon.rs
@@ -7,8 +7,9 @@
 use lagoonhill_daemon::{StartError, listen, spawn_control};
 use lagoonhill_http::{HttpClient, serve};
 use lagoonhill_link::{Inbox, InboxHandle, NngLink};
-use lagoonhill_platform::EtcdStore;
+use lagoonhill_platform::{EtcdStore, Store};
 use lagoonhill_protocol::EntryAddress;
+use lagoonhill_rules::RuleSet;
 use lagoonhill_types::prelude::*;
 use log::{info, warn};
 use tokio::sync::{mpsc, watch};
@@ -17,12 +18,13 @@
 
 use crate::EntrySettings;
 use crate::api::{Api, ApiState};
+use crate::client::EntryClient;
 use crate::control::{Control, ControlEvent};
 use crate::handle::ControlHandle;
 use crate::key_binder::KeyBinder;
 use crate::metrics::Metrics;
 use crate::peers::{Peers, exchange};
-use crate::rules_watch::follow_rules;
+use crate::rules_watch::{RulesSource, follow_rules};
 
 /// Time between two looks at whether all jobs have been answered.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
@@ -37,6 +39,7 @@
     settings: EntrySettings,
     state: Arc<ApiState>,
     control: ControlHandle,
+    rules: watch::Receiver<Arc<RuleSet>>,
     shutdown: watch::Sender<bool>,
     server: JoinHandle<()>,
     background: Vec<JoinHandle<()>>,
@@ -46,6 +49,16 @@
 impl EntryDaemon {
     /// Starts an entry on the current tokio runtime.
     pub async fn start(settings: EntrySettings) -> Result<Self, StartError> {
+        let store = settings.platform.map(EtcdStore::new);
+        Self::start_with(settings, store, RulesSource::default()).await
+    }
+
+    /// Starts an entry with a client of its platform's store.
+    pub async fn start_with<S: Store>(
+        settings: EntrySettings,
+        store: Option<S>,
+        rules_source: RulesSource,
+    ) -> Result<Self, StartError> {
         let (listener, http) = listen(settings.http).await?;
         let inbox = Inbox::open(settings.inbox)?;
         let clock = Clock::start();
@@ -56,6 +69,7 @@
         };
         let config = EntryConfig {
             look_ahead: settings.look_ahead,
+            timing: settings.timing,
             ..EntryConfig::new(address)
         };
         let ticket_life_ms = config.ticket_life_ms;
@@ -64,14 +78,21 @@
         let control = ControlHandle::new(events);
         let (keys_to_bind, key_queue) = mpsc::unbounded_channel();
         let entry = Entry::new(config, LeastExpectedFinish::default(), clock.now());
-        let state = Control::new(entry, NngLink::new(), metrics.clone(), keys_to_bind);
+        let (rules_sender, rules) = watch::channel(Arc::default());
+        let state = Control::new(
+            entry,
+            NngLink::new(),
+            metrics.clone(),
+            keys_to_bind,
+            rules_sender,
+        );
         spawn_control(state, clock, event_queue)?;
         let packets = control.clone();
         let inbox = inbox.run(move |packet, size_bytes| {
             packets.tell(ControlEvent::Packet { packet, size_bytes })
         });
 
-        let store = settings.platform.map(EtcdStore::new);
+        let calls = store.as_ref().map(Store::counts);
         let peers = Peers::new(address, clock);
         let binder = KeyBinder::new(
             store.clone(),
@@ -89,8 +110,9 @@
                 control.clone(),
             )),
         ];
-        if let Some(store) = store.clone() {
-            background.push(tokio::spawn(follow_rules(store, control.clone())));
+        if let Some(store) = store {
+            let following = follow_rules(store, rules_source, control.clone());
+            background.push(tokio::spawn(following));
         }
 
         let state = Arc::new(ApiState {
@@ -98,7 +120,7 @@
             control: control.clone(),
             metrics,
             peers,
-            store,
+            calls,
             client: HttpClient::new(),
             max_body_bytes: settings.max_body_bytes,
             ticket_life_ms,
@@ -118,6 +140,7 @@
             settings,
             state,
             control,
+            rules,
             shutdown,
             server,
             background,
@@ -125,6 +148,11 @@
         })
     }
 
+    /// Reaches the entry from the same process.
+    pub fn client(&self) -> EntryClient {
+        EntryClient::new(self.control.clone(), self.rules.clone())
+    }
+
     /// Where the entry is.
     pub fn address(&self) -> EntryAddress {
         self.address
--- a/crates/lagoonhill_entry/src/handle.rs
+++ b/crates/lagoonhill_entry/src/handle.rs
@@ -17,7 +17,7 @@
 /// The control thread has ended.
 #[derive(Debug, thiserror::Error)]
 #[error("the entry has stopped: send the request again, another entry will take it")]
-pub(crate) struct Stopped;
+pub struct Stopped;
 
 impl ControlHandle {
     pub(crate) fn new(events: Sender<ControlEvent>) -> Self {
--- a/crates/lagoonhill_entry/src/lib.rs
+++ b/crates/lagoonhill_entry/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod api;
 mod api_types;
+mod client;
 mod control;
 mod daemon;
 mod handle;
@@ -12,6 +13,9 @@
 mod rules_watch;
 mod settings;
 
+pub use client::EntryClient;
 pub use daemon::EntryDaemon;
+pub use handle::Stopped;
 pub use lagoonhill_daemon::StartError;
+pub use rules_watch::RulesSource;
 pub use settings::EntrySettings;
--- a/crates/lagoonhill_entry/src/metrics.rs
+++ b/crates/lagoonhill_entry/src/metrics.rs
@@ -11,6 +11,7 @@
     jobs: IntCounterVec,
     placed: IntCounter,
     moved: IntCounter,
+    rerun: IntCounter,
     platform_calls: IntCounterVec,
     queued: IntGauge,
     running_jobs: IntGauge,
@@ -37,6 +38,10 @@
                 "lagoonhill_tasks_moved_total",
                 "Tasks handed back unstarted.",
             ),
+            rerun: meters.counter(
+                "lagoonhill_tasks_rerun_total",
+                "Tasks queued again after a run without success.",
+            ),
             platform_calls: meters.counters(
                 "lagoonhill_platform_calls_total",
                 "Calls to the platform's store.",
@@ -69,7 +74,9 @@
                 run: RunCertainty::MayHaveRun,
                 ..
             } => "failed_may_have_run",
-            DecisionKind::Joined { .. }
+            DecisionKind::Rerun { .. } => return self.rerun.inc(),
+            DecisionKind::Unsettled { .. }
+            | DecisionKind::Joined { .. }
             | DecisionKind::Left { .. }
             | DecisionKind::Quarantined { .. }
             | DecisionKind::Recovered { .. }
--- a/crates/lagoonhill_entry/src/rules_watch.rs
+++ b/crates/lagoonhill_entry/src/rules_watch.rs
@@ -1,46 +1,83 @@
 use std::time::Duration;
 
 use lagoonhill_platform::{RULES_KEY, Store, StoreRevision, StoreUnavailable, WatchEvent};
-use lagoonhill_rules::StoredRules;
-use log::{debug, warn};
+use lagoonhill_rules::{RuleSet, StoredRules};
+use log::{info, warn};
 use tokio::time::{sleep, timeout};
 
 use crate::control::ControlEvent;
 use crate::handle::ControlHandle;
 
-/// The value is read again this often, in case the watch has gone silent.
-const REREAD: Duration = Duration::from_secs(5);
+/// Where the desired state is kept and how it is written.
+#[derive(Clone, Debug)]
+pub struct RulesSource {
+    /// The key in the platform's store.
+    pub key: &'static str,
+    /// Reads the value; an error says what is wrong with it.
+    pub decode: fn(&[u8]) -> Result<RuleSet, String>,
+    /// The value is read again this often, in case the watch has gone silent.
+    pub reread: Duration,
+    /// Pause before the next try when the store does not answer.
+    pub retry: Duration,
+}
 
-const RETRY: Duration = Duration::from_secs(1);
+impl Default for RulesSource {
+    fn default() -> Self {
+        let decode = |value: &[u8]| {
+            let stored = StoredRules::decode(value).map_err(|error| error.to_string())?;
+            Ok(stored.rules)
+        };
+        Self {
+            key: RULES_KEY,
+            decode,
+            reread: Duration::from_secs(5),
+            retry: Duration::from_secs(1),
+        }
+    }
+}
 
 /// Follows the rules in the platform's store, for ever.
-pub(crate) async fn follow_rules<S: Store>(store: S, control: ControlHandle) {
+pub(crate) async fn follow_rules<S: Store>(store: S, source: RulesSource, control: ControlHandle) {
+    let mut is_lost = false;
     loop {
-        if let Err(error) = follow_once(&store, &control).await {
-            debug!("the rules can't be read: {error}");
+        match follow_once(&store, &source, &control, &mut is_lost).await {
+            Ok(()) => {}
+            Err(error) if !is_lost => {
+                is_lost = true;
+                warn!("dependency lost: the rules can't be followed: {error}");
+            }
+            Err(_) => {}
         }
-        sleep(RETRY).await;
+        sleep(source.retry).await;
     }
 }
 
 /// Reads, then watches until the watch is lost or must be distrusted.
-async fn follow_once<S: Store>(store: &S, control: &ControlHandle) -> Result<(), StoreUnavailable> {
-    let mut seen = read_rules(store, control).await?;
-    let mut events = store.watch(RULES_KEY, StoreRevision(seen.0 + 1)).await?;
+async fn follow_once<S: Store>(
+    store: &S,
+    source: &RulesSource,
+    control: &ControlHandle,
+    is_lost: &mut bool,
+) -> Result<(), StoreUnavailable> {
+    let mut seen = read_rules(store, source, control).await?;
+    let mut events = store.watch(source.key, StoreRevision(seen.0 + 1)).await?;
+    if std::mem::take(is_lost) {
+        info!("dependency regained: the rules are followed again, at revision {seen}");
+    }
     loop {
-        match timeout(REREAD, events.recv()).await {
+        match timeout(source.reread, events.recv()).await {
             Ok(Some(WatchEvent::Put(found))) => {
                 seen = found.revision;
-                install(&found.value, control);
+                install(source, &found.value, control);
             }
             Ok(Some(WatchEvent::Deleted(_))) => {
                 warn!("the rules were deleted from the platform; the ones in force stay");
             }
             Ok(None) => return Ok(()),
             Err(_) => {
-                let found = read_rules(store, control).await?;
+                let found = read_rules(store, source, control).await?;
                 if found > seen {
-                    debug!("the watch missed a change; opening a new one");
+                    info!("the watch missed a change; opening a new one");
                     return Ok(());
                 }
             }
@@ -50,19 +87,20 @@
 
 async fn read_rules<S: Store>(
     store: &S,
+    source: &RulesSource,
     control: &ControlHandle,
 ) -> Result<StoreRevision, StoreUnavailable> {
-    let Some(found) = store.read(RULES_KEY).await? else {
+    let Some(found) = store.read(source.key).await? else {
         return Ok(StoreRevision(0));
     };
-    install(&found.value, control);
+    install(source, &found.value, control);
     Ok(found.revision)
 }
 
-fn install(value: &[u8], control: &ControlHandle) {
-    match StoredRules::decode(value) {
-        Ok(stored) => {
-            control.tell(ControlEvent::Rules(stored.rules));
+fn install(source: &RulesSource, value: &[u8], control: &ControlHandle) {
+    match (source.decode)(value) {
+        Ok(rules) => {
+            control.tell(ControlEvent::Rules(rules));
         }
         Err(error) => warn!("{error}; the rules in force stay"),
     }
--- a/crates/lagoonhill_entry/src/settings.rs
+++ b/crates/lagoonhill_entry/src/settings.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 
+use lagoonhill_core::Timing;
 use lagoonhill_types::prelude::*;
 
 /// Settings of an entry.
@@ -26,6 +27,8 @@
     pub look_ahead: u16,
     /// Keys bound in the platform's store by this entry at most.
     pub key_rate: PerSecond,
+    /// Session limits; the same at every entry and agent.
+    pub timing: Timing,
 }
 
 impl Default for EntrySettings {
@@ -42,6 +45,7 @@
             max_body_bytes: ByteCount(4 << 20),
             look_ahead: 1,
             key_rate: PerSecond(50),
+            timing: Timing::default(),
         }
     }
 }
--- a/crates/lagoonhill_platform/src/etcd.rs
+++ b/crates/lagoonhill_platform/src/etcd.rs
@@ -36,11 +36,6 @@
         }
     }
 
-    /// The calls made by this client and its clones.
-    pub fn counts(&self) -> &CallCounts {
-        &self.counts
-    }
-
     async fn range(&self, request: RangeRequest) -> Result<Vec<Versioned>, StoreUnavailable> {
         self.counts.add(CallKind::Read);
         let answer: RangeResponse = self.client.call("/v3/kv/range", &request).await?;
@@ -105,6 +100,10 @@
 }
 
 impl Store for EtcdStore {
+    fn counts(&self) -> Arc<CallCounts> {
+        Arc::clone(&self.counts)
+    }
+
     async fn read(&self, key: &str) -> Result<Option<Versioned>, StoreUnavailable> {
         let request = RangeRequest {
             key: key.into(),
--- a/crates/lagoonhill_platform/src/store.rs
+++ b/crates/lagoonhill_platform/src/store.rs
@@ -1,9 +1,12 @@
 use std::fmt;
 use std::future::Future;
+use std::sync::Arc;
 
 use lagoonhill_types::DurationMs;
 use tokio::sync::mpsc;
 
+use crate::CallCounts;
+
 /// A lease granted by the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LeaseId(pub i64);
@@ -56,6 +59,9 @@
 
 /// What lagoonhill needs of a key-value service.
 pub trait Store: Clone + Send + Sync + 'static {
+    /// The calls made so far by this client and its clones.
+    fn counts(&self) -> Arc<CallCounts>;
+
     /// Reads one value.
     fn read(
         &self,
--- a/crates/lagoonhill_protocol/src/frame.rs
+++ b/crates/lagoonhill_protocol/src/frame.rs
@@ -26,6 +26,10 @@
     pub total: u16,
     /// For the entry that the frame goes to.
     pub yours: u16,
+    /// Processors that they take, for all entries.
+    pub total_processors: MilliProcessors,
+    /// Processors that they take, for the entry that the frame goes to.
+    pub your_processors: MilliProcessors,
 }
 
 /// One unit of a session: new or repeated messages, with an acknowledgement
--- a/crates/lagoonhill_protocol/src/outcome.rs
+++ b/crates/lagoonhill_protocol/src/outcome.rs
@@ -25,6 +25,9 @@
     /// The target refused the connection.
     #[error("the target refused the connection")]
     TargetRefused,
+    /// The target says that it is unhealthy.
+    #[error("the target says that it is unhealthy")]
+    TargetUnhealthy,
 }
 
 /// What became of a task.
@@ -38,6 +41,9 @@
     NotRun(NotRunReason),
     /// It may have started; nobody can tell what became of it.
     MayHaveRun(String),
+    /// It may have started, but runs no longer and will not start under this
+    /// order.
+    Interrupted(String),
 }
 
 /// Reports a task's end to the entry that ordered it.
--- a/crates/lagoonhill_protocol/src/start.rs
+++ b/crates/lagoonhill_protocol/src/start.rs
@@ -4,7 +4,7 @@
 use serde::ser::SerializeTuple;
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
 
-/// Orders a task's only start.
+/// Orders one run of a task.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Start {
     /// The task.
@@ -13,11 +13,17 @@
     pub decided_ms: TimestampMs,
     /// How long the target may take.
     pub run_limit_ms: DurationMs,
+    /// What the run takes of the target.
+    pub needs: Resources,
+    /// Which run of the task this is.
+    pub run: RunNumber,
+    /// The task's name towards the target, if its caller has named the job.
+    pub name: Option<TaskName>,
     /// The task's input.
     pub payload: Payload,
 }
 
-const FIELDS: usize = 4;
+const FIELDS: usize = 7;
 
 impl Serialize for Start {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
@@ -25,6 +31,9 @@
         tuple.serialize_element(&self.task)?;
         tuple.serialize_element(&self.decided_ms)?;
         tuple.serialize_element(&self.run_limit_ms)?;
+        tuple.serialize_element(&self.needs)?;
+        tuple.serialize_element(&self.run)?;
+        tuple.serialize_element(&self.name)?;
         tuple.serialize_element(&self.payload)?;
         tuple.end()
     }
@@ -36,16 +45,19 @@
     type Value = Start;
 
     fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("a start: task, time, run limit, payload")
+        f.write_str("a start: task, time, run limit, needs, run, name, payload")
     }
 
     fn visit_seq<A: de::SeqAccess<'de>>(self, mut seq: A) -> Result<Start, A::Error> {
-        let missing = |index| de::Error::invalid_length(index, &"a start of four fields");
+        let missing = |index| de::Error::invalid_length(index, &"a start of seven fields");
         Ok(Start {
             task: seq.next_element()?.ok_or_else(|| missing(0))?,
             decided_ms: seq.next_element()?.ok_or_else(|| missing(1))?,
             run_limit_ms: seq.next_element()?.ok_or_else(|| missing(2))?,
-            payload: seq.next_element()?.ok_or_else(|| missing(3))?,
+            needs: seq.next_element()?.ok_or_else(|| missing(3))?,
+            run: seq.next_element()?.ok_or_else(|| missing(4))?,
+            name: seq.next_element()?.ok_or_else(|| missing(5))?,
+            payload: seq.next_element()?.ok_or_else(|| missing(6))?,
         })
     }
 }
--- a/crates/lagoonhill_protocol/src/target.rs
+++ b/crates/lagoonhill_protocol/src/target.rs
@@ -14,10 +14,8 @@
     pub slots: SlotCount,
     /// Connections it accepts.
     pub connections: u16,
-    /// Processors.
-    pub processors: u16,
-    /// Memory it offers to one task.
-    pub memory_bytes: ByteCount,
-    /// Accelerators.
-    pub accelerators: u16,
+    /// What all tasks together may take.
+    pub capacity: Resources,
+    /// Its properties.
+    pub labels: Vec<Label>,
 }
--- a/crates/lagoonhill_protocol/tests/codec.rs
+++ b/crates/lagoonhill_protocol/tests/codec.rs
@@ -33,7 +33,12 @@
         ack: Sequence(2),
         first: Sequence(3),
         rules_revision: Revision(4),
-        load: Load { total: 5, yours: 6 },
+        load: Load {
+            total: 5,
+            yours: 6,
+            total_processors: MilliProcessors(7),
+            your_processors: MilliProcessors(8),
+        },
         ping: 7,
         messages,
     })
@@ -46,13 +51,25 @@
             task: task(number, index),
             decided_ms: TimestampMs(number),
             run_limit_ms: DurationMs(number),
+            needs: Resources {
+                processors: MilliProcessors(u32::from(index)),
+                memory_bytes: ByteCount(number),
+                accelerators: index,
+            },
+            run: RunNumber(u32::from(index)),
+            name: Some(TaskName {
+                job: "0123456789abcdef".parse().expect("the name is valid"),
+                step: index,
+                index,
+            }),
             payload: bytes.clone().into(),
         };
         let results = [
             TaskResult::Done(bytes.into()),
             TaskResult::Failed(text.clone()),
             TaskResult::NotRun(NotRunReason::Expired),
-            TaskResult::MayHaveRun(text),
+            TaskResult::MayHaveRun(text.clone()),
+            TaskResult::Interrupted(text),
         ];
         let outcomes = results.into_iter().map(|result| {
             Message::Outcome(Outcome {
--- a/crates/lagoonhill_rules/src/lib.rs
+++ b/crates/lagoonhill_rules/src/lib.rs
@@ -16,6 +16,8 @@
 pub use error::{Problem, RuleError, RuleErrors};
 pub use line::{RuleKey, RuleKind, RuleLine};
 pub use parse::parse_rules;
-pub use rule::{Class, ClassRule, Rule, ServiceRule, ServingState, TeamRule, WorkerRule, ZoneRule};
+pub use rule::{
+    Class, ClassRule, QueueRule, Rule, ServiceRule, ServingState, TeamRule, WorkerRule, ZoneRule,
+};
 pub use set::{RuleDelta, RuleSet};
 pub use stored::{EditRecord, StoreError, StoredRules};
--- a/crates/lagoonhill_rules/src/line.rs
+++ b/crates/lagoonhill_rules/src/line.rs
@@ -8,6 +8,8 @@
 pub enum RuleKind {
     /// Scheduling classes.
     Class,
+    /// Queues.
+    Queue,
     /// Services.
     Service,
     /// Teams.
@@ -20,8 +22,9 @@
 
 impl RuleKind {
     /// All kinds, in the order of a printed file.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::Class,
+        Self::Queue,
         Self::Service,
         Self::Team,
         Self::Worker,
@@ -32,6 +35,7 @@
     pub const fn name(self) -> &'static str {
         match self {
             Self::Class => "class",
+            Self::Queue => "queue",
             Self::Service => "service",
             Self::Team => "team",
             Self::Worker => "worker",
--- a/crates/lagoonhill_rules/src/parse.rs
+++ b/crates/lagoonhill_rules/src/parse.rs
@@ -5,7 +5,7 @@
 use lagoonhill_types::prelude::*;
 
 use crate::{
-    Class, ClassRule, Problem, Rule, RuleError, RuleErrors, RuleKey, RuleKind, RuleLine,
+    Class, ClassRule, Problem, QueueRule, Rule, RuleError, RuleErrors, RuleKey, RuleKind, RuleLine,
     ServiceRule, TeamRule, WorkerRule, ZoneRule,
 };
 
@@ -177,6 +177,7 @@
 fn check_subject(kind: RuleKind, subject: &str) -> Result<(), String> {
     match kind {
         RuleKind::Class => read::<Class>(subject).map(drop),
+        RuleKind::Queue => read::<QueueName>(subject).map(drop),
         RuleKind::Service => read::<ServiceName>(subject).map(drop),
         RuleKind::Team => read::<TeamName>(subject).map(drop),
         RuleKind::Worker => read::<WorkerId>(subject).map(drop),
@@ -200,6 +201,14 @@
         .map_err(|_| format!("`{text}` is not a count: write a whole number"))
 }
 
+fn read_switch(text: &str) -> Result<bool, String> {
+    match text {
+        "yes" => Ok(true),
+        "no" => Ok(false),
+        _ => Err(format!("`{text}` is not a switch: write yes or no")),
+    }
+}
+
 /// A rule under construction, with its kind's defaults.
 struct RuleBuilder {
     rule: Rule,
@@ -214,6 +223,7 @@
                     weight: class.default_weight(),
                 })
             }
+            RuleKind::Queue => Rule::Queue(QueueRule::default()),
             RuleKind::Service => Rule::Service(ServiceRule::default()),
             RuleKind::Team => Rule::Team(TeamRule::default()),
             RuleKind::Worker => Rule::Worker(WorkerRule::default()),
@@ -225,6 +235,7 @@
     fn set(&mut self, key: &str, value: &str) -> Result<(), Problem> {
         match &mut self.rule {
             Rule::Class(rule) => set_class(rule, key, value),
+            Rule::Queue(rule) => set_queue(rule, key, value),
             Rule::Service(rule) => set_service(rule, key, value),
             Rule::Team(rule) => set_team(rule, key, value),
             Rule::Worker(rule) => set_state(&mut rule.state, "worker", key, value),
@@ -249,6 +260,37 @@
     Ok(())
 }
 
+fn set_queue(rule: &mut QueueRule, key: &str, value: &str) -> Result<(), Problem> {
+    const KEYS: [&str; 8] = [
+        "service",
+        "class",
+        "attempts",
+        "objective",
+        "slack-permille",
+        "host",
+        "path",
+        "permit",
+    ];
+    let set = match key {
+        "service" => read(value).map(|service| rule.service = Some(service)),
+        "class" => read(value).map(|class| rule.class = Some(class)),
+        "attempts" => read_positive(value).map(|count| rule.attempts = count),
+        "objective" => read(value).map(|span| rule.objective_ms = span),
+        "slack-permille" => read_count(value).map(|permille| rule.slack_permille = permille),
+        "host" => {
+            rule.host = Some(value.to_owned());
+            Ok(())
+        }
+        "path" => {
+            rule.path = Some(value.to_owned());
+            Ok(())
+        }
+        "permit" => read_switch(value).map(|needed| rule.needs_permit = needed),
+        _ => return Err(unknown_key(RuleKind::Queue, key, &KEYS)),
+    };
+    set.map_err(Problem::BadValue)
+}
+
 fn set_service(rule: &mut ServiceRule, key: &str, value: &str) -> Result<(), Problem> {
     const KEYS: [&str; 7] = [
         "class",
--- a/crates/lagoonhill_rules/src/rule.rs
+++ b/crates/lagoonhill_rules/src/rule.rs
@@ -124,6 +124,42 @@
     }
 }
 
+/// A queue: which service runs its jobs, and what is promised of them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct QueueRule {
+    /// The service that runs its tasks. A line must name one.
+    pub service: Option<ServiceName>,
+    /// Scheduling class, in place of the service's.
+    pub class: Option<Class>,
+    /// Runs of one task at most.
+    pub attempts: u16,
+    /// Time promised on top of a job's own run time.
+    pub objective_ms: DurationMs,
+    /// Share of the job's own run time that is promised, in thousandths.
+    pub slack_permille: u32,
+    /// Host that callers name, for entries that route by it.
+    pub host: Option<String>,
+    /// Start of the paths that callers name, for entries that route by it.
+    pub path: Option<String>,
+    /// Each of its steps needs a permit that this service does not ask for.
+    pub needs_permit: bool,
+}
+
+impl Default for QueueRule {
+    fn default() -> Self {
+        Self {
+            service: None,
+            class: None,
+            attempts: 1,
+            objective_ms: DurationMs(100),
+            slack_permille: 1_500,
+            host: None,
+            path: None,
+            needs_permit: false,
+        }
+    }
+}
+
 /// A team's share and limits.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TeamRule {
@@ -172,6 +208,8 @@
 /// One parsed rule.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Rule {
+    /// `queue NAME …`
+    Queue(QueueRule),
     /// `service NAME …`
     Service(ServiceRule),
     /// `team NAME …`
--- a/crates/lagoonhill_rules/src/set.rs
+++ b/crates/lagoonhill_rules/src/set.rs
@@ -2,7 +2,9 @@
 
 use lagoonhill_types::prelude::*;
 
-use crate::{Class, Rule, RuleKey, RuleKind, RuleLine, ServiceRule, ServingState, TeamRule};
+use crate::{
+    Class, QueueRule, Rule, RuleKey, RuleKind, RuleLine, ServiceRule, ServingState, TeamRule,
+};
 
 /// The lines in force at one revision.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -99,6 +101,24 @@
         self.lines.get(&key).map(|line| &line.rule)
     }
 
+    /// The rule of a queue, if operators have created it.
+    pub fn queue(&self, name: &QueueName) -> Option<&QueueRule> {
+        match self.rule(RuleKind::Queue, name.as_str()) {
+            Some(Rule::Queue(rule)) => Some(rule),
+            _ => None,
+        }
+    }
+
+    /// All queues.
+    pub fn queues(&self) -> impl Iterator<Item = (&str, &QueueRule)> {
+        self.lines
+            .iter()
+            .filter_map(|(key, line)| match &line.rule {
+                Rule::Queue(rule) => Some((key.subject.as_str(), rule)),
+                _ => None,
+            })
+    }
+
     /// The rule of a service, if operators have created it.
     pub fn service(&self, name: &ServiceName) -> Option<&ServiceRule> {
         match self.rule(RuleKind::Service, name.as_str()) {
--- a/crates/lagoonhill_rules/tests/parse.rs
+++ b/crates/lagoonhill_rules/tests/parse.rs
@@ -23,7 +23,7 @@
     no_asker: "team north rate=5/s" => 20, "# name";
     empty_asker: "team north rate=5/s #  " => 22, "# name";
     unknown_kind: "taem north  # a" => 1, "`team`";
-    foreign_kind: "xylophone north  # a" => 1, "class, service, team, worker or zone";
+    foreign_kind: "xylophone north  # a" => 1, "class, queue, service, team, worker or zone";
     no_subject: "team  # a" => 1, "team NAME";
     bad_subject: "team n/rth  # a" => 6, "letters";
     bad_class_subject: "class slow  # a" => 7, "rush, standard or office";
--- a/crates/lagoonhill_standin/src/world.rs
+++ b/crates/lagoonhill_standin/src/world.rs
@@ -335,9 +335,12 @@
             address: SocketAddr::from(([127, 0, 0, 1], 1)),
             slots: SlotCount(config.slots),
             connections: 64,
-            processors: 64,
-            memory_bytes: ByteCount(256 << 30),
-            accelerators: 0,
+            capacity: Resources {
+                processors: MilliProcessors(64_000),
+                memory_bytes: ByteCount(256 << 30),
+                accelerators: 0,
+            },
+            labels: Vec::new(),
         };
         self.targets.push((target, model));
         self.addresses
--- a/crates/lagoonhill_types/src/lib.rs
+++ b/crates/lagoonhill_types/src/lib.rs
@@ -9,7 +9,9 @@
 mod job_id;
 mod names;
 mod payload;
+mod resources;
 mod revision;
+mod run;
 mod sizes;
 mod task_id;
 mod ticket;
@@ -19,9 +21,13 @@
 pub use duration::{DurationMs, ParseDurationError};
 pub use incarnation::Incarnation;
 pub use job_id::{JobId, ParseIdError};
-pub use names::{AvailabilityZone, InvalidName, RequestKey, ServiceName, TeamName, WorkerId};
+pub use names::{
+    AvailabilityZone, InvalidName, Label, QueueName, RequestKey, ServiceName, TeamName, WorkerId,
+};
 pub use payload::Payload;
+pub use resources::{MilliProcessors, Resources};
 pub use revision::Revision;
+pub use run::{RunNumber, TaskName};
 pub use sizes::{ByteCount, ParseSizeError, PerSecond, SlotCount};
 pub use task_id::{TaskId, TaskIndex};
 pub use ticket::Ticket;
--- a/crates/lagoonhill_types/src/names.rs
+++ b/crates/lagoonhill_types/src/names.rs
@@ -116,3 +116,13 @@
     RequestKey,
     "idempotency key"
 );
+name!(
+    /// Names a queue: jobs of one kind, with their service and limits.
+    QueueName,
+    "queue name"
+);
+name!(
+    /// A property that a target announces and a task may ask for.
+    Label,
+    "label"
+);
--- a/crates/lagoonhill_types/src/prelude.rs
+++ b/crates/lagoonhill_types/src/prelude.rs
@@ -1,7 +1,7 @@
 //! The types nearly every module needs: `use lagoonhill_types::prelude::*;`.
 
 pub use crate::{
-    AvailabilityZone, ByteCount, Clock, DurationMs, Incarnation, JobId, Payload, PerSecond,
-    RequestKey, Revision, ServiceName, SlotCount, TaskId, TaskIndex, TeamName, Ticket, TimestampMs,
-    WorkerId,
+    AvailabilityZone, ByteCount, Clock, DurationMs, Incarnation, JobId, Label, MilliProcessors,
+    Payload, PerSecond, QueueName, RequestKey, Resources, Revision, RunNumber, ServiceName,
+    SlotCount, TaskId, TaskIndex, TaskName, TeamName, Ticket, TimestampMs, WorkerId,
 };
