--- a/crates/lagoonhill/src/main.rs
+++ b/crates/lagoonhill/src/main.rs
@@ -24,6 +24,7 @@
     let result = runtime.block_on(run(command));
     // Blocked helper threads must not hold up the exit.
     runtime.shutdown_background();
+    lagoonhill_daemon::logging::flush();
     match result {
         Ok(code) => code,
         Err(message) => {
--- a/crates/lagoonhill/tests/support/mod.rs
+++ b/crates/lagoonhill/tests/support/mod.rs
@@ -27,7 +27,7 @@
     "team parents class=rush  # tests",
 ];
 
-/// A child process that announced its addresses on its standard error.
+/// A child process that announced its addresses on its standard output.
 pub(crate) struct Process {
     child: Child,
     pub(crate) http: SocketAddr,
@@ -38,13 +38,13 @@
     fn start(arguments: &[String]) -> Self {
         let mut child = Command::new(env!("CARGO_BIN_EXE_lagoonhill"))
             .args(arguments)
-            .stderr(Stdio::piped())
+            .stdout(Stdio::piped())
             .spawn()
             .expect("the binary was built for this test");
-        let errors = child.stderr.take().expect("standard error is piped");
+        let output = child.stdout.take().expect("standard output is piped");
         let (sender, addresses) = mpsc::channel();
         std::thread::spawn(move || {
-            for line in BufReader::new(errors).lines().map_while(Result::ok) {
+            for line in BufReader::new(output).lines().map_while(Result::ok) {
                 if let Some(found) = announced(&line) {
                     let _ = sender.send(found);
                 }
--- a/crates/lagoonhill_bench/src/bin/fleet.rs
+++ b/crates/lagoonhill_bench/src/bin/fleet.rs
@@ -88,10 +88,10 @@
     let platform = platform.to_string();
     let mut child = Command::new(binary())
         .args(["entry", "--http", "127.0.0.1:0", "--platform", &platform])
-        .stderr(Stdio::piped())
+        .stdout(Stdio::piped())
         .spawn()
         .map_err(|error| format!("{error}; run `cargo build --release` first"))?;
-    let errors = child.stderr.take().ok_or("standard error is not piped")?;
+    let errors = child.stdout.take().ok_or("standard output is not piped")?;
     let mut lines = BufReader::new(errors).lines().map_while(Result::ok);
     let http = lines.find_map(|line| {
         let (front, _) = line.split_once(" and packets on ")?;
--- a/crates/lagoonhill_core/src/leased/runs.rs
+++ b/crates/lagoonhill_core/src/leased/runs.rs
@@ -413,7 +413,6 @@
                 run.due_ms = None;
             }
             TargetReply::Refused(Refusal::Stale, _) => self.renumber(key, now),
-            TargetReply::Refused(Refusal::Fenced | Refusal::Late, _) => run.due_ms = Some(now),
             TargetReply::Refused(refusal @ (Refusal::NoRoom | Refusal::NoPermit), _) => {
                 let result = if refusal == Refusal::NoRoom {
                     TaskResult::NotRun(NotRunReason::Full)
@@ -427,7 +426,8 @@
                 self.end_unless_tried(key, tries, result, now);
             }
             TargetReply::Invalid(message) => self.end(key, TaskResult::Failed(message)),
-            TargetReply::Stopping(_)
+            TargetReply::Refused(Refusal::Fenced | Refusal::Late, _)
+            | TargetReply::Stopping(_)
             | TargetReply::Held { .. }
             | TargetReply::OtherLife
             | TargetReply::Unanswered(_) => run.due_ms = Some(now),
--- a/crates/lagoonhill_daemon/src/logging/mod.rs
+++ b/crates/lagoonhill_daemon/src/logging/mod.rs
@@ -6,7 +6,7 @@
 use logforth::layout::{JsonLayout, TextLayout};
 use logforth::record::{Level, LevelFilter};
 
-pub use queued_stdout::{LOG_QUEUE_LINES, LineQueue, QueuedStdout};
+pub use queued_stdout::{Batch, LOG_QUEUE_LINES, LineQueue, LineReader, QueuedStdout};
 pub use settings::{LogFormat, LogLevel};
 
 /// Sends log records to standard output, as text or JSON.
@@ -26,3 +26,8 @@
         .dispatch(|dispatch| dispatch.filter(filter).append(stdout))
         .apply();
 }
+
+/// Writes what is left. Call before the process ends.
+pub fn flush() {
+    log::logger().flush();
+}
--- a/crates/lagoonhill_daemon/src/logging/queued_stdout.rs
+++ b/crates/lagoonhill_daemon/src/logging/queued_stdout.rs
@@ -14,20 +14,30 @@
 /// Pause between two writes, so that one write takes many lines.
 const WRITE_PAUSE: Duration = Duration::from_millis(20);
 
+/// Longest wait for the lines that are left when the process ends.
+const FLUSH_LIMIT: Duration = Duration::from_millis(200);
+
+#[derive(Debug)]
+enum Entry {
+    Line(Vec<u8>),
+    /// Everything before this is to be written, then this is to be answered.
+    Flush(SyncSender<()>),
+}
+
 /// A bounded queue of log lines. Adding never waits.
 #[derive(Clone, Debug)]
 pub struct LineQueue {
-    lines: SyncSender<Vec<u8>>,
+    entries: SyncSender<Entry>,
     dropped: Arc<AtomicU64>,
 }
 
 impl LineQueue {
     /// A queue of at most `limit` lines, and its reader's end.
     pub fn new(limit: usize) -> (Self, LineReader) {
-        let (lines, receiver) = sync_channel(limit);
+        let (entries, receiver) = sync_channel(limit);
         let dropped = Arc::new(AtomicU64::new(0));
         let queue = Self {
-            lines,
+            entries,
             dropped: Arc::clone(&dropped),
         };
         (queue, LineReader { receiver, dropped })
@@ -35,35 +45,58 @@
 
     /// Adds a line, or counts it as dropped when the queue is full.
     pub fn push(&self, line: Vec<u8>) {
-        if self.lines.try_send(line).is_err() {
+        if self.entries.try_send(Entry::Line(line)).is_err() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
     }
+
+    /// Waits until everything has been written, for a while at most.
+    fn flush(&self) {
+        let (done, written) = sync_channel(1);
+        if self.entries.try_send(Entry::Flush(done)).is_ok() {
+            // A reader that is stuck must not hold up the end of the process.
+            let _ = written.recv_timeout(FLUSH_LIMIT);
+        }
+    }
 }
 
 /// The reader's end of a [`LineQueue`].
 #[derive(Debug)]
 pub struct LineReader {
-    receiver: Receiver<Vec<u8>>,
+    receiver: Receiver<Entry>,
     dropped: Arc<AtomicU64>,
 }
 
 impl LineReader {
     /// Waits for lines and returns all there are, with a line that says how
     /// many were dropped; `None` once the queue is closed.
-    pub fn next_batch(&self) -> Option<Vec<u8>> {
-        let mut batch = self.receiver.recv().ok()?;
-        while let Ok(line) = self.receiver.try_recv() {
-            batch.extend_from_slice(&line);
+    pub fn next_batch(&self) -> Option<Batch> {
+        let mut batch = Batch::default();
+        let first = self.receiver.recv().ok()?;
+        for entry in std::iter::once(first).chain(self.receiver.try_iter()) {
+            match entry {
+                Entry::Line(line) => batch.lines.extend_from_slice(&line),
+                Entry::Flush(done) => batch.flushed.push(done),
+            }
         }
         let dropped = self.dropped.swap(0, Ordering::Relaxed);
         if dropped > 0 {
-            batch.extend_from_slice(format!("log lines dropped={dropped}\n").as_bytes());
+            batch
+                .lines
+                .extend_from_slice(format!("log lines dropped={dropped}\n").as_bytes());
         }
         Some(batch)
     }
 }
 
+/// Lines to be written at once.
+#[derive(Debug, Default)]
+pub struct Batch {
+    /// The lines.
+    pub lines: Vec<u8>,
+    flushed: Vec<SyncSender<()>>,
+}
+
 /// Writes records to standard output on a thread of its own.
 #[derive(Debug)]
 pub struct QueuedStdout {
@@ -78,8 +111,11 @@
         let write = move || {
             while let Some(batch) = reader.next_batch() {
                 // There is nowhere left to complain to.
-                let _ = io::stdout().write_all(&batch);
+                let _ = io::stdout().write_all(&batch.lines);
                 let _ = io::stdout().flush();
+                for done in batch.flushed {
+                    let _ = done.send(());
+                }
                 thread::sleep(WRITE_PAUSE);
             }
         };
@@ -102,6 +138,7 @@
     }
 
     fn flush(&self) -> Result<(), Error> {
+        self.queue.flush();
         Ok(())
     }
 }
--- a/crates/lagoonhill_entry/src/rules_watch.rs
+++ b/crates/lagoonhill_entry/src/rules_watch.rs
@@ -40,13 +40,12 @@
 pub(crate) async fn follow_rules<S: Store>(store: S, source: RulesSource, control: ControlHandle) {
     let mut is_lost = false;
     loop {
-        match follow_once(&store, &source, &control, &mut is_lost).await {
-            Ok(()) => {}
-            Err(error) if !is_lost => {
-                is_lost = true;
-                warn!("dependency lost: the rules can't be followed: {error}");
-            }
-            Err(_) => {}
+        let followed = follow_once(&store, &source, &control, &mut is_lost).await;
+        if let Err(error) = followed
+            && !is_lost
+        {
+            is_lost = true;
+            warn!("dependency lost: the rules can't be followed: {error}");
         }
         sleep(source.retry).await;
     }
