Serve jobs that can be in time before those that can't; agents report overdue and failing targets

Change: lanes, objective-aware placement, reports of overdue and failing targets for all entries, recall of overdue tasks, reruns on another target.

--- a/crates/lagoonhill_core/src/agent/machine.rs
+++ b/crates/lagoonhill_core/src/agent/machine.rs
@@ -1,4 +1,4 @@
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 
 use lagoonhill_protocol::{
@@ -10,11 +10,14 @@
 use slotmap::SlotMap;
 
 use super::{AgentEffect, EntryKey, EntryLink, HeldTask, TaskKey, TaskPhase};
-use crate::{FrameHeader, Heartbeat, RulesSpread, Session, Timing, Verdict};
+use crate::{FrameHeader, Heartbeat, RulesSpread, Session, Timing, Verdict, overdue_after};
 
 /// Longest pause between greetings of an entry that does not answer.
 const MAX_HELLO_INTERVAL_MS: DurationMs = DurationMs(10_000);
 
+/// Failed jobs that are counted at most.
+const MAX_FAILED_JOBS: usize = 16;
+
 /// An entry for which tasks are held is heard this often within a run lease.
 const BEATS_PER_LEASE: u64 = 3;
 
@@ -58,6 +61,8 @@
     leaving: bool,
     drained_told: bool,
     last_tick_ms: TimestampMs,
+    /// Jobs of which a task has failed since the last task that did not.
+    failed_jobs: BTreeSet<JobId>,
     effects: Vec<AgentEffect>,
 }
 
@@ -79,6 +84,7 @@
             leaving: false,
             drained_told: false,
             last_tick_ms: now,
+            failed_jobs: BTreeSet::new(),
             effects: Vec::new(),
         }
     }
@@ -180,6 +186,7 @@
         };
         self.running -= 1;
         self.used = self.used - task.start.needs;
+        self.count_failure(&task, &result);
         let run_ms = match result {
             TaskResult::NotRun(_) => DurationMs::ZERO,
             _ => now.since(started_ms),
@@ -188,6 +195,34 @@
         self.start_waiting(now);
     }
 
+    /// Several tasks of one job that fail speak of the job, not of the target.
+    fn count_failure(&mut self, task: &HeldTask, result: &TaskResult) {
+        match result {
+            TaskResult::Done(_) => self.failed_jobs.clear(),
+            TaskResult::Failed(_) | TaskResult::NotRun(NotRunReason::TargetUnhealthy)
+                if self.failed_jobs.len() < MAX_FAILED_JOBS =>
+            {
+                self.failed_jobs.insert(task.start.task.job);
+            }
+            TaskResult::Failed(_)
+            | TaskResult::NotRun(_)
+            | TaskResult::MayHaveRun(_)
+            | TaskResult::Interrupted(_) => {}
+        }
+    }
+
+    /// Running tasks that take far longer than expected.
+    fn overdue(&self, now: TimestampMs) -> u16 {
+        let is_overdue = |task: &&HeldTask| match task.phase {
+            TaskPhase::Running { started_ms } => {
+                now.since(started_ms) > overdue_after(task.start.expected_ms)
+            }
+            TaskPhase::Waiting | TaskPhase::Stopping { .. } => false,
+        };
+        let count = self.tasks.values().filter(is_overdue).count();
+        u16::try_from(count).unwrap_or(u16::MAX)
+    }
+
     /// Runs timers. Call every few tens of milliseconds.
     pub fn tick(&mut self, now: TimestampMs) {
         let frozen = now.since(self.last_tick_ms) >= self.config.timing.freeze_gap_ms;
@@ -211,6 +246,8 @@
         let total_processors = self.tasks.values().fold(MilliProcessors(0), |sum, task| {
             MilliProcessors(sum.0.saturating_add(task.start.needs.processors.0))
         });
+        let overdue = self.overdue(now);
+        let failed_jobs = u16::try_from(self.failed_jobs.len()).unwrap_or(u16::MAX);
         for link in self.entries.values_mut() {
             let Some(session) = &mut link.session else {
                 continue;
@@ -223,6 +260,8 @@
                     yours: link.held,
                     total_processors,
                     your_processors: link.held_processors,
+                    overdue,
+                    failed_jobs,
                 },
                 heartbeat: if link.held > 0 {
                     Heartbeat::AtLeastEvery(self.config.timing.run_lease_ms / BEATS_PER_LEASE)
@@ -462,6 +501,7 @@
         match message {
             Message::Start(start) => self.on_start(key, start, now),
             Message::CancelJob(job) => self.on_cancel(key, job),
+            Message::Recall(task) => self.on_recall(key, task),
             Message::Rules(update) => {
                 if self.rules.install_update(&update) {
                     self.rules_installed_ms = now;
@@ -549,6 +589,21 @@
         }
     }
 
+    fn on_recall(&mut self, entry: EntryKey, id: TaskId) {
+        let found = self
+            .tasks
+            .iter()
+            .find(|(_, task)| task.entry == entry && task.start.task == id);
+        let Some((key, task)) = found else {
+            return;
+        };
+        if task.phase == TaskPhase::Waiting {
+            self.withdraw(key, NotRunReason::Cancelled);
+        } else {
+            self.drop_or_stop(key);
+        }
+    }
+
     fn withdraw(&mut self, key: TaskKey, reason: NotRunReason) {
         self.waiting.retain(|waiting| *waiting != key);
         if let Some(task) = self.tasks.remove(key) {
--- a/crates/lagoonhill_core/src/entry/fleet.rs
+++ b/crates/lagoonhill_core/src/entry/fleet.rs
@@ -5,6 +5,7 @@
 use lagoonhill_types::prelude::*;
 use slotmap::SlotMap;
 
+use super::worker::AVERAGE_SLOWNESS_PERMILLE;
 use super::{Candidate, Needs, Worker, WorkerKey, WorkerState};
 
 /// The workers that an entry has sessions with.
@@ -171,6 +172,21 @@
             .sum()
     }
 
+    /// Run time on the fastest serving worker of a service relative to the
+    /// average, in thousandths.
+    pub fn least_slowness_permille(&self, service: &ServiceName) -> u32 {
+        let workers = self
+            .of_service(service)
+            .iter()
+            .filter_map(|key| self.workers.get(*key));
+        workers
+            .filter(|worker| worker.state() == WorkerState::Serving)
+            .filter(|worker| !worker.health.is_quarantined())
+            .map(Worker::slowness_permille)
+            .min()
+            .unwrap_or(AVERAGE_SLOWNESS_PERMILLE)
+    }
+
     /// Processors of the service's serving workers together.
     pub fn processors(&self, service: &ServiceName) -> u64 {
         let workers = self
--- a/crates/lagoonhill_core/src/entry/health.rs
+++ b/crates/lagoonhill_core/src/entry/health.rs
@@ -20,10 +20,15 @@
 /// Growth of the time between probes after a bad one.
 const PROBE_BACKOFF: u64 = 4;
 
+/// Failed jobs in a row, as an agent reports them, that make a worker
+/// suspicious.
+const MAX_FAILED_JOBS: u16 = 3;
+
 /// Whether a worker runs tasks well.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Health {
     failures_in_a_row: u32,
+    reported_failed_jobs: u16,
     quarantine: Option<Quarantine>,
 }
 
@@ -43,6 +48,12 @@
     /// Whether recent tasks failed often enough to be suspicious.
     pub fn is_failing(&self) -> bool {
         self.failures_in_a_row >= MAX_FAILURES_IN_A_ROW
+            || self.reported_failed_jobs >= MAX_FAILED_JOBS
+    }
+
+    /// Takes an agent's count of jobs that failed in a row, for all entries.
+    pub fn report_failed_jobs(&mut self, count: u16) {
+        self.reported_failed_jobs = count;
     }
 
     /// Whether a quarantined worker may get a probe now.
--- a/crates/lagoonhill_core/src/entry/job.rs
+++ b/crates/lagoonhill_core/src/entry/job.rs
@@ -5,7 +5,7 @@
 use lagoonhill_types::prelude::*;
 use slotmap::new_key_type;
 
-use super::{CallerId, Needs, RecordKey, RunCertainty, Step, WorkerKey};
+use super::{CallerId, Lane, Needs, Place, RecordKey, RunCertainty, Step, WorkerKey};
 
 new_key_type! {
     /// Names a job within an entry.
@@ -33,6 +33,8 @@
     moves: u8,
     runs: u32,
     failures: u16,
+    /// Where it has failed.
+    failed_on: Vec<WorkerKey>,
 }
 
 #[derive(Debug)]
@@ -75,6 +77,17 @@
     pub queued_as: Option<QueuedAs>,
 }
 
+/// What a queue promises of a job.
+#[derive(Clone, Copy, Debug)]
+pub struct Promise {
+    /// When the job is to be done.
+    pub due_ms: TimestampMs,
+    /// The latest start of a task that keeps it.
+    pub latest_start_ms: TimestampMs,
+    /// The latest start after which the answer is of no use.
+    pub useless_start_ms: TimestampMs,
+}
+
 /// A job: complete with every task's result, or failed as a whole.
 #[derive(Debug)]
 pub struct Job {
@@ -86,6 +99,10 @@
     pub record: Option<RecordKey>,
     /// Its place among the team's jobs; lower is sooner.
     pub rank_ms: u64,
+    /// What its queue promises, if it has one.
+    pub promise: Option<Promise>,
+    /// Whether the promise can still be kept.
+    pub lane: Lane,
     tasks: Vec<Task>,
     steps: Vec<StepProgress>,
     ready: VecDeque<TaskIndex>,
@@ -133,6 +150,7 @@
             moves: 0,
             runs: 0,
             failures: 0,
+            failed_on: Vec::new(),
         };
         let rank_ms = plan.accepted_ms.0;
         let mut job = Self {
@@ -140,6 +158,8 @@
             callers: Vec::new(),
             record: None,
             rank_ms,
+            promise: None,
+            lane: Lane::InTime,
             tasks: step_of.into_iter().zip(payloads).map(task).collect(),
             steps: progress,
             ready: VecDeque::new(),
@@ -172,6 +192,16 @@
         released
     }
 
+    /// Where the job stands among waiting ones.
+    pub fn place(&self, key: JobKey) -> Place {
+        Place {
+            class: self.plan.class,
+            team: self.plan.team.clone(),
+            rank_ms: self.rank_ms,
+            job: key,
+        }
+    }
+
     /// When the answer is due.
     pub fn due_ms(&self) -> TimestampMs {
         self.plan.accepted_ms + self.plan.deadline_ms
@@ -232,6 +262,13 @@
         step.map_or(DurationMs::ZERO, |step| self.steps[step].step.estimate_ms)
     }
 
+    /// Whether the next ready task has failed on a worker.
+    pub fn next_failed_on(&self, worker: WorkerKey) -> bool {
+        self.ready
+            .front()
+            .is_some_and(|index| self.tasks[usize::from(index.0)].failed_on.contains(&worker))
+    }
+
     /// Tasks of the next ready task's step that a worker holds.
     pub fn siblings_at(&self, worker: WorkerKey) -> u16 {
         let Some(index) = self.ready.front() else {
@@ -308,7 +345,10 @@
             .as_ref()
             .map_or(1, |queue| queue.attempts);
         let task = self.sent_task(index, worker)?;
-        task.failures += u16::from(failed);
+        if failed {
+            task.failures += 1;
+            task.failed_on.push(worker);
+        }
         let has_attempt = !failed || task.failures < attempts;
         task.state = TaskState::Ready;
         self.sent -= 1;
--- a/crates/lagoonhill_core/src/entry/job_queue.rs
+++ b/crates/lagoonhill_core/src/entry/job_queue.rs
@@ -107,6 +107,15 @@
         None
     }
 
+    /// Jobs whose rank is before a given one.
+    pub fn ranked_before(&self, rank_ms: u64) -> Vec<JobKey> {
+        let teams = self.classes.values().flat_map(|queue| queue.teams.values());
+        teams
+            .flat_map(|team| team.jobs.iter().take_while(|(rank, _)| *rank < rank_ms))
+            .map(|(_, job)| *job)
+            .collect()
+    }
+
     /// Charges a placed task to its class and team.
     pub fn charge(&mut self, class: Class, team: &TeamName, charge: Charge) {
         let work = charge.run_time_ms.0.max(1) * PASS_SCALE;
--- /dev/null
+++ b/crates/lagoonhill_core/src/entry/lanes.rs
@@ -0,0 +1,84 @@
+//! Load pattern: a flood over the capacity for some seconds. Served in order of
+//! their due times alone, all jobs end up just late. So a job that can no
+//! longer keep its promise stands behind every job that can.
+
+use std::collections::BTreeMap;
+
+use lagoonhill_rules::Class;
+use lagoonhill_types::prelude::*;
+
+use super::{Charge, JobKey, JobQueue};
+
+/// Which jobs a job waits among.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Lane {
+    /// Its promise can still be kept.
+    InTime,
+    /// It will be late.
+    Late,
+}
+
+/// Where a waiting job stands.
+#[derive(Clone, Debug)]
+pub struct Place {
+    /// Its class.
+    pub class: Class,
+    /// Its team.
+    pub team: TeamName,
+    /// Its rank among the team's jobs.
+    pub rank_ms: u64,
+    /// The job.
+    pub job: JobKey,
+}
+
+/// The jobs of one service that have ready tasks, those that can be in time
+/// before those that can't.
+#[derive(Debug, Default)]
+pub struct Lanes {
+    lanes: BTreeMap<Lane, JobQueue>,
+}
+
+impl Lanes {
+    /// Whether no job waits.
+    pub fn is_empty(&self) -> bool {
+        self.lanes.values().all(JobQueue::is_empty)
+    }
+
+    /// Adds a job. One that is already there stays.
+    pub fn insert(&mut self, lane: Lane, place: &Place) {
+        let queue = self.lanes.entry(lane).or_default();
+        queue.insert(place.class, &place.team, place.rank_ms, place.job);
+    }
+
+    /// Removes a job.
+    pub fn remove(&mut self, lane: Lane, place: &Place) {
+        if let Some(queue) = self.lanes.get_mut(&lane) {
+            queue.remove(place.class, &place.team, place.rank_ms, place.job);
+        }
+    }
+
+    /// The job to serve next among those `eligible`.
+    pub fn next(
+        &self,
+        class_eligible: impl Fn(Class) -> bool,
+        mut eligible: impl FnMut(&TeamName, JobKey) -> bool,
+    ) -> Option<JobKey> {
+        self.lanes
+            .values()
+            .find_map(|queue| queue.next(&class_eligible, &mut eligible))
+    }
+
+    /// Jobs of a lane whose rank has passed.
+    pub fn passed(&self, lane: Lane, now: TimestampMs) -> Vec<JobKey> {
+        self.lanes
+            .get(&lane)
+            .map_or_else(Vec::new, |queue| queue.ranked_before(now.0))
+    }
+
+    /// Charges a placed task to its class and team.
+    pub fn charge(&mut self, class: Class, team: &TeamName, charge: Charge) {
+        for queue in self.lanes.values_mut() {
+            queue.charge(class, team, charge);
+        }
+    }
+}
--- a/crates/lagoonhill_core/src/entry/machine/admission.rs
+++ b/crates/lagoonhill_core/src/entry/machine/admission.rs
@@ -5,10 +5,13 @@
 
 use super::{DEFAULT_RETRY_MS, Entry};
 use crate::entry::{
-    CallerId, Cause, DecisionKind, Job, JobFailure, JobPlan, Placement, QueuedAs, Record,
-    RecordKey, Step, Submission, WorkKind,
+    CallerId, Cause, DecisionKind, Job, JobFailure, JobPlan, Lane, Placement, Promise, QueuedAs,
+    Record, RecordKey, Step, Submission, WorkKind,
 };
 
+/// An answer after this many times the promised time is of no use.
+const USELESS_FACTOR: u64 = 3;
+
 /// One, in thousandths.
 const PERMILLE: u64 = 1_000;
 
@@ -77,11 +80,16 @@
             ..
         } = &submission;
         let (service, team, count) = (service.clone(), team.clone(), tasks.len());
-        let rank_ms = self.rank(&submission, now);
+        let promise = self.promise(&submission, now);
+        let rank_ms = match promise {
+            Some(promise) => promise.latest_start_ms.0,
+            None => self.rank(&submission, now),
+        };
         let mut job = self.new_job(submission, number, now);
         job.callers.push(caller);
         job.record.clone_from(&record);
         job.rank_ms = rank_ms;
+        job.promise = promise;
         let ready = job.ready_count();
         let (id, class, due_ms) = (job.plan.id, job.plan.class, job.due_ms());
         let key = self.jobs.insert(job);
@@ -97,10 +105,11 @@
         }
         let queued = self.queued_tasks(&service);
         *self.queued.entry((service.clone(), class)).or_default() += ready;
+        let place = self.jobs[key].place(key);
         self.queues
             .entry(service.clone())
             .or_default()
-            .insert(class, &team, rank_ms, key);
+            .insert(Lane::InTime, &place);
         self.decide(
             now,
             Some(id),
@@ -114,18 +123,26 @@
         );
     }
 
-    /// A job's place in its queue: by the latest start that keeps the queue's
-    /// objective, or short before long.
+    /// What the submission's queue promises of it.
+    fn promise(&self, submission: &Submission, now: TimestampMs) -> Option<Promise> {
+        let order = submission.order.as_ref()?;
+        let rule = self.rules().queue(&order.queue)?;
+        let run_time_ms = self.expected_run_time(submission);
+        let promised_ms = DurationMs(run_time_ms.0 * u64::from(rule.slack_permille) / PERMILLE);
+        let promised_ms = promised_ms + rule.objective_ms;
+        let slowness = u64::from(self.fleet.least_slowness_permille(&submission.service));
+        let fastest_ms = run_time_ms * slowness / PERMILLE;
+        let latest_start = |due_ms: TimestampMs| due_ms - fastest_ms;
+        Some(Promise {
+            due_ms: now + promised_ms,
+            latest_start_ms: latest_start(now + promised_ms),
+            useless_start_ms: latest_start(now + promised_ms * USELESS_FACTOR),
+        })
+    }
+
+    /// A job's place in its queue: short before long.
     fn rank(&self, submission: &Submission, now: TimestampMs) -> u64 {
         let run_time_ms = self.expected_run_time(submission);
-        let rule = submission
-            .order
-            .as_ref()
-            .and_then(|order| self.rules().queue(&order.queue));
-        if let Some(rule) = rule {
-            let promised_ms = run_time_ms.0 * u64::from(rule.slack_permille) / PERMILLE;
-            return now.0 + (promised_ms + rule.objective_ms.0).saturating_sub(run_time_ms.0);
-        }
         let slots = u64::from(self.fleet.slots(&submission.service).max(1));
         now.0 + run_time_ms.0 * submission.tasks.len() as u64 / slots
     }
@@ -213,9 +230,16 @@
 
     fn expected_run_time(&self, submission: &Submission) -> DurationMs {
         let by_rule_ms = self.prior_run_time(&submission.service);
-        let prior_ms = submission.run_time_ms.unwrap_or(by_rule_ms);
+        let kind = Self::work_kind(submission);
+        let declared_ms = submission.run_time_ms;
+        if submission.order.is_some() {
+            let declared_ms = declared_ms.unwrap_or_default();
+            return self
+                .run_times
+                .expected_declared(&kind, declared_ms, by_rule_ms);
+        }
         self.run_times
-            .expected(&Self::work_kind(submission), prior_ms)
+            .expected(&kind, declared_ms.unwrap_or(by_rule_ms))
     }
 
     pub(super) fn queued_tasks(&self, service: &ServiceName) -> usize {
--- a/crates/lagoonhill_core/src/entry/machine/dispatch.rs
+++ b/crates/lagoonhill_core/src/entry/machine/dispatch.rs
@@ -8,7 +8,7 @@
 
 use super::{DEFAULT_RUN_TIME_MS, Entry};
 use crate::entry::{
-    Candidate, Cause, Charge, DecisionKind, JobKey, Needs, Order, Placement, Room, Situation,
+    Candidate, Cause, Charge, DecisionKind, JobKey, Lane, Needs, Order, Placement, Room, Situation,
     WorkKind,
 };
 
@@ -65,6 +65,7 @@
 
     /// Places ready tasks of a service while workers have room.
     fn dispatch(&mut self, service: &ServiceName, now: TimestampMs) {
+        self.triage(service, now);
         let mut blocked = Blocked::default();
         while blocked.looks < MAX_BLOCKED_LOOKS {
             let Some(key) = self.next_job(service, &blocked) else {
@@ -86,6 +87,13 @@
                 let job = &self.jobs[key];
                 open.retain(|candidate| job.siblings_at(candidate.key) < most);
             }
+            let job = &self.jobs[key];
+            if open
+                .iter()
+                .any(|candidate| !job.next_failed_on(candidate.key))
+            {
+                open.retain(|candidate| !job.next_failed_on(candidate.key));
+            }
             let situation = self.situation(key, now);
             // A probe goes first: a policy that prefers other workers would
             // never find out that this one has recovered.
@@ -98,8 +106,11 @@
                 None => {
                     blocked.looks += 1;
                     blocked.jobs.insert(key);
+                    let is_full = !open
+                        .iter()
+                        .any(|candidate| candidate.has_room(situation.room));
                     let is_plain = needs.label.is_none() && open.len() == all;
-                    if is_plain && situation.room != Room::KeepReserve {
+                    if is_full && is_plain && situation.room != Room::KeepReserve {
                         blocked.needs = Some(needs.resources);
                     }
                 }
@@ -107,6 +118,31 @@
         }
     }
 
+    /// Moves jobs that can't keep their promise any more behind those that
+    /// can, and refuses those that have not begun and would be of no use.
+    fn triage(&mut self, service: &ServiceName, now: TimestampMs) {
+        let Some(lanes) = self.queues.get_mut(service) else {
+            return;
+        };
+        for key in lanes.passed(Lane::InTime, now) {
+            let job = &mut self.jobs[key];
+            let Some(promise) = job.promise else {
+                continue;
+            };
+            lanes.remove(Lane::InTime, &job.place(key));
+            job.lane = Lane::Late;
+            job.rank_ms = promise.useless_start_ms.0;
+            lanes.insert(Lane::Late, &job.place(key));
+        }
+        for key in lanes.passed(Lane::Late, now) {
+            let job = &self.jobs[key];
+            if !job.has_started() {
+                let deadline_ms = job.plan.deadline_ms;
+                self.fail_job(key, Cause::TooLate { deadline_ms }, now);
+            }
+        }
+    }
+
     fn next_job(&self, service: &ServiceName, blocked: &Blocked) -> Option<JobKey> {
         let queue = self.queues.get(service)?;
         queue.next(
@@ -128,7 +164,8 @@
         let plan = &self.jobs[key].plan;
         let keeps_reserve = plan.class > Class::Rush && self.is_rush_on(&plan.service, now);
         Situation {
-            run_time_ms: self.usual_run_time(&self.kind_of(key)),
+            run_time_ms: self.next_run_time(key),
+            within_ms: self.time_left(key, now),
             room: if keeps_reserve {
                 Room::KeepReserve
             } else {
@@ -137,6 +174,26 @@
         }
     }
 
+    /// Time left to keep a job's promise, if that is still possible.
+    fn time_left(&self, key: JobKey, now: TimestampMs) -> Option<DurationMs> {
+        let job = &self.jobs[key];
+        let promise = job.promise.filter(|_| job.lane == Lane::InTime)?;
+        Some(promise.due_ms.since(now))
+    }
+
+    /// Expected run time of a job's next ready task on a worker of average
+    /// speed.
+    fn next_run_time(&self, key: JobKey) -> DurationMs {
+        let kind = self.kind_of(key);
+        let prior_ms = self.prior_run_time(&kind.service);
+        let declared_ms = self.jobs[key].next_estimate_ms();
+        if kind.queue.is_none() {
+            return self.run_times.expected(&kind, prior_ms);
+        }
+        self.run_times
+            .expected_declared(&kind, declared_ms, prior_ms)
+    }
+
     /// Whether jobs of the most urgent class have come lately.
     fn is_rush_on(&self, service: &ServiceName, now: TimestampMs) -> bool {
         let last_ms = self.last_rush_ms.get(service);
@@ -149,12 +206,6 @@
         rule.map_or(DEFAULT_RUN_TIME_MS, |rule| rule.run_time_ms)
     }
 
-    /// The run time learned, or else expected by operators.
-    pub(super) fn usual_run_time(&self, kind: &WorkKind) -> DurationMs {
-        self.run_times
-            .expected(kind, self.prior_run_time(&kind.service))
-    }
-
     fn kind_of(&self, key: JobKey) -> WorkKind {
         let plan = &self.jobs[key].plan;
         WorkKind {
@@ -165,8 +216,9 @@
 
     fn place(&mut self, key: JobKey, chosen: Candidate, open: &[Candidate], now: TimestampMs) {
         let kind = self.kind_of(key);
-        let expected_ms = self.usual_run_time(&kind);
+        let expected_ms = self.next_run_time(key);
         let job = &mut self.jobs[key];
+        let declared_ms = job.next_estimate_ms();
         let Some(next) = job.send_next(chosen.key) else {
             return;
         };
@@ -180,8 +232,8 @@
             job.plan.team.clone(),
             job.plan.class,
         );
-        let (run_limit_ms, rank_ms, emptied) =
-            (job.plan.run_limit_ms, job.rank_ms, job.ready_count() == 0);
+        let (run_limit_ms, emptied) = (job.plan.run_limit_ms, job.ready_count() == 0);
+        let (lane, place) = (job.lane, job.place(key));
         let charge = Charge {
             run_time_ms: expected_ms,
             class_weight: self.rules().class_weight(class),
@@ -193,7 +245,7 @@
         if let Some(queue) = self.queues.get_mut(&service) {
             queue.charge(class, &team, charge);
             if emptied {
-                queue.remove(class, &team, rank_ms, key);
+                queue.remove(lane, &place);
             }
         }
         self.usage.entry(team.clone()).or_default().in_flight += 1;
@@ -209,12 +261,16 @@
             needs: next.needs,
             kind,
             expected_ms,
+            declared_ms,
+            recalled: false,
         };
+        let expected_ms = worker.usual_run_time(expected_ms);
         worker.orders.insert(task, order);
         worker.session.push(Message::Start(Start {
             task,
             decided_ms: now,
             run_limit_ms,
+            expected_ms,
             needs: next.needs,
             run: next.run,
             name: next.name,
--- a/crates/lagoonhill_core/src/entry/machine/endings.rs
+++ b/crates/lagoonhill_core/src/entry/machine/endings.rs
@@ -51,7 +51,7 @@
             *count = count.saturating_sub(tasks);
         }
         if let Some(queue) = self.queues.get_mut(&job.plan.service) {
-            queue.remove(job.plan.class, &job.plan.team, job.rank_ms, key);
+            queue.remove(job.lane, &job.place(key));
         }
     }
 
--- a/crates/lagoonhill_core/src/entry/machine/mod.rs
+++ b/crates/lagoonhill_core/src/entry/machine/mod.rs
@@ -18,7 +18,7 @@
 
 use super::{
     CallerId, Decision, DecisionKind, EntryConfig, EntryEffect, EntryStatus, Fleet, Job, JobKey,
-    JobQueue, Placement, Records, RunTimes, TeamUsage, Worker, WorkerKey, WorkerStatus,
+    Lanes, Placement, Records, RunTimes, TeamUsage, Worker, WorkerKey, WorkerStatus,
 };
 use crate::{FrameHeader, Heartbeat, RulesSpread, Verdict};
 
@@ -41,7 +41,7 @@
     jobs: SlotMap<JobKey, Job>,
     by_job: HashMap<JobId, JobKey>,
     by_caller: HashMap<CallerId, JobKey>,
-    queues: HashMap<ServiceName, JobQueue>,
+    queues: HashMap<ServiceName, Lanes>,
     queued: HashMap<(ServiceName, Class), usize>,
     due: BTreeSet<(TimestampMs, JobKey)>,
     /// Tasks of lost workers, by when they can't run there any more.
--- a/crates/lagoonhill_core/src/entry/machine/outcomes.rs
+++ b/crates/lagoonhill_core/src/entry/machine/outcomes.rs
@@ -1,10 +1,10 @@
 //! What outcomes teach: results, moves, speeds, health.
 
-use lagoonhill_protocol::{NotRunReason, Outcome, TaskResult};
+use lagoonhill_protocol::{Message, NotRunReason, Outcome, TaskResult};
 use lagoonhill_types::prelude::*;
 
 use super::Entry;
-use crate::entry::{Cause, DecisionKind, Health, JobKey, Placement, WorkKind, WorkerKey};
+use crate::entry::{Cause, DecisionKind, Health, JobKey, Order, Placement, WorkerKey};
 
 /// A probe that took this many times the expected run time was not well run.
 const SLOW_PROBE_FACTOR: u64 = 3;
@@ -23,7 +23,7 @@
             return;
         };
         self.release_quota(&order.team);
-        self.learn(key, &order.kind, &result, run_ms, now);
+        self.learn(key, &order, &result, run_ms, now);
         let Some(&job_key) = self.by_job.get(&task.job) else {
             return;
         };
@@ -121,13 +121,12 @@
     /// Enters a job with ready tasks into its queue.
     pub(super) fn enqueue(&mut self, key: JobKey, tasks: usize) {
         let job = &self.jobs[key];
-        let (service, team) = (job.plan.service.clone(), job.plan.team.clone());
-        let (class, rank_ms) = (job.plan.class, job.rank_ms);
+        let (service, class) = (job.plan.service.clone(), job.plan.class);
         *self.queued.entry((service.clone(), class)).or_default() += tasks;
         self.queues
             .entry(service)
             .or_default()
-            .insert(class, &team, rank_ms, key);
+            .insert(job.lane, &job.place(key));
     }
 
     /// Queues tasks again whose lost worker can't run them any more.
@@ -175,7 +174,7 @@
     pub(super) fn learn(
         &mut self,
         key: WorkerKey,
-        kind: &WorkKind,
+        order: &Order,
         result: &TaskResult,
         run_ms: DurationMs,
         now: TimestampMs,
@@ -188,14 +187,16 @@
         };
         match result {
             TaskResult::Done(_) => {
-                let expected_ms = self.run_times.expected(kind, run_ms);
+                let expected_ms = order.expected_ms;
                 if worker.health.is_quarantined()
                     && run_ms > worker.usual_run_time(expected_ms) * SLOW_PROBE_FACTOR
                 {
                     return worker.health.failed(now);
                 }
                 worker.observe(run_ms, expected_ms);
-                self.run_times.observe(kind, run_ms);
+                let normal_ms = worker.normal_run_time(run_ms);
+                self.run_times
+                    .observe(&order.kind, normal_ms, order.declared_ms);
                 if worker.health.succeeded() {
                     worker.reset_speed();
                     let id = worker.id.clone();
@@ -252,6 +253,54 @@
         );
     }
 
+    /// Acts on what an agent reports of its target, for all entries.
+    pub(super) fn judge_report(&mut self, key: WorkerKey, now: TimestampMs) {
+        let Some(worker) = self.fleet.get_mut(key) else {
+            return;
+        };
+        worker.health.report_failed_jobs(worker.load.failed_jobs);
+        let Some(service) = worker.target.as_ref().map(|target| target.service.clone()) else {
+            return;
+        };
+        let reports_overdue = worker.reports_overdue();
+        self.quarantine_if_alone(key, &service, now);
+        if !reports_overdue {
+            return;
+        }
+        let keys = self.fleet.of_service(&service);
+        let is_overdue = |key: &&WorkerKey| {
+            self.fleet
+                .get(**key)
+                .is_some_and(crate::entry::Worker::reports_overdue)
+        };
+        if keys.iter().filter(is_overdue).count() * 2 <= keys.len() {
+            self.quarantine(key, now, Health::quarantine_slow);
+            self.recall_overdue(key, now);
+        }
+    }
+
+    /// Takes overdue tasks that may run again back from a worker that does not
+    /// get on with them.
+    fn recall_overdue(&mut self, key: WorkerKey, now: TimestampMs) {
+        let Some(worker) = self.fleet.get_mut(key) else {
+            return;
+        };
+        for task in worker.overdue_orders(now) {
+            let may_rerun = self
+                .by_job
+                .get(&task.job)
+                .is_some_and(|job| self.jobs[*job].may_rerun());
+            if !may_rerun {
+                continue;
+            }
+            if let Some(order) = worker.orders.get_mut(&task) {
+                order.recalled = true;
+            }
+            worker.session.push(Message::Recall(task));
+            self.dirty.insert(key);
+        }
+    }
+
     /// Quarantines workers whose tasks take far longer than expected, unless
     /// half of their service does.
     pub(super) fn quarantine_stuck(&mut self, now: TimestampMs) {
--- a/crates/lagoonhill_core/src/entry/machine/sessions.rs
+++ b/crates/lagoonhill_core/src/entry/machine/sessions.rs
@@ -115,6 +115,7 @@
         for message in messages {
             self.on_message(key, message, now);
         }
+        self.judge_report(key, now);
         if let Some(worker) = self.fleet.get_mut(key) {
             worker.session.offer_rules(&self.rules);
         }
@@ -140,7 +141,10 @@
                     self.spread_rules(now);
                 }
             }
-            Message::Start(_) | Message::CancelJob(_) | Message::Entries(_) => {}
+            Message::Start(_)
+            | Message::CancelJob(_)
+            | Message::Recall(_)
+            | Message::Entries(_) => {}
         }
     }
 
--- a/crates/lagoonhill_core/src/entry/placement.rs
+++ b/crates/lagoonhill_core/src/entry/placement.rs
@@ -55,6 +55,9 @@
     pub run_time_ms: DurationMs,
     /// How much of a worker the task may use.
     pub room: Room,
+    /// Time left in which the task must end to keep its job's promise; absent
+    /// when there is none to keep.
+    pub within_ms: Option<DurationMs>,
 }
 
 /// Chooses the worker for the next task, or none when all are full.
@@ -84,15 +87,31 @@
         self.turn = self.turn.wrapping_add(1);
         let turn = self.turn;
         let order = (0..count).map(|offset| (turn.wrapping_add(offset)) % count);
-        order
-            .filter(|index| candidates[*index].has_room(situation.room))
-            .min_by_key(|index| {
-                let candidate = &candidates[*index];
-                let finish_us = candidate.expected_finish_us(situation.run_time_ms);
-                (
-                    finish_us / step_us,
-                    u32::from(candidate.load) * 1_000 / u32::from(candidate.slots.max(1)),
-                )
-            })
+        let in_time = |candidate: &Candidate| {
+            let finish_us = candidate.expected_finish_us(situation.run_time_ms);
+            situation
+                .within_ms
+                .is_none_or(|within_ms| finish_us <= within_ms.0 * 1_000)
+        };
+        let restricted = situation.within_ms.is_some()
+            && candidates.iter().any(|candidate| {
+                let empty = Candidate {
+                    load: 0,
+                    ..*candidate
+                };
+                in_time(&empty)
+            });
+        let open = order.filter(|index| {
+            let candidate = &candidates[*index];
+            candidate.has_room(situation.room) && (!restricted || in_time(candidate))
+        });
+        open.min_by_key(|index| {
+            let candidate = &candidates[*index];
+            let finish_us = candidate.expected_finish_us(situation.run_time_ms);
+            (
+                finish_us / step_us,
+                u32::from(candidate.load) * 1_000 / u32::from(candidate.slots.max(1)),
+            )
+        })
     }
 }
--- a/crates/lagoonhill_core/src/entry/run_times.rs
+++ b/crates/lagoonhill_core/src/entry/run_times.rs
@@ -14,27 +14,73 @@
 /// Learned run times by kind of work, on a worker of average speed.
 #[derive(Debug, Default)]
 pub struct RunTimes {
-    mean_micros: HashMap<WorkKind, u64>,
+    learned: HashMap<WorkKind, Learned>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Learned {
+    run_micros: u64,
+    /// Declared run times of the same tasks; zero when none is declared.
+    declared_micros: u64,
 }
 
 /// Weight of the past against one observation.
 const MEMORY: u64 = 63;
 
+/// A job that declares this many times the usual run time, or this part of
+/// it, is believed no further.
+const MAX_DECLARED_FACTOR: f64 = 4.0;
+
 impl RunTimes {
     /// The expected run time, or `prior_ms` when nothing is known.
     pub fn expected(&self, kind: &WorkKind, prior_ms: DurationMs) -> DurationMs {
-        let learned = self.mean_micros.get(kind);
-        learned.map_or(prior_ms, |micros| DurationMs(micros.div_ceil(1_000)))
+        let learned = self.learned.get(kind);
+        learned.map_or(prior_ms, |learned| {
+            DurationMs(learned.run_micros.div_ceil(1_000))
+        })
     }
 
-    /// Learns from a finished task.
-    pub fn observe(&mut self, kind: &WorkKind, run_ms: DurationMs) {
-        let micros = run_ms.0 * 1_000;
-        match self.mean_micros.get_mut(kind) {
-            Some(mean) => *mean = (*mean * MEMORY + micros) / (MEMORY + 1),
-            None => {
-                self.mean_micros.insert(kind.clone(), micros);
-            }
+    /// The expected run time of a task that declares one. Declared times are
+    /// as often off as not, so half of what they say (on a scale of factors)
+    /// is believed.
+    pub fn expected_declared(
+        &self,
+        kind: &WorkKind,
+        declared_ms: DurationMs,
+        prior_ms: DurationMs,
+    ) -> DurationMs {
+        let Some(learned) = self.learned.get(kind) else {
+            return if declared_ms > DurationMs::ZERO {
+                declared_ms
+            } else {
+                prior_ms
+            };
+        };
+        if declared_ms == DurationMs::ZERO || learned.declared_micros == 0 {
+            return self.expected(kind, prior_ms);
         }
+        let factor = (declared_ms.0 * 1_000) as f64 / learned.declared_micros as f64;
+        let factor = factor
+            .clamp(MAX_DECLARED_FACTOR.recip(), MAX_DECLARED_FACTOR)
+            .sqrt();
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a run time is positive and far below 2^52 microseconds"
+        )]
+        let micros = (learned.run_micros as f64 * factor) as u64;
+        DurationMs(micros.div_ceil(1_000))
+    }
+
+    /// Learns from a finished task.
+    pub fn observe(&mut self, kind: &WorkKind, run_ms: DurationMs, declared_ms: DurationMs) {
+        let (run_micros, declared_micros) = (run_ms.0 * 1_000, declared_ms.0 * 1_000);
+        let learned = self.learned.entry(kind.clone()).or_insert(Learned {
+            run_micros,
+            declared_micros,
+        });
+        let blend = |mean: u64, new: u64| (mean * MEMORY + new) / (MEMORY + 1);
+        learned.run_micros = blend(learned.run_micros, run_micros);
+        learned.declared_micros = blend(learned.declared_micros, declared_micros);
     }
 }
--- a/crates/lagoonhill_core/src/entry/worker.rs
+++ b/crates/lagoonhill_core/src/entry/worker.rs
@@ -6,7 +6,7 @@
 use slotmap::new_key_type;
 
 use super::{Candidate, Health, Needs, WorkKind};
-use crate::Session;
+use crate::{Session, overdue_after};
 
 new_key_type! {
     /// Names one session's worker within an entry. A new session of the same
@@ -40,6 +40,10 @@
     pub kind: WorkKind,
     /// How long it is expected to run on a worker of average speed.
     pub expected_ms: DurationMs,
+    /// What its job declared; zero when nothing.
+    pub declared_ms: DurationMs,
+    /// Whether its agent has been told to give it back.
+    pub recalled: bool,
 }
 
 /// A task that has taken this many times the expected run time is late.
@@ -51,8 +55,11 @@
 /// Fewer late tasks than this may be long by chance.
 const MIN_STUCK_ORDERS: usize = 3;
 
+/// Overdue tasks that make an agent's report suspicious.
+const MIN_OVERDUE: u16 = 2;
+
 /// The average speed, in thousandths.
-const AVERAGE_SLOWNESS_PERMILLE: u32 = 1_000;
+pub(super) const AVERAGE_SLOWNESS_PERMILLE: u32 = 1_000;
 
 /// An entry's view of one worker, for the length of one session.
 #[derive(Debug)]
@@ -210,6 +217,11 @@
         expected_ms * u64::from(self.slowness_permille) / u64::from(AVERAGE_SLOWNESS_PERMILLE)
     }
 
+    /// The run time on a worker of average speed, from the one observed here.
+    pub fn normal_run_time(&self, run_ms: DurationMs) -> DurationMs {
+        run_ms * u64::from(AVERAGE_SLOWNESS_PERMILLE) / u64::from(self.slowness_permille.max(1))
+    }
+
     /// Whether it is full and at least half of our orders take far longer than
     /// usual here, as on a machine that has become slow. On a worker that is
     /// not full the long tasks are merely the ones that are left.
@@ -230,6 +242,24 @@
         full && late_orders >= MIN_STUCK_ORDERS && late_orders * 2 >= self.orders.len()
     }
 
+    /// Whether its agent reports that most of what runs there is overdue.
+    pub fn reports_overdue(&self) -> bool {
+        self.load.overdue >= MIN_OVERDUE && self.load.overdue * 2 >= self.load.total
+    }
+
+    /// Orders that have been there far longer than they should take.
+    pub fn overdue_orders(&self, now: TimestampMs) -> Vec<TaskId> {
+        let is_overdue = |order: &Order| {
+            let usual_ms = self.usual_run_time(order.expected_ms);
+            !order.recalled && now.since(order.sent_ms) > overdue_after(usual_ms)
+        };
+        self.orders
+            .iter()
+            .filter(|(_, order)| is_overdue(order))
+            .map(|(task, _)| *task)
+            .collect()
+    }
+
     /// Forgets what was learned of its speed while it was slow.
     pub fn reset_speed(&mut self) {
         self.slowness_permille = AVERAGE_SLOWNESS_PERMILLE;
--- a/crates/lagoonhill_core/src/lib.rs
+++ b/crates/lagoonhill_core/src/lib.rs
@@ -13,4 +13,4 @@
 
 pub use rules_spread::RulesSpread;
 pub use session::{FrameHeader, Heartbeat, Session, Verdict};
-pub use timing::Timing;
+pub use timing::{Timing, overdue_after};
--- a/crates/lagoonhill_core/src/timing.rs
+++ b/crates/lagoonhill_core/src/timing.rs
@@ -29,6 +29,18 @@
     pub forget_entry_ms: DurationMs,
 }
 
+/// A run that has taken this many times its expected time is overdue: with run
+/// times that spread by 40%, fewer than one in a hundred is by chance.
+const OVERDUE_FACTOR: u64 = 3;
+
+/// Added for runs so short that the path to the target counts.
+const OVERDUE_SLACK_MS: DurationMs = DurationMs(100);
+
+/// How long a run may take before it counts as overdue.
+pub fn overdue_after(expected_ms: DurationMs) -> DurationMs {
+    expected_ms * OVERDUE_FACTOR + OVERDUE_SLACK_MS
+}
+
 impl Default for Timing {
     fn default() -> Self {
         Self {
--- a/crates/lagoonhill_protocol/src/frame.rs
+++ b/crates/lagoonhill_protocol/src/frame.rs
@@ -30,6 +30,10 @@
     pub total_processors: MilliProcessors,
     /// Processors that they take, for the entry that the frame goes to.
     pub your_processors: MilliProcessors,
+    /// Running tasks that take far longer than expected.
+    pub overdue: u16,
+    /// Jobs of which a task has failed since the last task that did not.
+    pub failed_jobs: u16,
 }
 
 /// One unit of a session: new or repeated messages, with an acknowledgement
--- a/crates/lagoonhill_protocol/src/message.rs
+++ b/crates/lagoonhill_protocol/src/message.rs
@@ -25,6 +25,8 @@
     Outcome(Outcome),
     /// Entry to agent: drop the job's waiting tasks, stop its running ones.
     CancelJob(JobId),
+    /// Entry to agent: withdraw this task, or stop it; its outcome follows.
+    Recall(TaskId),
     /// Agent to entry: the target announced itself anew, or is gone.
     Target(Option<Target>),
     /// Agent to entry: no new work, please.
--- a/crates/lagoonhill_protocol/src/start.rs
+++ b/crates/lagoonhill_protocol/src/start.rs
@@ -13,6 +13,8 @@
     pub decided_ms: TimestampMs,
     /// How long the target may take.
     pub run_limit_ms: DurationMs,
+    /// How long the run is expected to take on this target.
+    pub expected_ms: DurationMs,
     /// What the run takes of the target.
     pub needs: Resources,
     /// Which run of the task this is.
@@ -23,7 +25,7 @@
     pub payload: Payload,
 }
 
-const FIELDS: usize = 7;
+const FIELDS: usize = 8;
 
 impl Serialize for Start {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
@@ -31,6 +33,7 @@
         tuple.serialize_element(&self.task)?;
         tuple.serialize_element(&self.decided_ms)?;
         tuple.serialize_element(&self.run_limit_ms)?;
+        tuple.serialize_element(&self.expected_ms)?;
         tuple.serialize_element(&self.needs)?;
         tuple.serialize_element(&self.run)?;
         tuple.serialize_element(&self.name)?;
@@ -45,19 +48,20 @@
     type Value = Start;
 
     fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("a start: task, time, run limit, needs, run, name, payload")
+        f.write_str("a start: task, time, run limit, expected run time, needs, run, name, payload")
     }
 
     fn visit_seq<A: de::SeqAccess<'de>>(self, mut seq: A) -> Result<Start, A::Error> {
-        let missing = |index| de::Error::invalid_length(index, &"a start of seven fields");
+        let missing = |index| de::Error::invalid_length(index, &"a start of eight fields");
         Ok(Start {
             task: seq.next_element()?.ok_or_else(|| missing(0))?,
             decided_ms: seq.next_element()?.ok_or_else(|| missing(1))?,
             run_limit_ms: seq.next_element()?.ok_or_else(|| missing(2))?,
-            needs: seq.next_element()?.ok_or_else(|| missing(3))?,
-            run: seq.next_element()?.ok_or_else(|| missing(4))?,
-            name: seq.next_element()?.ok_or_else(|| missing(5))?,
-            payload: seq.next_element()?.ok_or_else(|| missing(6))?,
+            expected_ms: seq.next_element()?.ok_or_else(|| missing(3))?,
+            needs: seq.next_element()?.ok_or_else(|| missing(4))?,
+            run: seq.next_element()?.ok_or_else(|| missing(5))?,
+            name: seq.next_element()?.ok_or_else(|| missing(6))?,
+            payload: seq.next_element()?.ok_or_else(|| missing(7))?,
         })
     }
 }
--- a/crates/lagoonhill_protocol/tests/codec.rs
+++ b/crates/lagoonhill_protocol/tests/codec.rs
@@ -38,6 +38,8 @@
             yours: 6,
             total_processors: MilliProcessors(7),
             your_processors: MilliProcessors(8),
+            overdue: 9,
+            failed_jobs: 10,
         },
         ping: 7,
         messages,
@@ -51,6 +53,7 @@
             task: task(number, index),
             decided_ms: TimestampMs(number),
             run_limit_ms: DurationMs(number),
+            expected_ms: DurationMs(number),
             needs: Resources {
                 processors: MilliProcessors(u32::from(index)),
                 memory_bytes: ByteCount(number),
