Start and keep a run only while its entry has echoed us lately

Ruled out: a second submission (both runs are numbered by one entry), a lapse at the target (it lists run 1 as stopped). Change: every frame echoes the newest time of sending seen; the run lease and the start of an order count from that, on one clock. Tests: three in lagoonhill_core/tests/agent.rs.

--- a/crates/lagoonhill/src/settings.rs
+++ b/crates/lagoonhill/src/settings.rs
@@ -112,6 +112,7 @@
             max_body_bytes: max_body_bytes?,
             look_ahead: look_ahead?,
             key_rate: key_rate?,
+            shares_rules: true,
             timing: Timing::default(),
         };
         Some((settings, log?))
--- a/crates/lagoonhill_core/src/agent/held_task.rs
+++ b/crates/lagoonhill_core/src/agent/held_task.rs
@@ -35,6 +35,8 @@
     pub session: SessionId,
     /// The order.
     pub start: Start,
+    /// When it arrived.
+    pub arrived_ms: TimestampMs,
     /// Where it stands.
     pub phase: TaskPhase,
 }
--- a/crates/lagoonhill_core/src/agent/machine.rs
+++ b/crates/lagoonhill_core/src/agent/machine.rs
@@ -234,6 +234,7 @@
             }
             self.watch(key, now);
         }
+        self.start_waiting(now);
         if self.leaving && !self.drained_told && self.is_drained() {
             self.drained_told = true;
             self.effects.push(AgentEffect::Drained);
@@ -338,15 +339,31 @@
             }
             return;
         };
-        let is_busy = link.held > 0;
-        let silent_ms = now.since(session.alive_ms());
-        if is_busy && silent_ms > timing.run_lease_ms {
-            return self.end_session(key, now);
-        }
+        let lapsed = now.since(session.alive_ms()) > timing.run_lease_ms;
         match session.tick(false, now) {
             Verdict::Alive => {}
             Verdict::Redial => self.effects.push(AgentEffect::Redial { to }),
-            Verdict::Failed => self.end_session(key, now),
+            Verdict::Failed => return self.end_session(key, now),
+        }
+        if lapsed {
+            self.stop_lapsed(key);
+        }
+    }
+
+    /// Stops what runs for an entry that has not shown for the run lease that
+    /// it still counts on it.
+    fn stop_lapsed(&mut self, entry: EntryKey) {
+        let is_running = |task: &HeldTask| {
+            task.entry == entry && matches!(task.phase, TaskPhase::Running { .. })
+        };
+        let running: Vec<TaskKey> = self
+            .tasks
+            .iter()
+            .filter(|(_, task)| is_running(task))
+            .map(|(key, _)| key)
+            .collect();
+        for key in running {
+            self.drop_or_stop(key);
         }
     }
 
@@ -376,6 +393,7 @@
                     .get_or_insert_with(|| Session::new(id, timing, welcome.heartbeat_ms, now));
                 session.set_heartbeat(welcome.heartbeat_ms);
                 session.heard(welcome.sent_ms, welcome.rules_revision, now);
+                session.answered(welcome.echo_ms, now);
                 if is_new {
                     self.update_greeting(key);
                 }
@@ -535,6 +553,7 @@
             entry,
             session,
             start,
+            arrived_ms: now,
             phase: TaskPhase::Waiting,
         };
         if let Some(reason) = refusal {
@@ -563,10 +582,19 @@
         (too_many || too_long && !self.has_room(start.needs, target)).then_some(NotRunReason::Full)
     }
 
+    /// Whether the target has a slot and resources for one more task.
     fn has_room(&self, needs: Resources, target: &Target) -> bool {
         self.running < target.slots.0 && (self.used + needs).fits_in(target.capacity)
     }
 
+    /// Whether the entry was certainly alive so lately that it counts on what
+    /// it ordered. An order that was long on its way waits for a new sign of
+    /// life: its entry may have given the worker up since.
+    fn is_confirmed(&self, key: EntryKey, now: TimestampMs) -> bool {
+        let session = self.entries.get(key).and_then(|link| link.session.as_ref());
+        session.is_some_and(|open| now.since(open.alive_ms()) <= self.config.timing.start_lease_ms)
+    }
+
     fn is_expired(&self, key: EntryKey, start: &Start, now: TimestampMs) -> bool {
         let session = self.entries.get(key).and_then(|link| link.session.as_ref());
         session
@@ -648,28 +676,62 @@
         let Some(target) = self.target.clone() else {
             return;
         };
-        while self.running < target.slots.0 {
-            let Some(&key) = self.waiting.front() else {
-                return;
-            };
-            let task = &self.tasks[key];
-            if self.is_expired(task.entry, &task.start, now) {
-                self.withdraw(key, NotRunReason::Expired);
-                continue;
-            }
-            if !(self.used + task.start.needs).fits_in(target.capacity) {
-                return;
+        let mut position = 0;
+        while let Some(&key) = self.waiting.get(position) {
+            match self.readiness(key, &target, now) {
+                Readiness::Expired => self.withdraw(key, NotRunReason::Expired),
+                Readiness::Unconfirmed => {
+                    let entry = self.tasks[key].entry;
+                    if let Some(session) = self.session_mut(entry) {
+                        session.ask_now();
+                    }
+                    position += 1;
+                }
+                Readiness::NoRoom => return,
+                Readiness::Ready => {
+                    self.waiting.remove(position);
+                    self.run(key, target.clone(), now);
+                }
             }
-            self.waiting.pop_front();
-            let start = self.tasks[key].start.clone();
-            self.tasks[key].phase = TaskPhase::Running { started_ms: now };
-            self.running += 1;
-            self.used = self.used + start.needs;
-            self.effects.push(AgentEffect::Run {
-                key,
-                start,
-                target: target.clone(),
-            });
         }
     }
+
+    fn readiness(&self, key: TaskKey, target: &Target, now: TimestampMs) -> Readiness {
+        let task = &self.tasks[key];
+        let is_confirmed = self.is_confirmed(task.entry, now);
+        let waited_ms = now.since(task.arrived_ms);
+        if self.is_expired(task.entry, &task.start, now)
+            || !is_confirmed && waited_ms > self.config.timing.start_lease_ms
+        {
+            Readiness::Expired
+        } else if !is_confirmed {
+            Readiness::Unconfirmed
+        } else if self.has_room(task.start.needs, target) {
+            Readiness::Ready
+        } else {
+            Readiness::NoRoom
+        }
+    }
+
+    fn run(&mut self, key: TaskKey, target: Target, now: TimestampMs) {
+        let task = &mut self.tasks[key];
+        task.phase = TaskPhase::Running { started_ms: now };
+        let start = task.start.clone();
+        self.running += 1;
+        self.used = self.used + start.needs;
+        self.effects.push(AgentEffect::Run { key, start, target });
+    }
+}
+
+/// Whether a waiting task may start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Readiness {
+    /// It was on its way or here for too long.
+    Expired,
+    /// Its entry must first show that it still counts on it.
+    Unconfirmed,
+    /// The target is full.
+    NoRoom,
+    /// Now.
+    Ready,
 }
--- a/crates/lagoonhill_core/src/entry/config.rs
+++ b/crates/lagoonhill_core/src/entry/config.rs
@@ -12,6 +12,9 @@
     pub timing: Timing,
     /// Tasks that an agent is given beyond its slots.
     pub look_ahead: u16,
+    /// Whether agents are handed the rules, so that an entry that can't reach
+    /// the store learns them from its agents.
+    pub shares_rules: bool,
     /// Queued tasks at most, for each service.
     pub max_queued_tasks: usize,
     /// Longest deadline that a caller may ask for.
@@ -32,6 +35,7 @@
             address,
             timing: Timing::default(),
             look_ahead: 1,
+            shares_rules: true,
             max_queued_tasks: 50_000,
             max_deadline_ms: DurationMs::from_secs(120),
             max_moves: 8,
--- a/crates/lagoonhill_core/src/entry/machine/mod.rs
+++ b/crates/lagoonhill_core/src/entry/machine/mod.rs
@@ -170,9 +170,11 @@
     fn spread_rules(&mut self, now: TimestampMs) {
         let revision = self.rules.revision();
         self.decide(now, None, None, DecisionKind::Rules { revision });
-        for (key, worker) in self.fleet.iter_mut() {
-            worker.session.offer_rules(&self.rules);
-            self.dirty.insert(key);
+        if self.config.shares_rules {
+            for (key, worker) in self.fleet.iter_mut() {
+                worker.session.offer_rules(&self.rules);
+                self.dirty.insert(key);
+            }
         }
         self.dispatch_all(now);
     }
--- a/crates/lagoonhill_core/src/entry/machine/sessions.rs
+++ b/crates/lagoonhill_core/src/entry/machine/sessions.rs
@@ -53,7 +53,9 @@
         let heartbeat_ms = self.heartbeat();
         let mut session = Session::new(hello.session, self.config.timing, heartbeat_ms, now);
         session.heard(hello.sent_ms, hello.rules_revision, now);
-        session.offer_rules(&self.rules);
+        if self.config.shares_rules {
+            session.offer_rules(&self.rules);
+        }
         let mut worker = Worker::new(hello.worker, hello.zone, to, hello.target, session);
         worker.leaving = hello.leaving;
         let id = worker.id.clone();
@@ -77,6 +79,7 @@
         let welcome = Welcome {
             session,
             sent_ms: now,
+            echo_ms: worker.session.peer_sent_ms(),
             heartbeat_ms,
             rules_revision,
             entries,
@@ -116,7 +119,9 @@
             self.on_message(key, message, now);
         }
         self.judge_report(key, now);
-        if let Some(worker) = self.fleet.get_mut(key) {
+        if self.config.shares_rules
+            && let Some(worker) = self.fleet.get_mut(key)
+        {
             worker.session.offer_rules(&self.rules);
         }
         self.dispatch_all(now);
--- a/crates/lagoonhill_core/src/session.rs
+++ b/crates/lagoonhill_core/src/session.rs
@@ -43,8 +43,10 @@
     early: BTreeMap<Sequence, Message>,
     ack_due_ms: Option<TimestampMs>,
     last_heard_ms: TimestampMs,
-    /// When the newest sign of life left the peer, on our clock.
+    /// When we sent the newest frame that the peer is known to have answered.
     alive_ms: TimestampMs,
+    /// The newest time of sending that the peer has shown.
+    peer_sent_ms: TimestampMs,
     last_sent_ms: TimestampMs,
     /// When the answer that is now expected began to be expected.
     waiting_since_ms: Option<TimestampMs>,
@@ -75,7 +77,8 @@
             early: BTreeMap::new(),
             ack_due_ms: None,
             last_heard_ms: now,
-            alive_ms: now,
+            alive_ms: TimestampMs(0),
+            peer_sent_ms: TimestampMs(0),
             last_sent_ms: now,
             waiting_since_ms: None,
             pings: 0,
@@ -101,12 +104,18 @@
         self.last_heard_ms
     }
 
-    /// When the peer is known to have been alive: unlike the time of its last
-    /// packet, this does not count how long the packet was on its way.
+    /// When the peer was certainly alive, on our clock: it has answered a frame
+    /// that we sent then. However long its answer was on its way, or how its
+    /// clock runs, does not matter.
     pub fn alive_ms(&self) -> TimestampMs {
         self.alive_ms
     }
 
+    /// The newest time of sending that the peer has shown, on its clock.
+    pub fn peer_sent_ms(&self) -> TimestampMs {
+        self.peer_sent_ms
+    }
+
     /// When a frame was last sent.
     pub fn last_sent_ms(&self) -> TimestampMs {
         self.last_sent_ms
@@ -154,13 +163,24 @@
             .map_or(offset_ms, |least| least.min(offset_ms));
         self.min_offset_ms = Some(least);
         self.peer_revision = self.peer_revision.max(revision);
-        let sent_ms = now - self.age(sent_ms, now);
-        self.alive_ms = self.alive_ms.max(sent_ms);
+        self.peer_sent_ms = self.peer_sent_ms.max(sent_ms);
         self.last_heard_ms = now;
         self.waiting_since_ms = None;
         self.pings = 0;
     }
 
+    /// Records that the peer has answered what we sent at a moment.
+    pub fn answered(&mut self, echo_ms: TimestampMs, now: TimestampMs) {
+        if echo_ms <= now {
+            self.alive_ms = self.alive_ms.max(echo_ms);
+        }
+    }
+
+    /// Asks for a sign of life with the next frame.
+    pub fn ask_now(&mut self) {
+        self.ping_due = true;
+    }
+
     /// How long ago the peer's clock showed `at`, by the fastest delivery seen.
     pub fn age(&self, at: TimestampMs, now: TimestampMs) -> DurationMs {
         let offset_ms = self
@@ -173,6 +193,7 @@
     /// Takes a frame of this session; returns its new messages in order.
     pub fn receive(&mut self, frame: Frame, now: TimestampMs) -> Vec<Message> {
         self.heard(frame.sent_ms, frame.rules_revision, now);
+        self.answered(frame.echo_ms, now);
         self.take_ack(frame.ack, now);
         if frame.ping > 0 {
             self.ack_due_ms = Some(now);
@@ -300,6 +321,7 @@
             session: self.id,
             reply_to: header.reply_to,
             sent_ms: now,
+            echo_ms: self.peer_sent_ms,
             ack: self.received,
             first,
             rules_revision: header.rules_revision,
--- a/crates/lagoonhill_core/tests/agent.rs
+++ b/crates/lagoonhill_core/tests/agent.rs
@@ -2,9 +2,16 @@
 
 mod support;
 
-use lagoonhill_core::agent::Agent;
+use std::net::SocketAddr;
+
+use lagoonhill_core::Timing;
+use lagoonhill_core::agent::{Agent, AgentConfig, AgentEffect};
 use lagoonhill_core::entry::LeastExpectedFinish;
+use lagoonhill_protocol::{
+    EntryAddress, Frame, Load, Message, Packet, Sequence, SessionId, Start, Target, Welcome,
+};
 use lagoonhill_standin::{NodeId, Step, World};
+use lagoonhill_types::prelude::*;
 use support::{Judge, config, is_complete, job, world};
 
 const ENTRY: NodeId = NodeId::Entry(0);
@@ -182,3 +189,164 @@
         assert_eq!(known, 1);
     }
 }
+
+/// An agent with one open session, fed packet by packet.
+struct Fed {
+    agent: Agent,
+    session: SessionId,
+    sent: u64,
+}
+
+const ADDRESS: ([u8; 4], u16) = ([127, 0, 0, 1], 1);
+
+impl Fed {
+    /// Opens the session at `now`; the greeting's answer took `delay_ms`.
+    fn new(now: TimestampMs, delay_ms: u64) -> Self {
+        let (entry, agent) = (Incarnation(1), Incarnation(2));
+        let address = SocketAddr::from(ADDRESS);
+        let config = AgentConfig {
+            incarnation: agent,
+            worker: "worker".parse().expect("the name is valid"),
+            zone: "zone".parse().expect("the name is valid"),
+            inbox: address,
+            overcommit: 8,
+            timing: Timing::default(),
+        };
+        let mut agent_machine = Agent::new(config, now);
+        let target = Target {
+            service: support::service(),
+            address,
+            slots: SlotCount(4),
+            connections: 4,
+            capacity: Resources::default(),
+            labels: Vec::new(),
+        };
+        agent_machine.set_target(Some(target), now);
+        let known = EntryAddress {
+            incarnation: entry,
+            inbox: address,
+            http: address,
+        };
+        agent_machine.add_entries(&[known], now);
+        let session = SessionId {
+            entry,
+            agent,
+            number: 1,
+        };
+        let welcome = Welcome {
+            session,
+            sent_ms: now,
+            echo_ms: now,
+            heartbeat_ms: DurationMs(2_000),
+            rules_revision: Revision(0),
+            entries: Vec::new(),
+        };
+        agent_machine.receive(Packet::Welcome(welcome), now + DurationMs(delay_ms));
+        Self {
+            agent: agent_machine,
+            session,
+            sent: 0,
+        }
+    }
+
+    /// Delivers a frame that left the entry after it had seen what the agent
+    /// sent at `echo_ms`.
+    fn frame(&mut self, start: Option<Start>, echo_ms: TimestampMs, now: TimestampMs) {
+        let messages: Vec<Message> = start.into_iter().map(Message::Start).collect();
+        let first = Sequence(self.sent + 1);
+        self.sent += messages.len() as u64;
+        let frame = Frame {
+            session: self.session,
+            reply_to: SocketAddr::from(ADDRESS),
+            sent_ms: now,
+            echo_ms,
+            ack: Sequence(0),
+            first,
+            rules_revision: Revision(0),
+            load: Load::default(),
+            ping: 0,
+            messages,
+        };
+        self.agent.receive(Packet::Frame(frame), now);
+    }
+
+    fn effects(&mut self, now: TimestampMs) -> Vec<AgentEffect> {
+        self.agent.poll_effects(now)
+    }
+}
+
+fn order(now: TimestampMs) -> Start {
+    Start {
+        task: TaskId::default(),
+        decided_ms: now,
+        run_limit_ms: DurationMs(10_000),
+        expected_ms: DurationMs(100),
+        needs: Resources::default(),
+        run: RunNumber(1),
+        name: None,
+        payload: Payload::default(),
+    }
+}
+
+fn runs(effects: &[AgentEffect]) -> usize {
+    let is_run = |effect: &&AgentEffect| matches!(effect, AgentEffect::Run { .. });
+    effects.iter().filter(is_run).count()
+}
+
+fn stops(effects: &[AgentEffect]) -> usize {
+    let is_stop = |effect: &&AgentEffect| matches!(effect, AgentEffect::Stop { .. });
+    effects.iter().filter(is_stop).count()
+}
+
+fn asks(effects: &[AgentEffect]) -> bool {
+    effects.iter().any(|effect| {
+        matches!(effect, AgentEffect::Send { packet: Packet::Frame(frame), .. } if frame.ping > 0)
+    })
+}
+
+// Found on the grown Grawys deployment, trouble-1, seed of the standard day, at
+// 33.41 s: a task ran twice at once. A thousand new queues went to every agent
+// by every entry and filled the small links; the path had been slow from the
+// greeting on, so the age of an order was underestimated, and it was started
+// after its entry had given the worker up.
+cases! {
+    an_order_that_was_long_on_its_way_waits_for_its_entry_to_confirm => {
+        let began = TimestampMs(1_000_000);
+        let mut fed = Fed::new(began, 3_000);
+        let now = began + DurationMs(9_000);
+        fed.frame(Some(order(now)), began, now);
+        let effects = fed.effects(now);
+        assert_eq!(runs(&effects), 0, "an unconfirmed order was started");
+        assert!(asks(&effects), "the entry is not asked");
+        let answered = now + DurationMs(5);
+        fed.frame(None, now, answered);
+        assert_eq!(runs(&fed.effects(answered)), 1, "a confirmed order was not started");
+    }
+
+    an_order_that_nobody_confirms_is_handed_back => {
+        let began = TimestampMs(1_000_000);
+        let mut fed = Fed::new(began, 1);
+        let now = began + DurationMs(9_000);
+        fed.frame(Some(order(now)), began, now);
+        fed.agent.tick(now + DurationMs(4_500));
+        assert_eq!(fed.agent.held(), 0);
+        assert_eq!(runs(&fed.effects(now + DurationMs(4_500))), 0);
+    }
+
+    what_runs_is_stopped_when_only_old_packets_arrive => {
+        let began = TimestampMs(1_000_000);
+        let mut fed = Fed::new(began, 1);
+        fed.frame(Some(order(began)), began, began);
+        assert_eq!(runs(&fed.effects(began)), 1);
+        for second in 1..=9 {
+            let now = began + DurationMs(second * 1_000);
+            fed.frame(None, began, now);
+            fed.agent.tick(now);
+            assert_eq!(stops(&fed.effects(now)), 0, "stopped within the run lease");
+        }
+        let lapsed = began + DurationMs(10_001);
+        fed.frame(None, began, lapsed);
+        fed.agent.tick(lapsed);
+        assert_eq!(stops(&fed.effects(lapsed)), 1, "ran on after the run lease");
+    }
+}
--- a/crates/lagoonhill_entry/src/daemon.rs
+++ b/crates/lagoonhill_entry/src/daemon.rs
@@ -69,6 +69,7 @@
         };
         let config = EntryConfig {
             look_ahead: settings.look_ahead,
+            shares_rules: settings.shares_rules,
             timing: settings.timing,
             ..EntryConfig::new(address)
         };
--- a/crates/lagoonhill_entry/src/settings.rs
+++ b/crates/lagoonhill_entry/src/settings.rs
@@ -27,6 +27,8 @@
     pub look_ahead: u16,
     /// Keys bound in the platform's store by this entry at most.
     pub key_rate: PerSecond,
+    /// Whether agents are handed the rules.
+    pub shares_rules: bool,
     /// Session limits; the same at every entry and agent.
     pub timing: Timing,
 }
@@ -45,6 +47,7 @@
             max_body_bytes: ByteCount(4 << 20),
             look_ahead: 1,
             key_rate: PerSecond(50),
+            shares_rules: true,
             timing: Timing::default(),
         }
     }
--- a/crates/lagoonhill_protocol/src/frame.rs
+++ b/crates/lagoonhill_protocol/src/frame.rs
@@ -46,6 +46,9 @@
     pub reply_to: SocketAddr,
     /// When the frame was sent, on the sender's clock.
     pub sent_ms: TimestampMs,
+    /// The newest `sent_ms` received from the other side: the sender was alive
+    /// after that moment.
+    pub echo_ms: TimestampMs,
     /// The last message received in order.
     pub ack: Sequence,
     /// The number of the first message below.
--- a/crates/lagoonhill_protocol/src/hello.rs
+++ b/crates/lagoonhill_protocol/src/hello.rs
@@ -33,6 +33,8 @@
     pub session: SessionId,
     /// When the packet was sent, on the entry's clock.
     pub sent_ms: TimestampMs,
+    /// When the answered greeting was sent, on the agent's clock.
+    pub echo_ms: TimestampMs,
     /// How often an idle session is to be heard of.
     pub heartbeat_ms: DurationMs,
     /// The entry's rules.
--- a/crates/lagoonhill_protocol/tests/codec.rs
+++ b/crates/lagoonhill_protocol/tests/codec.rs
@@ -27,6 +27,7 @@
         number: u32::MAX,
     };
     Packet::Frame(Frame {
+        echo_ms: TimestampMs(11),
         session,
         reply_to: SocketAddr::from(([127, 0, 0, 1], 65_535)),
         sent_ms: TimestampMs(1),
