--- a/crates/lagoonhill_core/src/agent/machine.rs
+++ b/crates/lagoonhill_core/src/agent/machine.rs
@@ -18,8 +18,12 @@
 /// Failed jobs that are counted at most.
 const MAX_FAILED_JOBS: usize = 16;
 
-/// An entry for which tasks are held is heard this often within a run lease.
-const BEATS_PER_LEASE: u64 = 3;
+/// An entry for which tasks are held is asked for a sign of life this often in
+/// the time of two run leases.
+const BEATS_IN_TWO_LEASES: u64 = 5;
+
+/// Time after which an unanswered question about an order is repeated.
+const ASK_AGAIN_MS: DurationMs = DurationMs(50);
 
 /// Time that entries are given to learn of an edit by themselves.
 const RULES_ECHO_DELAY_MS: DurationMs = DurationMs(3_000);
@@ -265,7 +269,9 @@
                     failed_jobs,
                 },
                 heartbeat: if link.held > 0 {
-                    Heartbeat::AtLeastEvery(self.config.timing.run_lease_ms / BEATS_PER_LEASE)
+                    Heartbeat::WithinLease(
+                        self.config.timing.run_lease_ms * 2 / BEATS_IN_TWO_LEASES,
+                    )
                 } else {
                     Heartbeat::AsAgreed
                 },
@@ -592,7 +598,8 @@
     /// life: its entry may have given the worker up since.
     fn is_confirmed(&self, key: EntryKey, now: TimestampMs) -> bool {
         let session = self.entries.get(key).and_then(|link| link.session.as_ref());
-        session.is_some_and(|open| now.since(open.alive_ms()) <= self.config.timing.start_lease_ms)
+        let most_ms = self.config.timing.run_lease_ms * 3 / 4;
+        session.is_some_and(|open| now.since(open.alive_ms()) <= most_ms)
     }
 
     fn is_expired(&self, key: EntryKey, start: &Start, now: TimestampMs) -> bool {
@@ -683,7 +690,7 @@
                 Readiness::Unconfirmed => {
                     let entry = self.tasks[key].entry;
                     if let Some(session) = self.session_mut(entry) {
-                        session.ask_now();
+                        session.ask(ASK_AGAIN_MS, now);
                     }
                     position += 1;
                 }
--- a/crates/lagoonhill_core/src/entry/fleet.rs
+++ b/crates/lagoonhill_core/src/entry/fleet.rs
@@ -228,7 +228,7 @@
     if worker.state() != WorkerState::Serving {
         return Allowance::Nothing;
     }
-    let is_free = worker.orders.is_empty();
+    let is_free = worker.is_idle();
     let quarantined = worker.health.is_quarantined();
     match rules.serving_state(&worker.id, &worker.zone) {
         ServingState::Serve if !quarantined => Allowance::Anything,
--- a/crates/lagoonhill_core/src/entry/machine/dispatch.rs
+++ b/crates/lagoonhill_core/src/entry/machine/dispatch.rs
@@ -265,7 +265,7 @@
             recalled: false,
         };
         let expected_ms = worker.usual_run_time(expected_ms);
-        worker.orders.insert(task, order);
+        worker.add_order(task, order);
         worker.session.push(Message::Start(Start {
             task,
             decided_ms: now,
--- a/crates/lagoonhill_core/src/entry/machine/mod.rs
+++ b/crates/lagoonhill_core/src/entry/machine/mod.rs
@@ -234,7 +234,7 @@
         if frozen {
             worker.session.forgive(now);
         }
-        let busy = !worker.orders.is_empty();
+        let busy = !worker.is_idle();
         let to: SocketAddr = worker.inbox;
         match worker.session.tick(busy, now) {
             Verdict::Alive => {}
--- a/crates/lagoonhill_core/src/entry/machine/outcomes.rs
+++ b/crates/lagoonhill_core/src/entry/machine/outcomes.rs
@@ -19,7 +19,7 @@
         let Some(worker) = self.fleet.get_mut(key) else {
             return;
         };
-        let Some(order) = worker.orders.remove(&task) else {
+        let Some(order) = worker.take_order(task) else {
             return;
         };
         self.release_quota(&order.team);
@@ -293,9 +293,7 @@
             if !may_rerun {
                 continue;
             }
-            if let Some(order) = worker.orders.get_mut(&task) {
-                order.recalled = true;
-            }
+            worker.recall_order(task);
             worker.session.push(Message::Recall(task));
             self.dirty.insert(key);
         }
--- a/crates/lagoonhill_core/src/entry/machine/sessions.rs
+++ b/crates/lagoonhill_core/src/entry/machine/sessions.rs
@@ -165,7 +165,7 @@
         };
         self.decide(now, None, None, left);
         let over_ms = self.over_at(&worker);
-        for (task, order) in &worker.orders {
+        for (task, order) in worker.orders() {
             self.release_quota(&order.team);
             let Some(&job) = self.by_job.get(&task.job) else {
                 continue;
@@ -183,12 +183,12 @@
     }
 
     /// When a lost worker certainly runs nothing of ours: its agent lets our
-    /// tasks run for the run lease after our last frame, and its target for
-    /// the hold after that.
+    /// tasks run for the run lease after what we answered last, and its target
+    /// for the hold after that.
     fn over_at(&self, worker: &Worker) -> TimestampMs {
         let timing = self.config.timing;
         let hold_ms = timing.hold_ms + timing.hold_ms / SLOW_CLOCK_DIVISOR;
-        worker.session.last_sent_ms() + timing.run_lease_ms + hold_ms
+        worker.session.peer_shown_ms() + timing.run_lease_ms + hold_ms
     }
 
     fn unsettle(
--- a/crates/lagoonhill_core/src/entry/worker.rs
+++ b/crates/lagoonhill_core/src/entry/worker.rs
@@ -76,8 +76,9 @@
     pub session: Session,
     /// Whether it said that it is leaving.
     pub leaving: bool,
-    /// Orders without an outcome, by task.
-    pub orders: HashMap<TaskId, Order>,
+    orders: HashMap<TaskId, Order>,
+    /// What the orders take together.
+    ordered: Resources,
     /// Whether it runs tasks well.
     pub health: Health,
     /// The agent's last report.
@@ -106,6 +107,7 @@
             session,
             leaving: false,
             orders: HashMap::new(),
+            ordered: Resources::default(),
             health: Health::default(),
             load: Load::default(),
             told_heartbeat_ms: DurationMs::ZERO,
@@ -151,9 +153,37 @@
             processors: MilliProcessors(others),
             ..Resources::default()
         };
-        self.orders
-            .values()
-            .fold(others, |sum, order| sum + order.needs)
+        others + self.ordered
+    }
+
+    /// Orders without an outcome, by task.
+    pub fn orders(&self) -> impl Iterator<Item = (&TaskId, &Order)> {
+        self.orders.iter()
+    }
+
+    /// Whether every order has its outcome.
+    pub fn is_idle(&self) -> bool {
+        self.orders.is_empty()
+    }
+
+    /// Notes an order that has been sent.
+    pub fn add_order(&mut self, task: TaskId, order: Order) {
+        self.ordered = self.ordered + order.needs;
+        self.orders.insert(task, order);
+    }
+
+    /// Takes an order whose outcome is known.
+    pub fn take_order(&mut self, task: TaskId) -> Option<Order> {
+        let order = self.orders.remove(&task)?;
+        self.ordered = self.ordered - order.needs;
+        Some(order)
+    }
+
+    /// Notes that an order is to be given back.
+    pub fn recall_order(&mut self, task: TaskId) {
+        if let Some(order) = self.orders.get_mut(&task) {
+            order.recalled = true;
+        }
     }
 
     /// How many tasks of these needs the target runs at the same time, and how
--- a/crates/lagoonhill_core/src/session.rs
+++ b/crates/lagoonhill_core/src/session.rs
@@ -47,10 +47,14 @@
     alive_ms: TimestampMs,
     /// The newest time of sending that the peer has shown.
     peer_sent_ms: TimestampMs,
+    /// When that was received.
+    peer_shown_ms: TimestampMs,
     last_sent_ms: TimestampMs,
     /// When the answer that is now expected began to be expected.
     waiting_since_ms: Option<TimestampMs>,
     pings: u8,
+    /// When a frame last asked for an answer.
+    asked_ms: TimestampMs,
     ping_due: bool,
     /// Smallest observed `receive time - send time`, across both clocks.
     min_offset_ms: Option<i64>,
@@ -79,9 +83,11 @@
             last_heard_ms: now,
             alive_ms: TimestampMs(0),
             peer_sent_ms: TimestampMs(0),
+            peer_shown_ms: now,
             last_sent_ms: now,
             waiting_since_ms: None,
             pings: 0,
+            asked_ms: TimestampMs(0),
             ping_due: false,
             min_offset_ms: None,
             peer_revision: Revision(0),
@@ -116,9 +122,10 @@
         self.peer_sent_ms
     }
 
-    /// When a frame was last sent.
-    pub fn last_sent_ms(&self) -> TimestampMs {
-        self.last_sent_ms
+    /// The latest moment that the peer may take as our last sign of life: no
+    /// frame of ours has answered anything that it sent later.
+    pub fn peer_shown_ms(&self) -> TimestampMs {
+        self.peer_shown_ms
     }
 
     /// Whether every message has been acknowledged.
@@ -163,7 +170,10 @@
             .map_or(offset_ms, |least| least.min(offset_ms));
         self.min_offset_ms = Some(least);
         self.peer_revision = self.peer_revision.max(revision);
-        self.peer_sent_ms = self.peer_sent_ms.max(sent_ms);
+        if sent_ms > self.peer_sent_ms {
+            self.peer_sent_ms = sent_ms;
+            self.peer_shown_ms = now;
+        }
         self.last_heard_ms = now;
         self.waiting_since_ms = None;
         self.pings = 0;
@@ -176,9 +186,12 @@
         }
     }
 
-    /// Asks for a sign of life with the next frame.
-    pub fn ask_now(&mut self) {
-        self.ping_due = true;
+    /// Asks for a sign of life with the next frame, unless an answer to an
+    /// earlier question may still be under way.
+    pub fn ask(&mut self, patience_ms: DurationMs, now: TimestampMs) {
+        if now.since(self.asked_ms) >= patience_ms {
+            self.ping_due = true;
+        }
     }
 
     /// How long ago the peer's clock showed `at`, by the fastest delivery seen.
@@ -290,9 +303,13 @@
         let interval_ms = match header.heartbeat {
             Heartbeat::None => None,
             Heartbeat::AsAgreed => Some(self.heartbeat_ms),
-            Heartbeat::AtLeastEvery(most_ms) => Some(self.heartbeat_ms.min(most_ms)),
+            Heartbeat::WithinLease(interval_ms) => Some(interval_ms),
+        };
+        let silent_ms = match header.heartbeat {
+            // Answers count, not questions.
+            Heartbeat::WithinLease(_) => now.since(self.alive_ms.max(self.asked_ms)),
+            Heartbeat::None | Heartbeat::AsAgreed => now.since(self.last_sent_ms),
         };
-        let silent_ms = now.since(self.last_sent_ms);
         let heartbeat_due = interval_ms.is_some_and(|interval_ms| silent_ms >= interval_ms);
         if !has_new && !ack_due && !heartbeat_due && !self.ping_due {
             return None;
@@ -309,6 +326,9 @@
             self.retransmit_from_ms = now;
         }
         self.transmitted = Sequence(self.transmitted.0 + messages.len() as u64);
+        if self.ping_due || heartbeat_due {
+            self.asked_ms = now;
+        }
         let ping = if self.ping_due {
             self.pings.max(1)
         } else {
@@ -352,6 +372,6 @@
     None,
     /// At the interval that the session agreed on.
     AsAgreed,
-    /// At that interval or this one, whichever is shorter.
-    AtLeastEvery(DurationMs),
+    /// When the last answered question, or the last question, is this old.
+    WithinLease(DurationMs),
 }
--- a/crates/lagoonhill_rules/src/rule.rs
+++ b/crates/lagoonhill_rules/src/rule.rs
@@ -28,7 +28,8 @@
         }
     }
 
-    const fn name(self) -> &'static str {
+    /// The word that stands in a rule.
+    pub const fn name(self) -> &'static str {
         match self {
             Self::Rush => "rush",
             Self::Standard => "standard",
--- a/crates/lagoonhill_rules/src/set.rs
+++ b/crates/lagoonhill_rules/src/set.rs
@@ -11,7 +11,8 @@
 pub struct RuleSet {
     /// Which accepted edit this is. 0 means that nothing is known yet.
     pub revision: Revision,
-    lines: BTreeMap<RuleKey, RuleLine>,
+    /// By kind, then by subject, so that a lookup needs no key of its own.
+    lines: BTreeMap<RuleKind, BTreeMap<String, RuleLine>>,
 }
 
 /// The lines that changed between two revisions.
@@ -28,29 +29,36 @@
 impl RuleSet {
     /// Builds a set. A later line replaces an earlier one of the same key.
     pub fn new(revision: Revision, lines: impl IntoIterator<Item = RuleLine>) -> Self {
-        let lines = lines
-            .into_iter()
-            .map(|line| (line.key.clone(), line))
-            .collect();
-        Self { revision, lines }
+        let mut set = Self {
+            revision,
+            lines: BTreeMap::new(),
+        };
+        for line in lines {
+            set.put(line.key.clone(), Some(line));
+        }
+        set
     }
 
     /// All lines in file order.
     pub fn lines(&self) -> impl Iterator<Item = &RuleLine> {
-        self.lines.values()
+        self.lines.values().flat_map(BTreeMap::values)
     }
 
     /// The line of one key.
     pub fn get(&self, key: &RuleKey) -> Option<&RuleLine> {
-        self.lines.get(key)
+        self.lines.get(&key.kind)?.get(&key.subject)
     }
 
     /// Sets or removes one line.
     pub fn put(&mut self, key: RuleKey, line: Option<RuleLine>) {
+        let lines = self.lines.entry(key.kind).or_default();
         match line {
-            Some(line) => self.lines.insert(key, line),
-            None => self.lines.remove(&key),
+            Some(line) => lines.insert(key.subject, line),
+            None => lines.remove(&key.subject),
         };
+        if lines.is_empty() {
+            self.lines.remove(&key.kind);
+        }
     }
 
     /// The whole file as text.
@@ -65,15 +73,13 @@
     /// What changed since `earlier`.
     pub fn delta_since(&self, earlier: &Self) -> RuleDelta {
         let changed = self
-            .lines
-            .iter()
-            .filter(|(key, line)| earlier.lines.get(*key) != Some(*line))
-            .map(|(key, line)| (key.clone(), Some(line.clone())));
+            .lines()
+            .filter(|line| earlier.get(&line.key) != Some(*line))
+            .map(|line| (line.key.clone(), Some(line.clone())));
         let removed = earlier
-            .lines
-            .keys()
-            .filter(|key| !self.lines.contains_key(*key))
-            .map(|key| (key.clone(), None));
+            .lines()
+            .filter(|line| self.get(&line.key).is_none())
+            .map(|line| (line.key.clone(), None));
         RuleDelta {
             from: earlier.revision,
             to: self.revision,
@@ -94,11 +100,8 @@
     }
 
     fn rule(&self, kind: RuleKind, subject: &str) -> Option<&Rule> {
-        let key = RuleKey {
-            kind,
-            subject: subject.to_owned(),
-        };
-        self.lines.get(&key).map(|line| &line.rule)
+        let line = self.lines.get(&kind)?.get(subject)?;
+        Some(&line.rule)
     }
 
     /// The rule of a queue, if operators have created it.
@@ -111,12 +114,13 @@
 
     /// All queues.
     pub fn queues(&self) -> impl Iterator<Item = (&str, &QueueRule)> {
-        self.lines
-            .iter()
-            .filter_map(|(key, line)| match &line.rule {
-                Rule::Queue(rule) => Some((key.subject.as_str(), rule)),
-                _ => None,
-            })
+        let lines = self.lines.get(&RuleKind::Queue);
+        lines.into_iter().flatten().filter_map(|(name, line)| {
+            let Rule::Queue(rule) = &line.rule else {
+                return None;
+            };
+            Some((name.as_str(), rule))
+        })
     }
 
     /// The rule of a service, if operators have created it.
@@ -137,7 +141,7 @@
 
     /// A class's share weight.
     pub fn class_weight(&self, class: Class) -> u32 {
-        match self.rule(RuleKind::Class, &class.to_string()) {
+        match self.rule(RuleKind::Class, class.name()) {
             Some(Rule::Class(rule)) => rule.weight,
             _ => class.default_weight(),
         }
