Carry packets over plain TCP in place of nng

Cause: an entry's cost a start is the packets' own path: nng wakes four threads for each packet received (poller, two task threads, the receiver), tokio one. The test that breaks packets now also checks that the connection is closed.

--- a/crates/lagoonhill/tests/processes.rs
+++ b/crates/lagoonhill/tests/processes.rs
@@ -361,10 +361,11 @@
 
     broken_packets_close_that_connection_only => {
         let fleet = Fleet::start(1, 1).await;
-        let socket = nng::Socket::new(nng::Protocol::Push0).expect("a socket");
-        socket.dial(&format!("tcp://{}", fleet.entries[0].inbox)).expect("a connection");
-        for garbage in [&b""[..], b"\x01garbage", b"\xff\xff\xff"] {
-            let _ = socket.send(garbage);
+        for garbage in [&b"\0\0\0\0"[..], b"\0\0\0\x08\x01garbage", b"\0\0\0\x03\xff\xff\xff", b"\xff\xff\xff\xff"] {
+            let mut socket = std::net::TcpStream::connect(fleet.entries[0].inbox).expect("a connection");
+            std::io::Write::write_all(&mut socket, garbage).expect("the garbage is sent");
+            let closed = std::io::Read::read(&mut socket, &mut [0; 1]);
+            assert!(matches!(closed, Ok(0) | Err(_)), "the connection stays open after {garbage:?}");
         }
         fleet.submit(0, &[], "after", 4, 10).await.expect("an answer").assert_whole("after", 4);
     }
--- a/crates/lagoonhill_agent/src/control.rs
+++ b/crates/lagoonhill_agent/src/control.rs
@@ -117,6 +117,7 @@
                 }
             }
         }
+        self.link.flush();
         self.take_reports(now);
     }
 }
--- a/crates/lagoonhill_agent/src/daemon.rs
+++ b/crates/lagoonhill_agent/src/daemon.rs
@@ -6,7 +6,7 @@
 use lagoonhill_core::agent::{Agent, AgentConfig};
 use lagoonhill_daemon::{StartError, listen, spawn_control};
 use lagoonhill_http::serve;
-use lagoonhill_link::{Inbox, InboxHandle, NngLink};
+use lagoonhill_link::{Inbox, InboxHandle, TcpLink};
 use lagoonhill_platform::{EtcdStore, Store};
 use lagoonhill_types::prelude::*;
 use log::{info, warn};
@@ -68,18 +68,19 @@
         let (drained_sender, drained) = watch::channel(false);
         let state = Control {
             agent: Agent::new(config, clock.now()),
-            link: NngLink::new(),
+            link: TcpLink::new(),
             metrics: metrics.clone(),
             runner: make_runner(AgentHandle(control.clone()), clock.now()),
             drained: drained_sender,
         };
         spawn_control(state, clock, events)?;
         let packets = control.clone();
-        let inbox = inbox.run(move |packet, size_bytes| {
+        let deliver = move |packet, size_bytes| {
             packets
                 .send(ControlEvent::Packet { packet, size_bytes })
                 .is_ok()
-        });
+        };
+        let inbox = inbox.run(deliver).map_err(StartError::Runtime)?;
         let api = Api {
             worker: settings.worker.clone(),
             zone: settings.zone,
--- a/crates/lagoonhill_core/src/agent/machine.rs
+++ b/crates/lagoonhill_core/src/agent/machine.rs
@@ -310,7 +310,9 @@
         link.hello_due_ms = now + pause_ms.min(MAX_HELLO_INTERVAL_MS);
         link.unanswered += 1;
         let to = link.address.inbox;
-        if link.unanswered > 2 {
+        // The first greeting may be to a process that has taken another's
+        // address: a connection from before would swallow it.
+        if link.unanswered == 1 || link.unanswered > 2 {
             self.effects.push(AgentEffect::Redial { to });
         }
         let hello = Hello {
--- a/crates/lagoonhill_core/src/entry/machine/sessions.rs
+++ b/crates/lagoonhill_core/src/entry/machine/sessions.rs
@@ -50,6 +50,9 @@
             }
             self.lose_worker(key, "its agent began a new session", now);
         }
+        // The agent may have been restarted: a connection from before would
+        // swallow the welcome.
+        self.effects.push(EntryEffect::Redial { to });
         let heartbeat_ms = self.heartbeat();
         let mut session = Session::new(hello.session, self.config.timing, heartbeat_ms, now);
         session.heard(hello.sent_ms, hello.rules_revision, now);
--- a/crates/lagoonhill_daemon/src/start_error.rs
+++ b/crates/lagoonhill_daemon/src/start_error.rs
@@ -19,6 +19,9 @@
     /// The inbox could not be opened.
     #[error(transparent)]
     Inbox(#[from] InboxError),
+    /// The runtime did not take a socket.
+    #[error("could not watch a socket: {0}; raise the limit on open files")]
+    Runtime(io::Error),
     /// The system refused a thread.
     #[error("could not start a thread: {0}; raise the limit on processes")]
     Thread(io::Error),
--- a/crates/lagoonhill_entry/src/control.rs
+++ b/crates/lagoonhill_entry/src/control.rs
@@ -170,6 +170,7 @@
                 EntryEffect::Decided(decision) => self.record(decision),
             }
         }
+        self.link.flush();
     }
 }
 
--- a/crates/lagoonhill_entry/src/daemon.rs
+++ b/crates/lagoonhill_entry/src/daemon.rs
@@ -6,7 +6,7 @@
 use lagoonhill_core::entry::{Entry, EntryConfig, LeastExpectedFinish};
 use lagoonhill_daemon::{StartError, listen, spawn_control};
 use lagoonhill_http::{HttpClient, serve};
-use lagoonhill_link::{Inbox, InboxHandle, NngLink};
+use lagoonhill_link::{Inbox, InboxHandle, TcpLink};
 use lagoonhill_platform::{EtcdStore, Store};
 use lagoonhill_protocol::EntryAddress;
 use lagoonhill_rules::RuleSet;
@@ -82,16 +82,16 @@
         let (rules_sender, rules) = watch::channel(Arc::default());
         let state = Control::new(
             entry,
-            NngLink::new(),
+            TcpLink::new(),
             metrics.clone(),
             keys_to_bind,
             rules_sender,
         );
         spawn_control(state, clock, event_queue)?;
         let packets = control.clone();
-        let inbox = inbox.run(move |packet, size_bytes| {
-            packets.tell(ControlEvent::Packet { packet, size_bytes })
-        });
+        let deliver =
+            move |packet, size_bytes| packets.tell(ControlEvent::Packet { packet, size_bytes });
+        let inbox = inbox.run(deliver).map_err(StartError::Runtime)?;
 
         let calls = store.as_ref().map(Store::counts);
         let peers = Peers::new(address, clock);
--- a/crates/lagoonhill_link/src/inbox.rs
+++ b/crates/lagoonhill_link/src/inbox.rs
@@ -1,17 +1,21 @@
-use std::net::SocketAddr;
-use std::thread;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use lagoonhill_protocol::{Packet, decode};
 use log::warn;
-use nng::options::{LocalAddr, Options, RecvBufferSize, RecvMaxSize};
-use nng::{Listener, Protocol, Socket};
-
-/// Received packets that wait for the control thread at most.
-const RECEIVE_BUFFER_PACKETS: i32 = 4_096;
+use tokio::net::TcpStream;
+use tokio::task::{JoinHandle, JoinSet};
+use tokio_stream::StreamExt;
+use tokio_util::codec::{FramedRead, LengthDelimitedCodec};
 
 /// Largest packet accepted.
 const MAX_PACKET_BYTES: usize = 64 << 20;
 
+/// A pause after the system refused a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// The inbox could not be opened.
 #[derive(Debug, thiserror::Error)]
 pub enum InboxError {
@@ -23,14 +27,14 @@
         /// The address asked for.
         address: SocketAddr,
         /// Why.
-        source: nng::Error,
+        source: io::Error,
     },
 }
 
 /// The receiving side of a process's connections.
 #[derive(Debug)]
 pub struct Inbox {
-    socket: Socket,
+    listener: TcpListener,
     address: SocketAddr,
 }
 
@@ -38,17 +42,14 @@
     /// Listens on an address; port 0 lets the system choose.
     pub fn open(address: SocketAddr) -> Result<Self, InboxError> {
         let listen = || {
-            let socket = Socket::new(Protocol::Pull0)?;
-            socket.set_opt::<RecvBufferSize>(RECEIVE_BUFFER_PACKETS)?;
-            socket.set_opt::<RecvMaxSize>(MAX_PACKET_BYTES)?;
-            let listener = Listener::new(&socket, &format!("tcp://{address}"))?;
-            Ok((socket, listener.get_opt::<LocalAddr>()?))
+            let listener = TcpListener::bind(address)?;
+            listener.set_nonblocking(true)?;
+            let bound = listener.local_addr()?;
+            Ok((listener, bound))
         };
-        let (socket, bound) = listen().map_err(|source| InboxError::Listen { address, source })?;
-        Ok(Self {
-            socket,
-            address: bound_address(address, &bound),
-        })
+        let (listener, address) =
+            listen().map_err(|source| InboxError::Listen { address, source })?;
+        Ok(Self { listener, address })
     }
 
     /// Where the inbox listens.
@@ -56,62 +57,70 @@
         self.address
     }
 
-    /// Hands every packet and its size in bytes to `deliver` on a thread of its
-    /// own, until `deliver` returns false or the inbox is closed. A packet that can't be read
-    /// closes the connection that it came on, and no other.
+    /// Hands every packet and its size in bytes to `deliver`, until `deliver`
+    /// returns false or the handle is dropped. A packet that can't be read
+    /// closes the connection that it came on, and no other. Must be called on
+    /// a tokio runtime.
     pub fn run(
         self,
-        mut deliver: impl FnMut(Packet, usize) -> bool + Send + 'static,
-    ) -> InboxHandle {
-        let handle = InboxHandle {
-            socket: self.socket.clone(),
-        };
-        let receive = move || {
-            while let Ok(mut message) = self.socket.recv() {
-                match decode(message.as_slice()) {
-                    Ok(packet) => {
-                        if !deliver(packet, message.len()) {
-                            return;
-                        }
+        deliver: impl FnMut(Packet, usize) -> bool + Send + 'static,
+    ) -> io::Result<InboxHandle> {
+        let listener = tokio::net::TcpListener::from_std(self.listener)?;
+        let deliver = Arc::new(Mutex::new(deliver));
+        let accepting = tokio::spawn(async move {
+            let mut connections = JoinSet::new();
+            loop {
+                match listener.accept().await {
+                    Ok((stream, from)) => {
+                        connections.spawn(receive(stream, from, Arc::clone(&deliver)));
                     }
                     Err(error) => {
-                        warn!("closing a connection: {error}");
-                        if let Some(pipe) = message.pipe() {
-                            pipe.close();
-                        }
+                        warn!(
+                            "could not accept a connection: {error}; check the limit on open files"
+                        );
+                        tokio::time::sleep(ACCEPT_PAUSE).await;
                     }
                 }
+                while connections.try_join_next().is_some() {}
+            }
+        });
+        Ok(InboxHandle { accepting })
+    }
+}
+
+async fn receive<D>(stream: TcpStream, from: SocketAddr, deliver: Arc<Mutex<D>>)
+where
+    D: FnMut(Packet, usize) -> bool,
+{
+    let codec = LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_PACKET_BYTES)
+        .new_codec();
+    let mut frames = FramedRead::new(stream, codec);
+    while let Some(frame) = frames.next().await {
+        let packet = match frame.map(|bytes| (decode(&bytes), bytes.len())) {
+            Ok((Ok(packet), size_bytes)) => (packet, size_bytes),
+            Ok((Err(error), _)) => {
+                return warn!("closing a connection from {from}: {error}");
             }
+            // A peer that ends or is replaced closes its connections.
+            Err(error) if error.kind() != io::ErrorKind::InvalidData => return,
+            Err(error) => return warn!("closing a connection from {from}: {error}"),
         };
-        thread::Builder::new()
-            .name("inbox".to_owned())
-            .spawn(receive)
-            .expect("the system can start one more thread");
-        handle
+        let mut deliver = deliver.lock().unwrap_or_else(PoisonError::into_inner);
+        if !deliver(packet.0, packet.1) {
+            return;
+        }
     }
 }
 
 /// Closes a running inbox when dropped.
 #[derive(Debug)]
 pub struct InboxHandle {
-    socket: Socket,
+    accepting: JoinHandle<()>,
 }
 
 impl Drop for InboxHandle {
     fn drop(&mut self) {
-        self.socket.close();
-    }
-}
-
-/// The library reports the bound port in network byte order.
-fn bound_address(asked: SocketAddr, bound: &nng::SocketAddr) -> SocketAddr {
-    let port = match bound {
-        nng::SocketAddr::Inet(address) => u16::from_be(address.port()),
-        nng::SocketAddr::Inet6(address) => u16::from_be(address.port()),
-        _ => asked.port(),
-    };
-    if asked.port() != 0 {
-        return asked;
+        self.accepting.abort();
     }
-    SocketAddr::new(asked.ip(), port)
 }
--- a/crates/lagoonhill_link/src/lib.rs
+++ b/crates/lagoonhill_link/src/lib.rs
@@ -1,4 +1,4 @@
-//! Connections between entries and agents, over `nng` push and pull sockets.
+//! Connections between entries and agents: packets with a length, over TCP.
 //!
 //! Each process has one inbox that takes packets from everybody, and one
 //! outgoing connection for each peer. Connections carry no state: a packet
@@ -6,8 +6,8 @@
 
 mod inbox;
 mod link;
-mod nng_link;
+mod tcp_link;
 
 pub use inbox::{Inbox, InboxError, InboxHandle};
 pub use link::Link;
-pub use nng_link::NngLink;
+pub use tcp_link::TcpLink;
--- a/crates/lagoonhill_link/src/link.rs
+++ b/crates/lagoonhill_link/src/link.rs
@@ -9,6 +9,10 @@
     /// Returns its size in bytes.
     fn send(&mut self, to: SocketAddr, packet: &Packet) -> usize;
 
+    /// Writes what has been sent, as far as connections take it. Call after a
+    /// batch of sends, and every few tens of milliseconds.
+    fn flush(&mut self);
+
     /// Replaces the connection to a peer.
     fn redial(&mut self, to: SocketAddr);
 
--- /dev/null
+++ b/crates/lagoonhill_link/src/tcp_link.rs
@@ -0,0 +1,173 @@
+use std::collections::HashMap;
+use std::io::{self, ErrorKind, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::mpsc::{Receiver, TryRecvError, sync_channel};
+use std::time::{Duration, Instant};
+
+use lagoonhill_protocol::{Packet, encode};
+use log::debug;
+use tokio::runtime::Handle;
+use tokio::time::timeout;
+
+use crate::Link;
+
+/// Bytes that wait for a connection to take them at most; packets beyond that
+/// are lost.
+const MAX_PENDING_BYTES: usize = 4 << 20;
+
+/// Longest wait for a connection: a few round trips and one lost packet.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+
+/// Pause before a connection is tried again.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Leads each packet: its size in bytes, most significant byte first.
+const LENGTH_BYTES: usize = 4;
+
+#[derive(Debug)]
+enum State {
+    Connecting(Receiver<io::Result<TcpStream>>),
+    Connected(TcpStream),
+    Broken { since: Instant },
+}
+
+#[derive(Debug)]
+struct Peer {
+    state: State,
+    pending: Vec<u8>,
+}
+
+/// One outgoing connection for each peer, written by the thread that sends.
+#[derive(Debug)]
+pub struct TcpLink {
+    runtime: Handle,
+    peers: HashMap<SocketAddr, Peer>,
+}
+
+impl TcpLink {
+    /// A link without connections. Must be made on a tokio runtime, which
+    /// opens the connections.
+    pub fn new() -> Self {
+        Self {
+            runtime: Handle::current(),
+            peers: HashMap::new(),
+        }
+    }
+
+    fn connect(runtime: &Handle, to: SocketAddr) -> State {
+        let (done, connected) = sync_channel(1);
+        runtime.spawn(async move {
+            let stream = match timeout(CONNECT_LIMIT, tokio::net::TcpStream::connect(to)).await {
+                Ok(Ok(stream)) => prepare(stream),
+                Ok(Err(error)) => Err(error),
+                Err(_) => Err(ErrorKind::TimedOut.into()),
+            };
+            // The link may have hung up meanwhile.
+            let _ = done.send(stream);
+        });
+        State::Connecting(connected)
+    }
+}
+
+impl Default for TcpLink {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn prepare(stream: tokio::net::TcpStream) -> io::Result<TcpStream> {
+    stream.set_nodelay(true)?;
+    stream.into_std()
+}
+
+impl Peer {
+    /// Writes what waits, as far as the connection takes it.
+    fn flush(&mut self, runtime: &Handle, to: SocketAddr) {
+        match &self.state {
+            State::Connecting(connected) => match connected.try_recv() {
+                Ok(Ok(stream)) => self.state = State::Connected(stream),
+                Ok(Err(error)) => return self.break_off(to, &error),
+                Err(TryRecvError::Empty) => return,
+                Err(error @ TryRecvError::Disconnected) => {
+                    return self.break_off(to, &io::Error::other(error));
+                }
+            },
+            State::Broken { since } if since.elapsed() >= RECONNECT_PAUSE => {
+                self.state = TcpLink::connect(runtime, to);
+                return;
+            }
+            State::Broken { .. } => return,
+            State::Connected(_) => {}
+        }
+        let State::Connected(stream) = &mut self.state else {
+            return;
+        };
+        let mut written = 0;
+        let result = loop {
+            if written == self.pending.len() {
+                break Ok(());
+            }
+            match stream.write(&self.pending[written..]) {
+                Ok(0) => break Err(ErrorKind::WriteZero.into()),
+                Ok(count) => written += count,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break Ok(()),
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => break Err(error),
+            }
+        };
+        self.pending.drain(..written);
+        if let Err(error) = result {
+            self.break_off(to, &error);
+        }
+    }
+
+    /// Half a packet may be gone, so the rest of it must not follow.
+    fn break_off(&mut self, to: SocketAddr, error: &io::Error) {
+        debug!("the connection to {to} broke: {error}; its session sends again");
+        self.pending.clear();
+        self.state = State::Broken {
+            since: Instant::now(),
+        };
+    }
+}
+
+impl Link for TcpLink {
+    fn send(&mut self, to: SocketAddr, packet: &Packet) -> usize {
+        let bytes = encode(packet);
+        let runtime = &self.runtime;
+        let peer = self.peers.entry(to).or_insert_with(|| Peer {
+            state: TcpLink::connect(runtime, to),
+            pending: Vec::new(),
+        });
+        if peer.pending.len() + bytes.len() > MAX_PENDING_BYTES {
+            debug!("a packet to {to} was dropped; its session sends it again");
+            return bytes.len();
+        }
+        let length = u32::try_from(bytes.len()).unwrap_or(u32::MAX);
+        peer.pending.reserve(LENGTH_BYTES + bytes.len());
+        peer.pending.extend_from_slice(&length.to_be_bytes());
+        peer.pending.extend_from_slice(&bytes);
+        bytes.len()
+    }
+
+    fn flush(&mut self) {
+        for (to, peer) in &mut self.peers {
+            let is_waiting = matches!(peer.state, State::Connecting(_));
+            if !peer.pending.is_empty() || is_waiting {
+                peer.flush(&self.runtime, *to);
+            }
+        }
+    }
+
+    fn redial(&mut self, to: SocketAddr) {
+        let peer = Peer {
+            state: TcpLink::connect(&self.runtime, to),
+            pending: Vec::new(),
+        };
+        self.peers.insert(to, peer);
+    }
+
+    fn hangup(&mut self, to: SocketAddr) {
+        self.peers.remove(&to);
+    }
+}
