Open a session by its first frame; test leased runs and queues

A start sent right after the greeting waited for a retransmission (1.2 s) when the session's first frame overtook the welcome: found by the queue tests. 26 new cases on the pure decisions.

--- a/crates/lagoonhill_core/src/agent/machine.rs
+++ b/crates/lagoonhill_core/src/agent/machine.rs
@@ -500,6 +500,7 @@
             return;
         };
         let ping = frame.ping;
+        self.open_by_frame(key, frame.session, now);
         let link = &mut self.entries[key];
         let to = link.address.inbox;
         let Some(session) = link
@@ -523,6 +524,19 @@
         self.start_waiting(now);
     }
 
+    /// Opens the session that is being asked for when its first frame overtakes
+    /// the welcome: the entry has accepted it.
+    fn open_by_frame(&mut self, key: EntryKey, id: SessionId, now: TimestampMs) {
+        let timing = self.config.timing;
+        let link = &mut self.entries[key];
+        let is_asked_for = id.agent == self.config.incarnation && id.number == link.session_number;
+        if link.session.is_none() && is_asked_for {
+            link.unanswered = 0;
+            link.session = Some(Session::new(id, timing, timing.min_heartbeat_ms, now));
+            self.update_greeting(key);
+        }
+    }
+
     fn on_message(&mut self, key: EntryKey, message: Message, now: TimestampMs) {
         match message {
             Message::Start(start) => self.on_start(key, start, now),
--- /dev/null
+++ b/crates/lagoonhill_core/tests/leased.rs
@@ -0,0 +1,409 @@
+//! Runs under a target's lease: unanswered orders, silence, new incarnations,
+//! runs that a predecessor left behind.
+
+use std::net::SocketAddr;
+
+use lagoonhill_core::agent::TaskKey;
+use lagoonhill_core::leased::{
+    Announcement, CallId, EndKind, EndedRun, FencingToken, LeaseTiming, LeasedEffect, LeasedRuns,
+    Refusal, RunRef, TargetCall, TargetLife, TargetReply, TargetTimeMs,
+};
+use lagoonhill_protocol::{NotRunReason, Start, Target, TaskResult};
+use lagoonhill_types::prelude::*;
+use slotmap::SlotMap;
+
+/// Defines one test for each named case.
+macro_rules! cases {
+    ($($name:ident => $body:block)+) => {
+        $(#[test] fn $name() $body)+
+    };
+}
+
+const BEGAN: TimestampMs = TimestampMs(1_000_000);
+
+fn life(name: &str, born_ms: u64) -> TargetLife {
+    TargetLife {
+        name: name.parse().expect("the name is valid"),
+        born_ms,
+    }
+}
+
+fn announcement(life: TargetLife, sequence: u64, draining: bool) -> Announcement {
+    Announcement {
+        life,
+        sequence,
+        draining,
+        target: Target {
+            service: "dispatch".parse().expect("the name is valid"),
+            address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            slots: SlotCount(8),
+            connections: 8,
+            capacity: Resources::default(),
+            labels: Vec::new(),
+        },
+    }
+}
+
+fn run_ref(index: u16, run: u32) -> RunRef {
+    RunRef {
+        task: TaskName {
+            job: "job".parse().expect("the name is valid"),
+            step: 0,
+            index,
+        },
+        run: RunNumber(run),
+    }
+}
+
+/// A call that waits for its answer.
+#[derive(Debug)]
+struct Call {
+    id: CallId,
+    token: FencingToken,
+    call: TargetCall,
+}
+
+/// The machine, the calls it has made and what it has reported.
+struct Bench {
+    runs: LeasedRuns,
+    keys: SlotMap<TaskKey, ()>,
+    now: TimestampMs,
+    calls: Vec<Call>,
+    ended: Vec<(TaskKey, TaskResult)>,
+    target: Option<Target>,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let runs = LeasedRuns::new(LeaseTiming::default(), FencingToken(7), BEGAN);
+        Self {
+            runs,
+            keys: SlotMap::with_key(),
+            now: BEGAN,
+            calls: Vec::new(),
+            ended: Vec::new(),
+            target: None,
+        }
+    }
+
+    /// A target that runs nothing and takes orders.
+    fn ready() -> Self {
+        let mut bench = Self::new();
+        bench.announce(announcement(life("target", 5), 1, false));
+        bench.answer_hold(&[], &[]);
+        assert!(bench.target.is_some(), "the target takes orders");
+        bench
+    }
+
+    fn collect(&mut self) {
+        for effect in self.runs.poll_effects() {
+            match effect {
+                LeasedEffect::Call {
+                    id, token, call, ..
+                } => self.calls.push(Call { id, token, call }),
+                LeasedEffect::Ended { key, result } => self.ended.push((key, result)),
+                LeasedEffect::Target(target) => self.target = target,
+            }
+        }
+    }
+
+    fn announce(&mut self, announcement: Announcement) -> bool {
+        let accepted = self.runs.announce(announcement, self.now);
+        self.collect();
+        accepted
+    }
+
+    fn start(&mut self, index: u16) -> TaskKey {
+        let key = self.keys.insert(());
+        let start = Start {
+            task: TaskId::default(),
+            decided_ms: self.now,
+            run_limit_ms: DurationMs(1_000),
+            expected_ms: DurationMs(100),
+            needs: Resources::default(),
+            run: RunNumber(1),
+            name: Some(run_ref(index, 1).task),
+            payload: Payload::default(),
+        };
+        self.runs.start(key, &start, self.now);
+        self.collect();
+        key
+    }
+
+    fn stop(&mut self, key: TaskKey) {
+        self.runs.stop(key, self.now);
+        self.collect();
+    }
+
+    /// Lets time pass without an answer.
+    fn pass(&mut self, span_ms: u64) {
+        for _ in 0..span_ms / 10 {
+            self.now = self.now + DurationMs(10);
+            self.runs.tick(self.now);
+            self.collect();
+        }
+    }
+
+    fn clock(&self) -> TargetTimeMs {
+        TargetTimeMs(self.now.0 - BEGAN.0 + 500)
+    }
+
+    /// Answers the newest call of a kind.
+    fn answer(&mut self, is_meant: impl Fn(&TargetCall) -> bool, reply: TargetReply) -> Call {
+        let position = self.calls.iter().rposition(|call| is_meant(&call.call));
+        let call = self.calls.remove(position.expect("such a call was made"));
+        self.runs.answered(call.id, reply, self.now);
+        self.collect();
+        call
+    }
+
+    fn answer_start(&mut self, reply: TargetReply) -> Call {
+        self.answer(|call| matches!(call, TargetCall::Start(_)), reply)
+    }
+
+    fn answer_stop(&mut self, reply: TargetReply) -> Call {
+        self.answer(|call| matches!(call, TargetCall::Stop(_)), reply)
+    }
+
+    fn answer_hold(&mut self, running: &[RunRef], ended: &[EndedRun]) -> Call {
+        let held = TargetReply::Held {
+            clock_ms: self.clock(),
+            born_ms: Some(5),
+            running: running.to_vec(),
+            ended: ended.to_vec(),
+        };
+        self.answer(|call| matches!(call, TargetCall::Hold { .. }), held)
+    }
+
+    fn started(&mut self, index: u16) -> TaskKey {
+        let key = self.start(index);
+        let clock = self.clock();
+        self.answer_start(TargetReply::Started(clock));
+        key
+    }
+
+    fn result_of(&self, key: TaskKey) -> Option<&TaskResult> {
+        let found = self.ended.iter().find(|(ended, _)| *ended == key);
+        found.map(|(_, result)| result)
+    }
+
+    fn starts(&self) -> usize {
+        let is_start = |call: &&Call| matches!(call.call, TargetCall::Start(_));
+        self.calls.iter().filter(is_start).count()
+    }
+}
+
+fn end(number: u64, index: u16, run: u32, kind: EndKind) -> EndedRun {
+    EndedRun {
+        number,
+        run: run_ref(index, run),
+        kind,
+    }
+}
+
+cases! {
+    a_listed_end_ends_the_run_and_is_taken_note_of_next => {
+        let mut bench = Bench::ready();
+        let key = bench.started(0);
+        bench.answer_hold(&[], &[end(3, 0, 1, EndKind::Done)]);
+        assert!(matches!(bench.result_of(key), Some(TaskResult::Done(_))));
+        let next = bench.answer_hold(&[], &[]);
+        assert!(matches!(next.call, TargetCall::Hold { observed: 3, .. }), "{next:?}");
+    }
+
+    an_unanswered_start_is_repeated_with_the_same_number => {
+        let mut bench = Bench::ready();
+        bench.start(0);
+        let first = bench.answer_start(TargetReply::Unanswered("lost".to_owned()));
+        bench.pass(20);
+        let clock = bench.clock();
+        let second = bench.answer_start(TargetReply::Started(clock));
+        let number = |call: &Call| match &call.call {
+            TargetCall::Start(order) => order.run.clone(),
+            _ => unreachable!("a start was answered"),
+        };
+        assert_eq!(number(&first), number(&second));
+    }
+
+    a_start_that_was_carried_out_late_and_ended_is_not_run_again => {
+        let mut bench = Bench::ready();
+        let key = bench.start(0);
+        bench.answer_start(TargetReply::Unanswered("lost".to_owned()));
+        bench.pass(20);
+        let clock = bench.clock();
+        bench.answer_start(TargetReply::Refused(Refusal::Stale, clock));
+        assert_eq!(bench.result_of(key), None, "its end is not known yet");
+        bench.answer_hold(&[], &[end(1, 0, 1, EndKind::Done)]);
+        assert!(matches!(bench.result_of(key), Some(TaskResult::Done(_))));
+    }
+
+    a_number_used_by_an_earlier_submission_is_raised => {
+        let mut bench = Bench::ready();
+        bench.start(0);
+        let clock = bench.clock();
+        bench.answer_start(TargetReply::Refused(Refusal::Stale, clock));
+        let again = bench.answer_start(TargetReply::Started(clock));
+        assert!(matches!(again.call, TargetCall::Start(order) if order.run == run_ref(0, 2)));
+    }
+
+    a_refusal_after_an_unanswered_try_stops_the_run_before_it_is_given_back => {
+        let mut bench = Bench::ready();
+        let key = bench.start(0);
+        bench.answer_start(TargetReply::Unanswered("lost".to_owned()));
+        bench.pass(20);
+        bench.answer_start(TargetReply::Unhealthy);
+        assert_eq!(bench.result_of(key), None, "the first try may still be carried out");
+        let clock = bench.clock();
+        bench.answer_stop(TargetReply::Stopping(clock));
+        bench.pass(10);
+        bench.answer_hold(&[], &[]);
+        bench.pass(10);
+        bench.answer_hold(&[], &[]);
+        assert!(matches!(bench.result_of(key), Some(TaskResult::Interrupted(_))));
+    }
+
+    a_refusal_of_the_only_try_gives_the_task_back_as_not_run => {
+        let mut bench = Bench::ready();
+        let key = bench.start(0);
+        bench.answer_start(TargetReply::Unhealthy);
+        let unhealthy = TaskResult::NotRun(NotRunReason::TargetUnhealthy);
+        assert_eq!(bench.result_of(key), Some(&unhealthy));
+    }
+
+    a_silent_target_gets_no_work_and_its_runs_are_over_only_after_the_lease => {
+        let mut bench = Bench::ready();
+        let timing = LeaseTiming::default();
+        let key = bench.started(0);
+        bench.answer_hold(&[run_ref(0, 1)], &[]);
+        bench.pass(timing.silence_ms.0 + 10);
+        assert_eq!(bench.target, None, "a silent target is offered");
+        assert_eq!(bench.result_of(key), None, "the lease has not lapsed");
+        bench.pass(timing.hold_ms.0 * 2);
+        assert!(matches!(bench.result_of(key), Some(TaskResult::Interrupted(_))));
+    }
+
+    a_lease_is_not_over_before_it_lapses_on_a_slow_clock => {
+        let mut bench = Bench::ready();
+        let timing = LeaseTiming::default();
+        let key = bench.started(0);
+        bench.answer_hold(&[run_ref(0, 1)], &[]);
+        let granted = bench.now;
+        let mut last_grant = granted;
+        while bench.result_of(key).is_none() {
+            bench.pass(10);
+            let grants = bench.calls.drain(..).any(|call| {
+                matches!(call.call, TargetCall::Hold { until_ms: Some(_), .. })
+            });
+            if grants {
+                last_grant = bench.now;
+            }
+        }
+        let slow_ms = timing.hold_ms.0 * 102 / 100;
+        let waited = bench.now.since(last_grant);
+        assert!(waited.0 >= slow_ms, "over {waited} after the last grant");
+    }
+
+    a_silent_target_is_looked_at_without_a_new_lease => {
+        let mut bench = Bench::ready();
+        bench.started(0);
+        bench.pass(LeaseTiming::default().silence_ms.0 + 150);
+        bench.calls.clear();
+        bench.pass(400);
+        assert!(bench.calls.iter().any(|call| matches!(call.call, TargetCall::Hold { .. })));
+        let extends = |call: &Call| matches!(call.call, TargetCall::Hold { until_ms: Some(_), .. });
+        assert!(!bench.calls.iter().any(extends), "a silent target got a new lease");
+    }
+
+    another_incarnation_ends_what_ran_before => {
+        let mut bench = Bench::ready();
+        let key = bench.started(0);
+        assert!(bench.announce(announcement(life("other", 9), 1, false)));
+        assert!(matches!(bench.result_of(key), Some(TaskResult::Interrupted(_))));
+        assert_eq!(bench.target, None, "nothing is started before a first look");
+    }
+
+    another_birth_under_the_same_name_is_noticed_in_the_lists => {
+        let mut bench = Bench::ready();
+        let key = bench.started(0);
+        let held = TargetReply::Held {
+            clock_ms: bench.clock(),
+            born_ms: Some(6),
+            running: Vec::new(),
+            ended: Vec::new(),
+        };
+        bench.answer(|call| matches!(call, TargetCall::Hold { .. }), held);
+        assert!(matches!(bench.result_of(key), Some(TaskResult::Interrupted(_))));
+    }
+
+    late_announcements_change_nothing => {
+        let mut bench = Bench::ready();
+        assert!(bench.announce(announcement(life("target", 5), 9, true)));
+        assert_eq!(bench.target, None, "a draining target gets no work");
+        assert!(!bench.announce(announcement(life("target", 5), 8, false)));
+        assert!(!bench.announce(announcement(life("target", 4), 99, false)));
+        assert_eq!(bench.target, None, "a late announcement made it ready again");
+        bench.runs.left(&life("target", 5).name);
+        bench.collect();
+        assert!(!bench.announce(announcement(life("target", 5), 10, false)));
+    }
+
+    a_draining_target_finishes_what_runs => {
+        let mut bench = Bench::ready();
+        let key = bench.started(0);
+        bench.announce(announcement(life("target", 5), 2, true));
+        assert_eq!(bench.result_of(key), None);
+        let refused = bench.start(1);
+        assert_eq!(bench.result_of(refused), Some(&TaskResult::NotRun(NotRunReason::NoTarget)));
+        bench.answer_hold(&[run_ref(0, 1)], &[]);
+        bench.answer_hold(&[], &[end(1, 0, 1, EndKind::Done)]);
+        assert!(matches!(bench.result_of(key), Some(TaskResult::Done(_))));
+    }
+
+    what_a_predecessor_left_is_stopped_before_anything_starts => {
+        let mut bench = Bench::new();
+        bench.announce(announcement(life("target", 5), 1, false));
+        bench.answer_hold(&[run_ref(4, 2)], &[]);
+        assert_eq!(bench.target, None, "work is taken beside runs that are not known");
+        let stop = bench.answer_stop(TargetReply::Unanswered("lost".to_owned()));
+        assert_eq!(stop.call, TargetCall::Stop(run_ref(4, 2)));
+        bench.pass(120);
+        let hold = bench.answer_hold(&[run_ref(4, 2)], &[]);
+        assert!(matches!(hold.call, TargetCall::Hold { until_ms: None, .. }), "{hold:?}");
+        bench.answer_hold(&[], &[end(1, 4, 2, EndKind::Stopped)]);
+        assert!(bench.target.is_some());
+        assert_eq!(bench.starts(), 0);
+    }
+
+    a_fenced_order_is_repeated_with_a_higher_token => {
+        let mut bench = Bench::ready();
+        bench.start(0);
+        let clock = bench.clock();
+        let fenced = bench.answer_start(TargetReply::Refused(Refusal::Fenced, clock));
+        bench.pass(20);
+        let again = bench.answer_start(TargetReply::Started(clock));
+        assert!(again.token > fenced.token);
+    }
+
+    a_stop_that_is_not_answered_is_repeated => {
+        let mut bench = Bench::ready();
+        let key = bench.started(0);
+        bench.stop(key);
+        bench.answer_stop(TargetReply::Unanswered("lost".to_owned()));
+        bench.pass(120);
+        let clock = bench.clock();
+        bench.answer_stop(TargetReply::Stopping(clock));
+        bench.answer_hold(&[], &[end(1, 0, 1, EndKind::Stopped)]);
+        assert!(matches!(bench.result_of(key), Some(TaskResult::Interrupted(_))));
+    }
+
+    a_run_that_the_target_neither_runs_nor_lists_is_over => {
+        let mut bench = Bench::ready();
+        let key = bench.started(0);
+        bench.answer_hold(&[], &[]);
+        assert_eq!(bench.result_of(key), None, "the look was ordered before the start was sure");
+        bench.pass(10);
+        bench.answer_hold(&[], &[]);
+        bench.answer_hold(&[], &[]);
+        assert!(matches!(bench.result_of(key), Some(TaskResult::Interrupted(_))));
+    }
+}
--- /dev/null
+++ b/crates/lagoonhill_core/tests/queues.rs
@@ -0,0 +1,233 @@
+//! Jobs of queues: steps, reruns, lost workers, and the load patterns that
+//! lanes, objective-aware placement and agents' reports answer.
+
+mod support;
+
+use lagoonhill_core::entry::{CallerId, Needs, QueueOrder, Step, Submission};
+use lagoonhill_rules::{RuleSet, parse_rules};
+use lagoonhill_standin::{NodeId, TargetModel};
+use lagoonhill_types::prelude::*;
+use support::{TestWorld, average_target, config, is_complete, service, world};
+
+/// Defines one test for each named case.
+macro_rules! cases {
+    ($($name:ident => $body:block)+) => {
+        $(#[test] fn $name() $body)+
+    };
+}
+
+const RULES: &str = "\
+service dispatch deadline=20s run-time=100ms run-limit=20s  # tests
+queue short service=dispatch class=rush attempts=4 objective=60ms slack-permille=1600  # tests
+queue long service=dispatch class=office attempts=4 objective=60ms slack-permille=1600  # tests
+queue fragile service=dispatch attempts=2 objective=60ms slack-permille=1600  # tests
+";
+
+fn rules() -> RuleSet {
+    let lines = parse_rules(RULES).expect("the test rules are valid");
+    RuleSet::new(Revision(1), lines)
+}
+
+/// Targets of ten processors, by their models.
+fn fleet(entries: usize, targets: Vec<TargetModel>, seed: u64) -> TestWorld {
+    let mut config = config(entries, targets.len(), seed);
+    config.targets = targets;
+    config.slots = 10;
+    config.rules = rules();
+    let mut world = world(&config);
+    world.leased_targets = true;
+    world
+}
+
+fn step(count: u16, after: &[u16], run_ms: u64) -> Step {
+    Step {
+        count,
+        after: after.to_vec(),
+        needs: Needs::of(Resources {
+            processors: MilliProcessors(6_000),
+            ..Resources::default()
+        }),
+        estimate_ms: DurationMs(run_ms),
+    }
+}
+
+fn job(queue: &str, name: &str, steps: Vec<Step>) -> Submission {
+    let mut tasks = Vec::new();
+    for (position, step) in steps.iter().enumerate() {
+        for index in 0..step.count {
+            let text = format!("{} {name} {position} {index}", step.estimate_ms.0);
+            tasks.push(Payload::from(text.into_bytes()));
+        }
+    }
+    Submission {
+        service: service(),
+        team: queue.parse().expect("the name is valid"),
+        deadline_ms: Some(DurationMs(6_000)),
+        run_time_ms: steps.iter().map(|step| step.estimate_ms).max(),
+        needs: Needs::default(),
+        tasks,
+        order: Some(QueueOrder {
+            queue: queue.parse().expect("the name is valid"),
+            name: name.parse().expect("the name is valid"),
+            steps,
+        }),
+    }
+}
+
+fn simple(queue: &str, name: &str, count: u16, run_ms: u64) -> Submission {
+    job(queue, name, vec![step(count, &[], run_ms)])
+}
+
+/// Share of callers answered with success within `limit_ms` of their request.
+fn in_time(world: &TestWorld, callers: &[(CallerId, TimestampMs)], limit_ms: u64) -> f64 {
+    let is_in_time = |(caller, asked_ms): &&(CallerId, TimestampMs)| {
+        let received = world.received.get(caller).and_then(|all| all.first());
+        received.is_some_and(|received| {
+            received.answer.outcome.is_ok() && received.at_ms.since(*asked_ms).0 <= limit_ms
+        })
+    };
+    let count = callers.iter().filter(is_in_time).count();
+    count as f64 / callers.len() as f64
+}
+
+cases! {
+    steps_run_after_those_they_name => {
+        let mut world = fleet(1, vec![average_target(); 2], 1);
+        let steps = vec![step(3, &[], 50), step(2, &[0], 30), step(1, &[0, 1], 10)];
+        let caller = world.submit(0, job("short", "stepped", steps));
+        world.run_for(1_000);
+        assert!(is_complete(&world, caller));
+        let starts = |position: usize| {
+            let prefix = format!(" stepped {position} ");
+            let times: Vec<TimestampMs> = world
+                .started_ms
+                .iter()
+                .filter(|(payload, _)| String::from_utf8_lossy(payload.as_slice()).contains(&prefix))
+                .map(|(_, at_ms)| *at_ms)
+                .collect();
+            (*times.iter().min().expect("it started"), *times.iter().max().expect("it started"))
+        };
+        assert!(starts(1).0 >= starts(0).1 + DurationMs(50));
+        assert!(starts(2).0 >= starts(1).1 + DurationMs(30));
+    }
+
+    a_task_that_failed_runs_again_on_another_worker => {
+        let failing = TargetModel { fails_all: true, ..average_target() };
+        let mut world = fleet(1, vec![failing, average_target()], 2);
+        let callers: Vec<_> = (0..12)
+            .map(|number| {
+                let caller = world.submit(0, simple("fragile", &format!("job{number}"), 1, 20));
+                world.run_for(40);
+                caller
+            })
+            .collect();
+        world.run_for(1_000);
+        let lost: Vec<_> = callers.iter().filter(|caller| !is_complete(&world, **caller)).collect();
+        let why: Vec<_> = lost.iter().map(|caller| support::failure(&world, **caller)).collect();
+        assert!(lost.is_empty(), "jobs failed though another worker was sound: {why:?}");
+    }
+
+    a_job_that_can_never_be_done_fails_after_its_attempts => {
+        let failing = TargetModel { fails_all: true, ..average_target() };
+        let mut world = fleet(1, vec![failing; 3], 3);
+        let caller = world.submit(0, simple("fragile", "poison", 1, 20));
+        world.run_for(1_000);
+        assert!(!is_complete(&world, caller));
+        assert_eq!(world.starts.values().sum::<u32>(), 2, "attempts");
+    }
+
+    a_lost_workers_tasks_run_again_once_they_are_over => {
+        let mut world = fleet(1, vec![average_target(); 2], 4);
+        let mut submission = simple("long", "lost", 8, 2_000);
+        submission.deadline_ms = Some(DurationMs::from_secs(30));
+        let caller = world.submit(0, submission);
+        world.run_for(100);
+        world.kill(NodeId::Agent(0));
+        world.run_for(19_000);
+        assert!(is_complete(&world, caller), "the tasks of a lost worker were not run again");
+    }
+
+    the_same_name_twice_is_one_job => {
+        let mut world = fleet(1, vec![average_target(); 2], 5);
+        let key = "twice".parse::<RequestKey>().expect("the name is valid");
+        let first = world.submit_key(0, &key, simple("short", "twice", 4, 200));
+        world.run_for(50);
+        let second = world.submit_key(0, &key, simple("short", "twice", 4, 200));
+        world.run_for(1_000);
+        assert!(is_complete(&world, first) && is_complete(&world, second));
+        assert!(world.starts.values().all(|count| *count == 1), "a task ran twice");
+    }
+
+    // Load pattern: a flood of a third over the capacity for two seconds. By
+    // due time alone nearly every job of the flood ends late.
+    a_flood_leaves_most_jobs_in_time => {
+        let mut world = fleet(2, vec![average_target(); 2], 6);
+        let mut callers = Vec::new();
+        for number in 0..400 {
+            let entry = number % 2;
+            let asked_ms = world.now();
+            let caller = world.submit(entry, simple("short", &format!("flood{number}"), 1, 100));
+            callers.push((caller, asked_ms));
+            world.run_for(if number % 3 == 0 { 3 } else { 4 });
+        }
+        world.run_for(3_000);
+        let share = in_time(&world, &callers, 100 * 16 / 10 + 60);
+        assert!(share > 0.6, "{share} in time");
+    }
+
+    // Load pattern: a busy fleet of unequal workers. A long task is late on a
+    // slow one from the start.
+    long_tasks_wait_for_a_worker_that_is_fast_enough => {
+        let slow = TargetModel { slowness_permille: 1_900, ..average_target() };
+        let fast = TargetModel { slowness_permille: 800, ..average_target() };
+        let mut world = fleet(1, vec![slow, fast], 7);
+        for number in 0..60 {
+            world.submit(0, simple("long", &format!("learn{number}"), 1, 300));
+            world.run_for(150);
+        }
+        world.run_for(1_000);
+        let mut callers = Vec::new();
+        for round in 0..10 {
+            for number in 0..14 {
+                let asked_ms = world.now();
+                let name = format!("long{round}-{number}");
+                callers.push((world.submit(0, simple("long", &name, 1, 300)), asked_ms));
+            }
+            world.run_for(700);
+        }
+        world.run_for(2_000);
+        let share = in_time(&world, &callers, 300 * 16 / 10 + 60);
+        assert!(share > 0.9, "{share} in time");
+    }
+
+    // Load pattern: a target on which everything stands still. Each of several
+    // entries sees too little of it to tell; its agent sees all.
+    tasks_that_stand_still_are_taken_back_and_run_elsewhere => {
+        let mut world = fleet(4, vec![average_target(); 3], 8);
+        for number in 0..60 {
+            world.submit(number % 4, simple("short", &format!("learn{number}"), 1, 50));
+            world.run_for(20);
+        }
+        world.set_target(0, TargetModel { slowness_permille: 400_000, ..average_target() });
+        let mut callers = Vec::new();
+        for number in 0..200 {
+            let asked_ms = world.now();
+            let caller = world.submit(number % 4, simple("short", &format!("hang{number}"), 1, 50));
+            callers.push((caller, asked_ms));
+            world.run_for(10);
+        }
+        world.run_for(2_000);
+        let share = in_time(&world, &callers, 1_500);
+        assert!(share > 0.97, "{share} of the callers were served within 1.5 s");
+    }
+
+    // The first frame of a session often overtakes the welcome.
+    a_start_right_after_the_greeting_is_not_held_up => {
+        for seed in 0..20 {
+            let mut world = fleet(1, vec![average_target()], 100 + seed);
+            let caller = world.submit(0, simple("short", "first", 1, 20));
+            world.run_for(100);
+            assert!(is_complete(&world, caller), "seed {seed}");
+        }
+    }
+}
--- a/crates/lagoonhill_standin/src/world.rs
+++ b/crates/lagoonhill_standin/src/world.rs
@@ -183,6 +183,8 @@
     silent: HashSet<(NodeId, SocketAddr, u32)>,
     cut: HashSet<(NodeId, NodeId)>,
     bindings: BTreeMap<RequestKey, usize>,
+    /// Targets tell for certain that a stopped run is over.
+    pub leased_targets: bool,
     /// The platform answers nothing.
     pub platform_down: bool,
     /// The platform carries out the next binding but does not answer.
@@ -272,6 +274,7 @@
             silent: HashSet::new(),
             cut: HashSet::new(),
             bindings: BTreeMap::new(),
+            leased_targets: false,
             platform_down: false,
             platform_loses_answer: false,
             callers: HashMap::new(),
@@ -818,7 +821,12 @@
             AgentEffect::Hangup { .. } | AgentEffect::Drained => {}
             AgentEffect::Run { key, start, .. } => self.run_task(index, key, &start.payload),
             AgentEffect::Stop { key } => {
-                let result = TaskResult::MayHaveRun("it was stopped".to_owned());
+                let why = "it was stopped".to_owned();
+                let result = if self.leased_targets {
+                    TaskResult::Interrupted(why)
+                } else {
+                    TaskResult::MayHaveRun(why)
+                };
                 let life = self.agents[index].life;
                 self.schedule(
                     0,
