--- a/crates/lagoonhill_core/tests/leased.rs
+++ b/crates/lagoonhill_core/tests/leased.rs
@@ -60,7 +60,7 @@
 struct Call {
     id: CallId,
     token: FencingToken,
-    call: TargetCall,
+    what: TargetCall,
 }
 
 /// The machine, the calls it has made and what it has reported.
@@ -100,7 +100,11 @@
             match effect {
                 LeasedEffect::Call {
                     id, token, call, ..
-                } => self.calls.push(Call { id, token, call }),
+                } => self.calls.push(Call {
+                    id,
+                    token,
+                    what: call,
+                }),
                 LeasedEffect::Ended { key, result } => self.ended.push((key, result)),
                 LeasedEffect::Target(target) => self.target = target,
             }
@@ -150,7 +154,7 @@
 
     /// Answers the newest call of a kind.
     fn answer(&mut self, is_meant: impl Fn(&TargetCall) -> bool, reply: TargetReply) -> Call {
-        let position = self.calls.iter().rposition(|call| is_meant(&call.call));
+        let position = self.calls.iter().rposition(|call| is_meant(&call.what));
         let call = self.calls.remove(position.expect("such a call was made"));
         self.runs.answered(call.id, reply, self.now);
         self.collect();
@@ -188,7 +192,7 @@
     }
 
     fn starts(&self) -> usize {
-        let is_start = |call: &&Call| matches!(call.call, TargetCall::Start(_));
+        let is_start = |call: &&Call| matches!(call.what, TargetCall::Start(_));
         self.calls.iter().filter(is_start).count()
     }
 }
@@ -208,7 +212,7 @@
         bench.answer_hold(&[], &[end(3, 0, 1, EndKind::Done)]);
         assert!(matches!(bench.result_of(key), Some(TaskResult::Done(_))));
         let next = bench.answer_hold(&[], &[]);
-        assert!(matches!(next.call, TargetCall::Hold { observed: 3, .. }), "{next:?}");
+        assert!(matches!(next.what, TargetCall::Hold { observed: 3, .. }), "{next:?}");
     }
 
     an_unanswered_start_is_repeated_with_the_same_number => {
@@ -218,7 +222,7 @@
         bench.pass(20);
         let clock = bench.clock();
         let second = bench.answer_start(TargetReply::Started(clock));
-        let number = |call: &Call| match &call.call {
+        let number = |call: &Call| match &call.what {
             TargetCall::Start(order) => order.run.clone(),
             _ => unreachable!("a start was answered"),
         };
@@ -243,7 +247,7 @@
         let clock = bench.clock();
         bench.answer_start(TargetReply::Refused(Refusal::Stale, clock));
         let again = bench.answer_start(TargetReply::Started(clock));
-        assert!(matches!(again.call, TargetCall::Start(order) if order.run == run_ref(0, 2)));
+        assert!(matches!(again.what, TargetCall::Start(order) if order.run == run_ref(0, 2)));
     }
 
     a_refusal_after_an_unanswered_try_stops_the_run_before_it_is_given_back => {
@@ -292,7 +296,7 @@
         while bench.result_of(key).is_none() {
             bench.pass(10);
             let grants = bench.calls.drain(..).any(|call| {
-                matches!(call.call, TargetCall::Hold { until_ms: Some(_), .. })
+                matches!(call.what, TargetCall::Hold { until_ms: Some(_), .. })
             });
             if grants {
                 last_grant = bench.now;
@@ -309,8 +313,8 @@
         bench.pass(LeaseTiming::default().silence_ms.0 + 150);
         bench.calls.clear();
         bench.pass(400);
-        assert!(bench.calls.iter().any(|call| matches!(call.call, TargetCall::Hold { .. })));
-        let extends = |call: &Call| matches!(call.call, TargetCall::Hold { until_ms: Some(_), .. });
+        assert!(bench.calls.iter().any(|call| matches!(call.what, TargetCall::Hold { .. })));
+        let extends = |call: &Call| matches!(call.what, TargetCall::Hold { until_ms: Some(_), .. });
         assert!(!bench.calls.iter().any(extends), "a silent target got a new lease");
     }
 
@@ -365,10 +369,10 @@
         bench.answer_hold(&[run_ref(4, 2)], &[]);
         assert_eq!(bench.target, None, "work is taken beside runs that are not known");
         let stop = bench.answer_stop(TargetReply::Unanswered("lost".to_owned()));
-        assert_eq!(stop.call, TargetCall::Stop(run_ref(4, 2)));
+        assert_eq!(stop.what, TargetCall::Stop(run_ref(4, 2)));
         bench.pass(120);
         let hold = bench.answer_hold(&[run_ref(4, 2)], &[]);
-        assert!(matches!(hold.call, TargetCall::Hold { until_ms: None, .. }), "{hold:?}");
+        assert!(matches!(hold.what, TargetCall::Hold { until_ms: None, .. }), "{hold:?}");
         bench.answer_hold(&[], &[end(1, 4, 2, EndKind::Stopped)]);
         assert!(bench.target.is_some());
         assert_eq!(bench.starts(), 0);
--- a/crates/lagoonhill_core/tests/queues.rs
+++ b/crates/lagoonhill_core/tests/queues.rs
@@ -5,7 +5,7 @@
 
 use lagoonhill_core::entry::{CallerId, Needs, QueueOrder, Step, Submission};
 use lagoonhill_rules::{RuleSet, parse_rules};
-use lagoonhill_standin::{NodeId, TargetModel};
+use lagoonhill_standin::{NodeId, Stopped, TargetModel};
 use lagoonhill_types::prelude::*;
 use support::{TestWorld, average_target, config, is_complete, service, world};
 
@@ -35,7 +35,7 @@
     config.slots = 10;
     config.rules = rules();
     let mut world = world(&config);
-    world.leased_targets = true;
+    world.stopped = Stopped::Interrupted;
     world
 }
 
@@ -230,4 +230,24 @@
             assert!(is_complete(&world, caller), "seed {seed}");
         }
     }
+
+    a_worker_that_is_only_cut_off_has_stopped_before_its_tasks_run_elsewhere => {
+        let mut world = fleet(1, vec![average_target(); 2], 10);
+        let mut submission = simple("long", "cut", 8, 15_000);
+        submission.deadline_ms = Some(DurationMs::from_secs(60));
+        world.submit(0, submission);
+        world.run_for(100);
+        let cut_off = usize::from(world.starts_at[1] > world.starts_at[0]);
+        let before = world.starts.values().sum::<u32>();
+        world.cut(NodeId::Entry(0), NodeId::Agent(cut_off));
+        for _ in 0..14_000 {
+            world.run_for(1);
+            if world.starts.values().sum::<u32>() > before {
+                break;
+            }
+        }
+        assert!(world.starts.values().sum::<u32>() > before, "nothing was run elsewhere");
+        let running = world.agent(cut_off).map_or(0, lagoonhill_core::agent::Agent::running);
+        assert_eq!(running, 0, "tasks run twice at once");
+    }
 }
--- a/crates/lagoonhill_standin/src/lib.rs
+++ b/crates/lagoonhill_standin/src/lib.rs
@@ -17,5 +17,5 @@
 pub use start_log::StartLog;
 pub use target::{TargetBehavior, TargetStandin};
 pub use world::{
-    Network, NodeId, Received, Step, TargetModel, Totals, World, WorldConfig, result_of,
+    Network, NodeId, Received, Step, Stopped, TargetModel, Totals, World, WorldConfig, result_of,
 };
--- a/crates/lagoonhill_standin/src/world.rs
+++ b/crates/lagoonhill_standin/src/world.rs
@@ -67,6 +67,15 @@
     pub fails_all: bool,
 }
 
+/// What is known of a run that was stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stopped {
+    /// Nothing: its target may run on.
+    MayHaveRun,
+    /// It is over: its target says so, or its lease has lapsed.
+    Interrupted,
+}
+
 /// What a caller got.
 #[derive(Clone, Debug)]
 pub struct Received {
@@ -183,8 +192,8 @@
     silent: HashSet<(NodeId, SocketAddr, u32)>,
     cut: HashSet<(NodeId, NodeId)>,
     bindings: BTreeMap<RequestKey, usize>,
-    /// Targets tell for certain that a stopped run is over.
-    pub leased_targets: bool,
+    /// What is known of a run that was stopped.
+    pub stopped: Stopped,
     /// The platform answers nothing.
     pub platform_down: bool,
     /// The platform carries out the next binding but does not answer.
@@ -274,7 +283,7 @@
             silent: HashSet::new(),
             cut: HashSet::new(),
             bindings: BTreeMap::new(),
-            leased_targets: false,
+            stopped: Stopped::MayHaveRun,
             platform_down: false,
             platform_loses_answer: false,
             callers: HashMap::new(),
@@ -822,10 +831,9 @@
             AgentEffect::Run { key, start, .. } => self.run_task(index, key, &start.payload),
             AgentEffect::Stop { key } => {
                 let why = "it was stopped".to_owned();
-                let result = if self.leased_targets {
-                    TaskResult::Interrupted(why)
-                } else {
-                    TaskResult::MayHaveRun(why)
+                let result = match self.stopped {
+                    Stopped::MayHaveRun => TaskResult::MayHaveRun(why),
+                    Stopped::Interrupted => TaskResult::Interrupted(why),
                 };
                 let life = self.agents[index].life;
                 self.schedule(
