Refuse late jobs that can't begin when that is known; name the request in every line

A job that becomes late is now refused at once when all that waits takes longer than it may; Retry-After is that wait. Lines of entries and agents carry the caller's job name, deadline, promise, expected run time and the age of the report that decided.

--- a/crates/lagoonhill_agent/src/control.rs
+++ b/crates/lagoonhill_agent/src/control.rs
@@ -109,7 +109,7 @@
                 AgentEffect::Hangup { to } => self.link.hangup(to),
                 AgentEffect::Run { key, start, target } => self.run(key, start, target, now),
                 AgentEffect::Stop { key } => {
-                    info!(target: "decision", "run={key:?} to be stopped");
+                    info!(target: "decision", "{} to be stopped", self.describe_run(key));
                     self.runner.stop(key, now);
                 }
                 AgentEffect::Drained => {
@@ -136,24 +136,41 @@
     }
 
     fn run(&mut self, key: TaskKey, start: Start, target: Target, now: TimestampMs) {
-        let name = start.name.as_ref().map(ToString::to_string);
         info!(
             target: "decision",
-            "task={} run={key:?} name={} attempt={} started target={}",
-            start.task,
-            name.as_deref().unwrap_or("-"),
+            "{} run={} started target={} expected={}",
+            self.describe_run(key),
             start.run,
-            target.address
+            target.address,
+            start.expected_ms
         );
         self.metrics.started.inc();
         self.runner.run(key, start, target, now);
     }
 
+    /// Names a run by its request, as the entry's log does.
+    fn describe_run(&self, key: TaskKey) -> String {
+        match self.agent.order(key) {
+            Some(Start {
+                task,
+                name: Some(name),
+                ..
+            }) => format!("request={} job={} task={}", name.job, task.job, task.index),
+            Some(Start { task, .. }) => format!("job={} task={}", task.job, task.index),
+            None => "a run that is over".to_owned(),
+        }
+    }
+
     fn take_reports(&mut self, now: TimestampMs) {
         for report in self.runner.poll_reports() {
             match report {
                 RunnerReport::Finished { key, result } => {
-                    info!(target: "decision", "run={key:?} ended {}", describe(&result));
+                    info!(
+                        target: "decision",
+                        "{} ended {}",
+                        self.describe_run(key),
+                        describe(&result)
+                    );
                     self.agent.finished(key, result, now);
                 }
                 RunnerReport::Target(target) => self.agent.set_target(target, now),
--- a/crates/lagoonhill_core/src/agent/machine.rs
+++ b/crates/lagoonhill_core/src/agent/machine.rs
@@ -113,6 +113,11 @@
         self.running
     }
 
+    /// The order of a task that is held.
+    pub fn order(&self, key: TaskKey) -> Option<&Start> {
+        self.tasks.get(key).map(|task| &task.start)
+    }
+
     /// Tasks held, waiting and running.
     pub fn held(&self) -> usize {
         self.tasks.len()
--- a/crates/lagoonhill_core/src/entry/decision.rs
+++ b/crates/lagoonhill_core/src/entry/decision.rs
@@ -18,6 +18,10 @@
         team: TeamName,
         /// Tasks queued before it.
         queued: usize,
+        /// Time allowed for its answer.
+        deadline_ms: DurationMs,
+        /// Time left to keep its queue's promise, if there is one.
+        promised_ms: Option<DurationMs>,
     },
     /// The submission was refused.
     Refused {
@@ -34,6 +38,10 @@
         slots: u16,
         /// Other workers with room.
         alternatives: u16,
+        /// How long the task is expected to run there.
+        expected_ms: DurationMs,
+        /// How old the worker's last report is.
+        report_age_ms: DurationMs,
     },
     /// A task was handed back unstarted and queued again.
     Moved {
@@ -103,6 +111,8 @@
     pub at_ms: TimestampMs,
     /// About which job.
     pub job: Option<JobId>,
+    /// The caller's name of the job, if it has one.
+    pub request: Option<RequestKey>,
     /// About which of its tasks.
     pub index: Option<TaskIndex>,
     /// What was decided.
@@ -111,6 +121,9 @@
 
 impl fmt::Display for Decision {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let Some(request) = &self.request {
+            write!(f, "request={request} ")?;
+        }
         if let Some(job) = self.job {
             write!(f, "job={job} ")?;
         }
@@ -123,11 +136,14 @@
                 service,
                 team,
                 queued,
+                deadline_ms,
+                promised_ms,
             } => {
                 write!(
                     f,
-                    "admitted service={service} team={team} tasks={tasks} queued={queued}"
-                )
+                    "admitted service={service} team={team} tasks={tasks} queued={queued} deadline={deadline_ms}"
+                )?;
+                promised_ms.map_or(Ok(()), |span| write!(f, " promised={span}"))
             }
             DecisionKind::Refused { cause } => write!(f, "refused why=\"{cause}\""),
             DecisionKind::Placed {
@@ -135,9 +151,11 @@
                 load,
                 slots,
                 alternatives,
+                expected_ms,
+                report_age_ms,
             } => write!(
                 f,
-                "placed worker={worker} load={load}/{slots} alternatives={alternatives} why=\"least expected finish\""
+                "placed worker={worker} load={load}/{slots} alternatives={alternatives} expected={expected_ms} report_age={report_age_ms}"
             ),
             DecisionKind::Moved { worker, reason } => {
                 write!(f, "moved from={worker} why=\"{reason}\"")
--- a/crates/lagoonhill_core/src/entry/job.rs
+++ b/crates/lagoonhill_core/src/entry/job.rs
@@ -192,6 +192,12 @@
         released
     }
 
+    /// The caller's name of the job, if it has one.
+    pub fn name(&self) -> Option<RequestKey> {
+        let queued_as = self.plan.queued_as.as_ref();
+        queued_as.map(|order| order.name.clone())
+    }
+
     /// Where the job stands among waiting ones.
     pub fn place(&self, key: JobKey) -> Place {
         Place {
--- a/crates/lagoonhill_core/src/entry/machine/admission.rs
+++ b/crates/lagoonhill_core/src/entry/machine/admission.rs
@@ -70,7 +70,7 @@
             .check(&submission)
             .and_then(|()| self.check_load(&submission, now))
         {
-            return self.refuse(caller, failure, now);
+            return self.refuse(caller, submission.name(), failure, now);
         }
         let fingerprint = submission.fingerprint();
         let Submission {
@@ -119,6 +119,8 @@
                 service,
                 team,
                 queued,
+                deadline_ms: due_ms.since(now),
+                promised_ms: promise.map(|promise| promise.due_ms.since(now)),
             },
         );
     }
--- a/crates/lagoonhill_core/src/entry/machine/dispatch.rs
+++ b/crates/lagoonhill_core/src/entry/machine/dispatch.rs
@@ -1,6 +1,6 @@
 //! Which ready task goes to which worker.
 
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 
 use lagoonhill_protocol::{Message, Start};
 use lagoonhill_rules::Class;
@@ -19,6 +19,9 @@
 /// waits for the next outcome.
 const MAX_BLOCKED_LOOKS: usize = 64;
 
+/// Shortest pause proposed to a caller whose job came too late.
+const MIN_RETRY_MS: DurationMs = DurationMs(200);
+
 /// What found no worker in the present round.
 #[derive(Debug, Default)]
 struct Blocked {
@@ -124,6 +127,7 @@
         let Some(lanes) = self.queues.get_mut(service) else {
             return;
         };
+        let mut demoted = Vec::new();
         for key in lanes.passed(Lane::InTime, now) {
             let job = &mut self.jobs[key];
             let Some(promise) = job.promise else {
@@ -133,16 +137,48 @@
             job.lane = Lane::Late;
             job.rank_ms = promise.useless_start_ms.0;
             lanes.insert(Lane::Late, &job.place(key));
+            demoted.push(key);
         }
-        for key in lanes.passed(Lane::Late, now) {
-            let job = &self.jobs[key];
-            if !job.has_started() {
-                let deadline_ms = job.plan.deadline_ms;
-                self.fail_job(key, Cause::TooLate { deadline_ms }, now);
-            }
+        let overdue = lanes.passed(Lane::Late, now);
+        if demoted.is_empty() && overdue.is_empty() {
+            return;
+        }
+        // All that waits is served before a job that has just become late.
+        let wait_ms = self.backlog(service);
+        let hopeless = demoted
+            .into_iter()
+            .filter(|key| now.0 + wait_ms.0 > self.jobs[*key].rank_ms);
+        let refused: BTreeSet<JobKey> = hopeless
+            .chain(overdue)
+            .filter(|key| !self.jobs[*key].has_started())
+            .collect();
+        for key in refused {
+            let deadline_ms = self.jobs[key].plan.deadline_ms;
+            let retry_ms = wait_ms.max(MIN_RETRY_MS);
+            self.fail_job_for_now(key, Cause::TooLate { deadline_ms }, retry_ms, now);
         }
     }
 
+    /// How long this entry's share of the service needs for all that waits.
+    fn backlog(&self, service: &ServiceName) -> DurationMs {
+        let waiting = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.plan.service == *service && job.ready_count() > 0);
+        let work: u64 = waiting
+            .map(|(key, job)| {
+                let needs = job
+                    .next_needs()
+                    .map_or(0, |needs| needs.resources.processors.0);
+                let run_ms = self.next_run_time(key).0;
+                job.ready_count() as u64 * run_ms * u64::from(needs)
+            })
+            .sum();
+        let entries = self.entries.len().max(1) as u64;
+        let share = self.fleet.processors(service) / entries;
+        DurationMs(work.checked_div(share).unwrap_or(0))
+    }
+
     fn next_job(&self, service: &ServiceName, blocked: &Blocked) -> Option<JobKey> {
         let queue = self.queues.get(service)?;
         queue.next(
@@ -281,6 +317,8 @@
             load: chosen.load,
             slots: chosen.slots,
             alternatives: u16::try_from(alternatives.saturating_sub(1)).unwrap_or(u16::MAX),
+            expected_ms,
+            report_age_ms: now.since(worker.session.last_heard_ms()),
         };
         self.dirty.insert(chosen.key);
         self.decide(now, Some(task.job), Some(index), kind);
--- a/crates/lagoonhill_core/src/entry/machine/endings.rs
+++ b/crates/lagoonhill_core/src/entry/machine/endings.rs
@@ -7,20 +7,28 @@
 
 use super::{DEFAULT_RETRY_MS, Entry};
 use crate::entry::{
-    Answer, CallerId, Cause, DecisionKind, EntryEffect, Job, JobFailure, JobKey, Placement,
-    RunCertainty,
+    Answer, CallerId, Cause, Decision, DecisionKind, EntryEffect, Job, JobFailure, JobKey,
+    Placement, RunCertainty,
 };
 
 impl<P: Placement> Entry<P> {
-    pub(super) fn refuse(&mut self, caller: CallerId, failure: JobFailure, now: TimestampMs) {
-        self.decide(
-            now,
-            None,
-            None,
-            DecisionKind::Refused {
-                cause: failure.cause.clone(),
-            },
-        );
+    pub(super) fn refuse(
+        &mut self,
+        caller: CallerId,
+        request: Option<RequestKey>,
+        failure: JobFailure,
+        now: TimestampMs,
+    ) {
+        let kind = DecisionKind::Refused {
+            cause: failure.cause.clone(),
+        };
+        self.effects.push(EntryEffect::Decided(Decision {
+            at_ms: now,
+            job: None,
+            request,
+            index: None,
+            kind,
+        }));
         self.answer(
             caller,
             Answer {
@@ -62,13 +70,25 @@
         let Some(results) = job.results() else {
             return;
         };
-        self.decide(now, Some(job.plan.id), None, DecisionKind::Completed);
+        self.decide_ended(&job, DecisionKind::Completed, now);
         self.close_job(&job, Ok(results), now);
     }
 
     /// Fails a job as a whole: what has not started is withdrawn, what runs is
     /// stopped where the target can, and the callers are told at once.
     pub(super) fn fail_job(&mut self, key: JobKey, cause: Cause, now: TimestampMs) {
+        self.fail_job_for_now(key, cause, DEFAULT_RETRY_MS, now);
+    }
+
+    /// As [`Self::fail_job`], with the time after which it makes sense to come
+    /// back if nothing has run.
+    pub(super) fn fail_job_for_now(
+        &mut self,
+        key: JobKey,
+        cause: Cause,
+        retry_ms: DurationMs,
+        now: TimestampMs,
+    ) {
         let Some(job) = self.remove_job(key) else {
             return;
         };
@@ -79,16 +99,12 @@
             }
         }
         let run = job.certainty();
-        let retry_after_ms = (run == RunCertainty::NotRun).then_some(DEFAULT_RETRY_MS);
-        self.decide(
-            now,
-            Some(job.plan.id),
-            None,
-            DecisionKind::Failed {
-                run,
-                cause: cause.clone(),
-            },
-        );
+        let retry_after_ms = (run == RunCertainty::NotRun).then_some(retry_ms);
+        let kind = DecisionKind::Failed {
+            run,
+            cause: cause.clone(),
+        };
+        self.decide_ended(&job, kind, now);
         self.close_job(
             &job,
             Err(JobFailure {
@@ -100,6 +116,17 @@
         );
     }
 
+    /// Logs the end of a job that is in no index any more.
+    fn decide_ended(&mut self, job: &Job, kind: DecisionKind, now: TimestampMs) {
+        self.effects.push(EntryEffect::Decided(Decision {
+            at_ms: now,
+            job: Some(job.plan.id),
+            request: job.name(),
+            index: None,
+            kind,
+        }));
+    }
+
     pub(super) fn close_job(
         &mut self,
         job: &Job,
--- a/crates/lagoonhill_core/src/entry/machine/mod.rs
+++ b/crates/lagoonhill_core/src/entry/machine/mod.rs
@@ -203,9 +203,12 @@
         index: Option<TaskIndex>,
         kind: DecisionKind,
     ) {
+        let known = job.and_then(|id| self.by_job.get(&id));
+        let request = known.and_then(|key| self.jobs[*key].name());
         self.effects.push(EntryEffect::Decided(Decision {
             at_ms,
             job,
+            request,
             index,
             kind,
         }));
--- a/crates/lagoonhill_core/src/entry/machine/submissions.rs
+++ b/crates/lagoonhill_core/src/entry/machine/submissions.rs
@@ -91,7 +91,7 @@
             return self.dispatch_all(now);
         }
         if let Err(failure) = self.check(&submission) {
-            return self.refuse(caller, failure, now);
+            return self.refuse(caller, Some(request_key), failure, now);
         }
         let fingerprint = submission.fingerprint();
         let record = Record::Binding {
@@ -121,16 +121,24 @@
                 let forward = |caller| EntryEffect::Forward { caller, owner };
                 self.effects.extend(callers.into_iter().map(forward));
             }
-            KeyBinding::Unavailable => self.refuse_bound(callers, &Cause::StoreUnavailable, now),
-            KeyBinding::OverBudget => self.refuse_bound(callers, &Cause::KeyBudget, now),
+            KeyBinding::Unavailable => {
+                self.refuse_bound(callers, &key, &Cause::StoreUnavailable, now);
+            }
+            KeyBinding::OverBudget => self.refuse_bound(callers, &key, &Cause::KeyBudget, now),
         }
     }
 
     /// Refuses a request whose key was not bound: nothing was started.
-    pub(super) fn refuse_bound(&mut self, callers: Vec<CallerId>, cause: &Cause, now: TimestampMs) {
+    fn refuse_bound(
+        &mut self,
+        callers: Vec<CallerId>,
+        key: &RecordKey,
+        cause: &Cause,
+        now: TimestampMs,
+    ) {
         for caller in callers {
             let failure = JobFailure::refused_for_now(cause.clone(), DEFAULT_RETRY_MS);
-            self.refuse(caller, failure, now);
+            self.refuse(caller, key.request(), failure, now);
         }
     }
 
@@ -152,7 +160,7 @@
             if !self.replay(key, caller, &again) {
                 let failure =
                     JobFailure::refused_for_now(Cause::StoreUnavailable, DEFAULT_RETRY_MS);
-                self.refuse(caller, failure, now);
+                self.refuse(caller, key.request(), failure, now);
             }
         }
         self.dispatch_all(now);
--- a/crates/lagoonhill_core/src/entry/records.rs
+++ b/crates/lagoonhill_core/src/entry/records.rs
@@ -14,6 +14,16 @@
     Key(RequestKey),
 }
 
+impl RecordKey {
+    /// The caller's own key, if that is what it is.
+    pub fn request(&self) -> Option<RequestKey> {
+        match self {
+            Self::Ticket(_) => None,
+            Self::Key(key) => Some(key.clone()),
+        }
+    }
+}
+
 /// What the platform said about a key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum KeyBinding {
--- a/crates/lagoonhill_core/src/entry/submission.rs
+++ b/crates/lagoonhill_core/src/entry/submission.rs
@@ -96,6 +96,11 @@
         hasher.finish()
     }
 
+    /// The caller's name of the job, if it has one.
+    pub fn name(&self) -> Option<RequestKey> {
+        self.order.as_ref().map(|order| order.name.clone())
+    }
+
     /// The steps: those ordered, or one that holds every task.
     pub fn steps(&self) -> Vec<Step> {
         if let Some(order) = &self.order {
--- a/crates/lagoonhill_core/tests/queues.rs
+++ b/crates/lagoonhill_core/tests/queues.rs
@@ -250,4 +250,31 @@
         let running = world.agent(cut_off).map_or(0, lagoonhill_core::agent::Agent::running);
         assert_eq!(running, 0, "tasks run twice at once");
     }
+
+    // Load pattern: a flood that outlasts every promise. A job that can't be
+    // begun in time is refused when that is known, not when its time is over.
+    a_job_that_can_not_be_served_is_refused_early => {
+        let mut world = fleet(1, vec![average_target(); 1], 11);
+        let mut callers = Vec::new();
+        for number in 0..300 {
+            let asked_ms = world.now();
+            let name = format!("flood{number}");
+            callers.push((world.submit(0, simple("long", &name, 1, 600)), asked_ms));
+            world.run_for(10);
+        }
+        world.run_for(8_000);
+        let promised_ms = 600 * 16 / 10 + 60;
+        let refusals: Vec<u64> = callers
+            .iter()
+            .filter_map(|(caller, asked_ms)| {
+                let received = world.received[caller].first()?;
+                let failure = received.answer.outcome.as_ref().err()?;
+                assert!(failure.retry_after_ms.is_some(), "no time to come back: {failure}");
+                Some(received.at_ms.since(*asked_ms).0)
+            })
+            .collect();
+        assert!(refusals.len() > 50, "the flood was served after all");
+        let early = refusals.iter().filter(|held_ms| **held_ms <= promised_ms).count();
+        assert!(early * 10 > refusals.len() * 9, "{early} of {} within the promise", refusals.len());
+    }
 }
