--- a/crates/lagoonhill_core/tests/queues.rs
+++ b/crates/lagoonhill_core/tests/queues.rs
@@ -277,4 +277,14 @@
         let early = refusals.iter().filter(|held_ms| **held_ms <= promised_ms).count();
         assert!(early * 10 > refusals.len() * 9, "{early} of {} within the promise", refusals.len());
     }
+
+    a_wide_job_survives_a_worker_that_fails_everything => {
+        for seed in 0..10 {
+            let failing = TargetModel { fails_all: true, ..average_target() };
+            let mut world = fleet(1, vec![failing, average_target()], 20 + seed);
+            let caller = world.submit(0, simple("fragile", "wide", 10, 20));
+            world.run_for(2_000);
+            assert!(is_complete(&world, caller), "seed {seed}: {:?}", support::failure(&world, caller));
+        }
+    }
 }
