--- a/crates/lagoonhill_core/src/entry/fleet.rs
+++ b/crates/lagoonhill_core/src/entry/fleet.rs
@@ -159,14 +159,16 @@
         self.of_service(service).iter().any(fits)
     }
 
-    /// Slots of the service's serving workers together.
-    pub fn slots(&self, service: &ServiceName) -> u32 {
-        let workers = self
-            .of_service(service)
+    fn serving(&self, service: &ServiceName) -> impl Iterator<Item = &Worker> {
+        self.of_service(service)
             .iter()
-            .filter_map(|key| self.workers.get(*key));
-        workers
+            .filter_map(|key| self.workers.get(*key))
             .filter(|worker| worker.state() == WorkerState::Serving)
+    }
+
+    /// Slots of the service's serving workers together.
+    pub fn slots(&self, service: &ServiceName) -> u32 {
+        self.serving(service)
             .filter_map(|worker| worker.target.as_ref())
             .map(|target| u32::from(target.slots.0))
             .sum()
@@ -175,12 +177,7 @@
     /// Run time on the fastest serving worker of a service relative to the
     /// average, in thousandths.
     pub fn least_slowness_permille(&self, service: &ServiceName) -> u32 {
-        let workers = self
-            .of_service(service)
-            .iter()
-            .filter_map(|key| self.workers.get(*key));
-        workers
-            .filter(|worker| worker.state() == WorkerState::Serving)
+        self.serving(service)
             .filter(|worker| !worker.health.is_quarantined())
             .map(Worker::slowness_permille)
             .min()
@@ -189,12 +186,7 @@
 
     /// Processors of the service's serving workers together.
     pub fn processors(&self, service: &ServiceName) -> u64 {
-        let workers = self
-            .of_service(service)
-            .iter()
-            .filter_map(|key| self.workers.get(*key));
-        workers
-            .filter(|worker| worker.state() == WorkerState::Serving)
+        self.serving(service)
             .filter_map(|worker| worker.target.as_ref())
             .map(|target| u64::from(target.capacity.processors.0))
             .sum()
--- a/crates/lagoonhill_core/src/entry/machine/sessions.rs
+++ b/crates/lagoonhill_core/src/entry/machine/sessions.rs
@@ -4,8 +4,8 @@
 use lagoonhill_types::prelude::*;
 
 use super::Entry;
-use crate::Session;
 use crate::entry::{Cause, DecisionKind, EntryEffect, JobKey, Placement, Worker, WorkerKey};
+use crate::{Session, on_slow_clock};
 
 /// Bytes that one idle heartbeat and its answer cost on the wire.
 const HEARTBEAT_COST_BYTES: u64 = 240;
@@ -13,10 +13,6 @@
 /// Bytes a second that an entry spends on idle heartbeats at most.
 const HEARTBEAT_BUDGET_BYTES_PER_S: u64 = 3_000;
 
-/// A target's clock is at most one part in this slower than ours; twice the
-/// 2% that targets are allowed.
-const SLOW_CLOCK_DIVISOR: u64 = 25;
-
 impl<P: Placement> Entry<P> {
     /// Takes a packet from a link.
     pub fn receive(&mut self, packet: Packet, now: TimestampMs) {
@@ -190,8 +186,7 @@
     /// for the hold after that.
     fn over_at(&self, worker: &Worker) -> TimestampMs {
         let timing = self.config.timing;
-        let hold_ms = timing.hold_ms + timing.hold_ms / SLOW_CLOCK_DIVISOR;
-        worker.session.peer_shown_ms() + timing.run_lease_ms + hold_ms
+        worker.session.peer_shown_ms() + timing.run_lease_ms + on_slow_clock(timing.hold_ms)
     }
 
     fn unsettle(
--- a/crates/lagoonhill_core/src/leased/runs.rs
+++ b/crates/lagoonhill_core/src/leased/runs.rs
@@ -8,10 +8,7 @@
     TargetClock, TargetLife, TargetReply, TargetTimeMs,
 };
 use crate::agent::TaskKey;
-
-/// A target's clock is at most one part in this slower than ours; twice the
-/// 2% that targets are allowed.
-const SLOW_CLOCK_DIVISOR: u64 = 25;
+use crate::on_slow_clock;
 
 /// Added to the fencing token when the target has seen a higher one: more than
 /// a predecessor's wall clock may have been ahead of ours, in seconds.
@@ -320,8 +317,7 @@
     /// Extends the lease and returns its end on the target's clock.
     fn grant(&mut self, clock: TargetClock, now: TimestampMs) -> TargetTimeMs {
         let hold_ms = self.timing.hold_ms;
-        let slowest_ms = hold_ms + hold_ms / SLOW_CLOCK_DIVISOR;
-        self.lapses_ms = self.lapses_ms.max(now + slowest_ms);
+        self.lapses_ms = self.lapses_ms.max(now + on_slow_clock(hold_ms));
         clock.after(hold_ms, now)
     }
 
--- a/crates/lagoonhill_core/src/lib.rs
+++ b/crates/lagoonhill_core/src/lib.rs
@@ -13,4 +13,4 @@
 
 pub use rules_spread::RulesSpread;
 pub use session::{FrameHeader, Heartbeat, Session, Verdict};
-pub use timing::{Timing, overdue_after};
+pub use timing::{Timing, on_slow_clock, overdue_after};
--- a/crates/lagoonhill_core/src/timing.rs
+++ b/crates/lagoonhill_core/src/timing.rs
@@ -41,6 +41,15 @@
     expected_ms * OVERDUE_FACTOR + OVERDUE_SLACK_MS
 }
 
+/// A target's clock is at most one part in this slower than ours; twice the
+/// 2% that targets are allowed.
+const SLOW_CLOCK_DIVISOR: u64 = 25;
+
+/// How long a span of a target's clock may take on ours.
+pub fn on_slow_clock(span_ms: DurationMs) -> DurationMs {
+    span_ms + span_ms / SLOW_CLOCK_DIVISOR
+}
+
 impl Default for Timing {
     fn default() -> Self {
         Self {
