--- a/crates/lagoonhill_core/src/entry/answer.rs
+++ b/crates/lagoonhill_core/src/entry/answer.rs
@@ -75,6 +75,14 @@
         /// The job's deadline.
         deadline_ms: DurationMs,
     },
+    /// All that waits takes longer than the job is of use.
+    #[error(
+        "all that waits takes {wait_ms}, longer than an answer would be of use: send the request again after that"
+    )]
+    Backlog {
+        /// Time needed for all that waits.
+        wait_ms: DurationMs,
+    },
     /// The deadline passed.
     #[error("the deadline of {deadline_ms} passed: allow more time or send smaller jobs")]
     DeadlinePassed {
--- a/crates/lagoonhill_core/src/entry/machine/dispatch.rs
+++ b/crates/lagoonhill_core/src/entry/machine/dispatch.rs
@@ -153,9 +153,8 @@
             .filter(|key| !self.jobs[*key].has_started())
             .collect();
         for key in refused {
-            let deadline_ms = self.jobs[key].plan.deadline_ms;
             let retry_ms = wait_ms.max(MIN_RETRY_MS);
-            self.fail_job_for_now(key, Cause::TooLate { deadline_ms }, retry_ms, now);
+            self.fail_job_for_now(key, Cause::Backlog { wait_ms }, retry_ms, now);
         }
     }
 
--- a/crates/lagoonhill_entry/src/api.rs
+++ b/crates/lagoonhill_entry/src/api.rs
@@ -316,6 +316,7 @@
         | Cause::NoWorkers(_)
         | Cause::QueueFull(_)
         | Cause::TooLate { .. }
+        | Cause::Backlog { .. }
         | Cause::NoTaker { .. }
         | Cause::OwnerUnreachable
         | Cause::StoreUnavailable => StatusCode::SERVICE_UNAVAILABLE,
