--- a/crates/lagoonhill/tests/processes.rs
+++ b/crates/lagoonhill/tests/processes.rs
@@ -370,6 +370,22 @@
         fleet.submit(0, &[], "after", 4, 10).await.expect("an answer").assert_whole("after", 4);
     }
 
+    metrics_show_how_long_jobs_take => {
+        let fleet = Fleet::start(1, 1).await;
+        fleet.submit(0, &[], "timed", 3, 20).await.expect("an answer").assert_whole("timed", 3);
+        let client = lagoonhill_http::HttpClient::new();
+        let path = "/metrics";
+        let limit = Duration::from_secs(5);
+        let sent = client.send(fleet.entries[0].http, hyper::Method::GET, path, &[], Vec::new().into(), limit);
+        let text = String::from_utf8(sent.await.expect("an answer").body.to_vec()).expect("text");
+        for line in [
+            "lagoonhill_job_seconds_count{stage=\"placed\"} 3",
+            "lagoonhill_job_seconds_count{stage=\"completed\"} 1",
+        ] {
+            assert!(text.contains(line), "`{line}` is missing in:\n{text}");
+        }
+    }
+
     a_reused_key_for_another_request_is_refused => {
         let fleet = Fleet::start(1, 1).await;
         let headers = [("idempotency-key", "reused")];
--- a/crates/lagoonhill_core/src/entry/decision.rs
+++ b/crates/lagoonhill_core/src/entry/decision.rs
@@ -38,6 +38,8 @@
         slots: u16,
         /// Other workers with room.
         alternatives: u16,
+        /// Time since its job was admitted.
+        waited_ms: DurationMs,
         /// How long the task is expected to run there.
         expected_ms: DurationMs,
         /// How old the worker's last report is.
@@ -65,13 +67,18 @@
         over_ms: TimestampMs,
     },
     /// The job was completed.
-    Completed,
+    Completed {
+        /// Time since it was admitted.
+        took_ms: DurationMs,
+    },
     /// The job failed.
     Failed {
         /// Whether anything may have run.
         run: RunCertainty,
         /// Why.
         cause: Cause,
+        /// Time since it was admitted.
+        took_ms: DurationMs,
     },
     /// A worker joined, or its session began anew.
     Joined {
@@ -151,11 +158,12 @@
                 load,
                 slots,
                 alternatives,
+                waited_ms,
                 expected_ms,
                 report_age_ms,
             } => write!(
                 f,
-                "placed worker={worker} load={load}/{slots} alternatives={alternatives} expected={expected_ms} report_age={report_age_ms}"
+                "placed worker={worker} load={load}/{slots} alternatives={alternatives} waited={waited_ms} expected={expected_ms} report_age={report_age_ms}"
             ),
             DecisionKind::Moved { worker, reason } => {
                 write!(f, "moved from={worker} why=\"{reason}\"")
@@ -166,8 +174,12 @@
             DecisionKind::Unsettled { worker, over_ms } => {
                 write!(f, "unsettled worker={worker} until={over_ms}")
             }
-            DecisionKind::Completed => f.write_str("completed"),
-            DecisionKind::Failed { run, cause } => write!(f, "failed run={run} why=\"{cause}\""),
+            DecisionKind::Completed { took_ms } => write!(f, "completed took={took_ms}"),
+            DecisionKind::Failed {
+                run,
+                cause,
+                took_ms,
+            } => write!(f, "failed run={run} took={took_ms} why=\"{cause}\""),
             DecisionKind::Joined { worker } => write!(f, "joined worker={worker}"),
             DecisionKind::Left { worker, why } => write!(f, "left worker={worker} why=\"{why}\""),
             DecisionKind::Quarantined {
--- a/crates/lagoonhill_core/src/entry/machine/dispatch.rs
+++ b/crates/lagoonhill_core/src/entry/machine/dispatch.rs
@@ -269,6 +269,7 @@
         );
         let (run_limit_ms, emptied) = (job.plan.run_limit_ms, job.ready_count() == 0);
         let (lane, place) = (job.lane, job.place(key));
+        let waited_ms = now.since(job.plan.accepted_ms);
         let charge = Charge {
             run_time_ms: expected_ms,
             class_weight: self.rules().class_weight(class),
@@ -316,6 +317,7 @@
             load: chosen.load,
             slots: chosen.slots,
             alternatives: u16::try_from(alternatives.saturating_sub(1)).unwrap_or(u16::MAX),
+            waited_ms,
             expected_ms,
             report_age_ms: now.since(worker.session.last_heard_ms()),
         };
--- a/crates/lagoonhill_core/src/entry/machine/endings.rs
+++ b/crates/lagoonhill_core/src/entry/machine/endings.rs
@@ -70,7 +70,8 @@
         let Some(results) = job.results() else {
             return;
         };
-        self.decide_ended(&job, DecisionKind::Completed, now);
+        let took_ms = now.since(job.plan.accepted_ms);
+        self.decide_ended(&job, DecisionKind::Completed { took_ms }, now);
         self.close_job(&job, Ok(results), now);
     }
 
@@ -103,6 +104,7 @@
         let kind = DecisionKind::Failed {
             run,
             cause: cause.clone(),
+            took_ms: now.since(job.plan.accepted_ms),
         };
         self.decide_ended(&job, kind, now);
         self.close_job(
--- a/crates/lagoonhill_daemon/src/meters.rs
+++ b/crates/lagoonhill_daemon/src/meters.rs
@@ -1,4 +1,13 @@
-use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+/// Upper bounds of the buckets of times: tasks take 50 ms to some seconds, and
+/// what is added to them should be far below that.
+const TIME_BUCKETS_S: [f64; 12] = [
+    0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0,
+];
 
 /// Makes and renders the metrics of one daemon. Names are given in code, so a
 /// wrong one is a mistake of ours and panics at the start.
@@ -36,6 +45,16 @@
         gauge
     }
 
+    /// Histograms of times in seconds, told apart by one label.
+    pub fn times(&self, name: &str, help: &str, label: &str) -> HistogramVec {
+        let options = HistogramOpts::new(name, help).buckets(TIME_BUCKETS_S.to_vec());
+        let times = HistogramVec::new(options, &[label]).expect("the name is valid");
+        self.registry
+            .register(Box::new(times.clone()))
+            .expect("the name is unique");
+        times
+    }
+
     /// Everything as Prometheus text.
     pub fn render(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/lagoonhill_entry/src/metrics.rs
+++ b/crates/lagoonhill_entry/src/metrics.rs
@@ -1,7 +1,8 @@
 use lagoonhill_core::entry::{DecisionKind, EntryStatus, RunCertainty};
 use lagoonhill_daemon::{Meters, PacketMeter};
 use lagoonhill_platform::{CallCounts, CallKind};
-use prometheus::{IntCounter, IntCounterVec, IntGauge};
+use lagoonhill_types::prelude::*;
+use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge};
 
 /// The entry's metrics.
 #[derive(Clone, Debug)]
@@ -12,6 +13,7 @@
     placed: IntCounter,
     moved: IntCounter,
     rerun: IntCounter,
+    times: HistogramVec,
     platform_calls: IntCounterVec,
     queued: IntGauge,
     running_jobs: IntGauge,
@@ -42,6 +44,11 @@
                 "lagoonhill_tasks_rerun_total",
                 "Tasks queued again after a run without success.",
             ),
+            times: meters.times(
+                "lagoonhill_job_seconds",
+                "Time since a job was admitted, at each of its tasks' placements and at its end.",
+                "stage",
+            ),
             platform_calls: meters.counters(
                 "lagoonhill_platform_calls_total",
                 "Calls to the platform's store.",
@@ -61,19 +68,24 @@
 
     pub(crate) fn count_decision(&self, kind: &DecisionKind) {
         let outcome = match kind {
-            DecisionKind::Placed { .. } => return self.placed.inc(),
+            DecisionKind::Placed { waited_ms, .. } => {
+                self.observe("placed", *waited_ms);
+                return self.placed.inc();
+            }
             DecisionKind::Moved { .. } => return self.moved.inc(),
             DecisionKind::Admitted { .. } => "admitted",
             DecisionKind::Refused { .. } => "refused",
-            DecisionKind::Completed => "completed",
-            DecisionKind::Failed {
-                run: RunCertainty::NotRun,
-                ..
-            } => "failed_not_run",
-            DecisionKind::Failed {
-                run: RunCertainty::MayHaveRun,
-                ..
-            } => "failed_may_have_run",
+            DecisionKind::Completed { took_ms } => {
+                self.observe("completed", *took_ms);
+                "completed"
+            }
+            DecisionKind::Failed { run, took_ms, .. } => {
+                self.observe("failed", *took_ms);
+                match run {
+                    RunCertainty::NotRun => "failed_not_run",
+                    RunCertainty::MayHaveRun => "failed_may_have_run",
+                }
+            }
             DecisionKind::Rerun { .. } => return self.rerun.inc(),
             DecisionKind::Unsettled { .. }
             | DecisionKind::Joined { .. }
@@ -85,6 +97,12 @@
         self.jobs.with_label_values(&[outcome]).inc();
     }
 
+    fn observe(&self, stage: &str, span_ms: DurationMs) {
+        const MS_PER_S: f64 = 1_000.0;
+        let histogram = self.times.with_label_values(&[stage]);
+        histogram.observe(span_ms.0 as f64 / MS_PER_S);
+    }
+
     /// Everything as Prometheus text.
     pub(crate) fn render(&self, status: &EntryStatus, calls: Option<&CallCounts>) -> Vec<u8> {
         let gauge =
