Learn speeds against the fleet's mean, and not from what was only declared

Speeds were learned from the prior (200 ms for runs of 1 ms), and run times were divided by them: the first workers observed looked twenty times faster than one that had not finished a task yet, so that one got no task at all. Ruled out: load alone (0 of 60 tasks in a test without a clock). Test: a_worker_without_a_past_gets_its_share…, which failed with 0 of 60.

--- a/crates/lagoonhill_core/src/entry/machine/outcomes.rs
+++ b/crates/lagoonhill_core/src/entry/machine/outcomes.rs
@@ -179,22 +179,29 @@
         run_ms: DurationMs,
         now: TimestampMs,
     ) {
-        let Some(worker) = self.fleet.get_mut(key) else {
+        let target = self
+            .fleet
+            .get(key)
+            .and_then(|worker| worker.target.as_ref());
+        let Some(service) = target.map(|target| target.service.clone()) else {
             return;
         };
-        let Some(service) = worker.target.as_ref().map(|target| target.service.clone()) else {
+        let mean_permille = self.fleet.mean_slowness_permille(&service);
+        let Some(worker) = self.fleet.get_mut(key) else {
             return;
         };
         match result {
             TaskResult::Done(_) => {
-                let expected_ms = order.expected_ms;
+                // A first run teaches what to expect, not how fast its worker is.
+                let learned_ms = self.run_times.learned(&order.kind, order.declared_ms);
+                let expected_ms = learned_ms.unwrap_or(run_ms);
                 if worker.health.is_quarantined()
                     && run_ms > worker.usual_run_time(expected_ms) * SLOW_PROBE_FACTOR
                 {
                     return worker.health.failed(now);
                 }
                 worker.observe(run_ms, expected_ms);
-                let normal_ms = worker.normal_run_time(run_ms);
+                let normal_ms = worker.normal_run_time(run_ms, mean_permille);
                 self.run_times
                     .observe(&order.kind, normal_ms, order.declared_ms);
                 if worker.health.succeeded() {
--- a/crates/lagoonhill_core/src/entry/run_times.rs
+++ b/crates/lagoonhill_core/src/entry/run_times.rs
@@ -49,15 +49,19 @@
         declared_ms: DurationMs,
         prior_ms: DurationMs,
     ) -> DurationMs {
-        let Some(learned) = self.learned.get(kind) else {
-            return if declared_ms > DurationMs::ZERO {
-                declared_ms
-            } else {
-                prior_ms
-            };
+        let prior_ms = if declared_ms > DurationMs::ZERO {
+            declared_ms
+        } else {
+            prior_ms
         };
+        self.learned(kind, declared_ms).unwrap_or(prior_ms)
+    }
+
+    /// As [`Self::expected_declared`], or `None` when nothing is known.
+    pub fn learned(&self, kind: &WorkKind, declared_ms: DurationMs) -> Option<DurationMs> {
+        let learned = self.learned.get(kind)?;
         if declared_ms == DurationMs::ZERO || learned.declared_micros == 0 {
-            return self.expected(kind, prior_ms);
+            return Some(DurationMs(learned.run_micros.div_ceil(1_000)));
         }
         let factor = (declared_ms.0 * 1_000) as f64 / learned.declared_micros as f64;
         let factor = factor
@@ -69,7 +73,7 @@
             reason = "a run time is positive and far below 2^52 microseconds"
         )]
         let micros = (learned.run_micros as f64 * factor) as u64;
-        DurationMs(micros.div_ceil(1_000))
+        Some(DurationMs(micros.div_ceil(1_000)))
     }
 
     /// Learns from a finished task.
--- a/crates/lagoonhill_core/tests/entry.rs
+++ b/crates/lagoonhill_core/tests/entry.rs
@@ -354,6 +354,24 @@
         assert!(is_complete(&world, caller), "{:?}", failure(&world, caller));
     }
 
+    a_worker_without_a_past_gets_its_share_when_expectations_were_far_off => {
+        let mut world = world(&config(1, 3, 13));
+        world.cut(NodeId::Entry(0), NodeId::Agent(0));
+        for number in 0..100 {
+            world.submit(0, job(&format!("learn{number}"), 1, 1));
+            world.run_for(100);
+        }
+        world.heal(NodeId::Entry(0), NodeId::Agent(0));
+        world.run_for(30_000);
+        let before = world.starts_at[0];
+        for number in 0..60 {
+            world.submit(0, job(&format!("after{number}"), 1, 1));
+            world.run_for(20);
+        }
+        let share = world.starts_at[0] - before;
+        assert!(share >= 10, "{share} of 60 tasks went to one of three equal workers");
+    }
+
     an_expired_ticket_is_never_started => {
         let mut world = world(&config(1, 1, 10));
         let ticket = world.ticket(0).expect("a ticket");
