Start an order only while its entry answered within the start lease; stop processes for sure in tests

Cause, from the processes' logs: kill -STOP returns before all threads have stopped; the agent started the tasks 0.6 ms after their placement, before it was frozen. On the way: an agent frozen before it had read its welcome did take five seconds in a buffer for the usual way and started what was stale (test an_order_that_slept_in_a_buffer…, failing before).

--- a/crates/lagoonhill/tests/support/mod.rs
+++ b/crates/lagoonhill/tests/support/mod.rs
@@ -43,8 +43,13 @@
             .expect("the binary was built for this test");
         let output = child.stdout.take().expect("standard output is piped");
         let (sender, addresses) = mpsc::channel();
+        let shows_logs = std::env::var_os("LAGOONHILL_TEST_LOGS").is_some();
         std::thread::spawn(move || {
             for line in BufReader::new(output).lines().map_while(Result::ok) {
+                // `cargo test` shows it with the failed test.
+                if shows_logs {
+                    eprintln!("{line}");
+                }
                 if let Some(found) = announced(&line) {
                     let _ = sender.send(found);
                 }
@@ -63,6 +68,31 @@
             .status()
             .expect("kill can be run");
         assert!(sent.success(), "the process is gone already");
+        if name == "STOP" {
+            self.wait_until_stopped();
+        }
+    }
+
+    /// The signal is sent before all threads have stopped; on a busy machine
+    /// they go on for a while.
+    fn wait_until_stopped(&self) {
+        let threads = format!("/proc/{}/task", self.child.id());
+        let is_stopped = |thread: std::fs::DirEntry| {
+            let status = std::fs::read_to_string(thread.path().join("stat")).unwrap_or_default();
+            // The state follows the name, which stands in parentheses.
+            status
+                .rsplit_once(')')
+                .is_some_and(|(_, rest)| rest.trim_start().starts_with('T'))
+        };
+        let started = Instant::now();
+        loop {
+            let threads = std::fs::read_dir(&threads).expect("the process runs");
+            if threads.map_while(Result::ok).all(is_stopped) {
+                return;
+            }
+            assert!(started.elapsed() < WAIT_LIMIT, "the process does not stop");
+            std::thread::sleep(POLL);
+        }
     }
 
     pub(crate) fn kill(&mut self) {
--- a/crates/lagoonhill_core/src/agent/machine.rs
+++ b/crates/lagoonhill_core/src/agent/machine.rs
@@ -619,7 +619,8 @@
     /// life: its entry may have given the worker up since.
     fn is_confirmed(&self, key: EntryKey, now: TimestampMs) -> bool {
         let session = self.entries.get(key).and_then(|link| link.session.as_ref());
-        let most_ms = self.config.timing.run_lease_ms * 3 / 4;
+        let timing = self.config.timing;
+        let most_ms = timing.start_lease_ms.min(timing.run_lease_ms * 3 / 4);
         session.is_some_and(|open| now.since(open.alive_ms()) <= most_ms)
     }
 
--- a/crates/lagoonhill_core/tests/agent.rs
+++ b/crates/lagoonhill_core/tests/agent.rs
@@ -252,13 +252,24 @@
     /// Delivers a frame that left the entry after it had seen what the agent
     /// sent at `echo_ms`.
     fn frame(&mut self, start: Option<Start>, echo_ms: TimestampMs, now: TimestampMs) {
+        self.late_frame(start, echo_ms, now, now);
+    }
+
+    /// As [`Self::frame`], when the frame left the entry at `sent_ms`.
+    fn late_frame(
+        &mut self,
+        start: Option<Start>,
+        echo_ms: TimestampMs,
+        sent_ms: TimestampMs,
+        now: TimestampMs,
+    ) {
         let messages: Vec<Message> = start.into_iter().map(Message::Start).collect();
         let first = Sequence(self.sent + 1);
         self.sent += messages.len() as u64;
         let frame = Frame {
             session: self.session,
             reply_to: SocketAddr::from(ADDRESS),
-            sent_ms: now,
+            sent_ms,
             echo_ms,
             ack: Sequence(0),
             first,
@@ -349,4 +360,15 @@
         fed.agent.tick(lapsed);
         assert_eq!(stops(&fed.effects(lapsed)), 1, "ran on after the run lease");
     }
+
+    // An agent that was frozen before it had read its welcome takes the five
+    // seconds that everything spent in the buffer for the usual way.
+    an_order_that_slept_in_a_buffer_beside_its_welcome_is_not_started => {
+        let began = TimestampMs(1_000_000);
+        let mut fed = Fed::new(began, 5_300);
+        let woke = began + DurationMs(5_301);
+        let decided = began + DurationMs(100);
+        fed.late_frame(Some(order(decided)), began, decided, woke);
+        assert_eq!(runs(&fed.effects(woke)), 0, "a stale order was started");
+    }
 }
