--- a/crates/lagoonhill_core/src/leased/runs.rs
+++ b/crates/lagoonhill_core/src/leased/runs.rs
@@ -30,9 +30,13 @@
 impl Default for LeaseTiming {
     fn default() -> Self {
         Self {
+            // Four looks, so that one lost answer does not end what runs.
             hold_ms: DurationMs(400),
+            // Ten looks a second at a target on which nothing ends.
             wait_ms: DurationMs(100),
+            // A call on the machine itself, on a busy one.
             reply_ms: DurationMs(100),
+            // One look without an answer, and a margin.
             silence_ms: DurationMs(250),
         }
     }
