--- a/crates/lagoonhill_agent/src/control.rs
+++ b/crates/lagoonhill_agent/src/control.rs
@@ -4,13 +4,12 @@
 use lagoonhill_core::agent::{Agent, AgentEffect, TaskKey};
 use lagoonhill_daemon::ControlState;
 use lagoonhill_link::Link;
-use lagoonhill_protocol::{EntryAddress, Packet, Start, Target};
+use lagoonhill_protocol::{EntryAddress, Packet, Start, Target, TaskResult};
 use lagoonhill_rules::RuleSet;
 use lagoonhill_types::prelude::*;
 use log::info;
 use tokio::sync::{oneshot, watch};
 
-use crate::leased_runner::describe;
 use crate::metrics::Metrics;
 use crate::target_runner::{RunnerReport, TargetRunner};
 
@@ -178,3 +177,14 @@
         }
     }
 }
+
+/// How a run ended, for the log.
+fn describe(result: &TaskResult) -> String {
+    match result {
+        TaskResult::Done(_) => "done".to_owned(),
+        TaskResult::Failed(why) => format!("failed why=\"{why}\""),
+        TaskResult::NotRun(why) => format!("not-run why=\"{why}\""),
+        TaskResult::MayHaveRun(why) => format!("may-have-run why=\"{why}\""),
+        TaskResult::Interrupted(why) => format!("interrupted why=\"{why}\""),
+    }
+}
--- a/crates/lagoonhill_agent/src/leased_runner.rs
+++ b/crates/lagoonhill_agent/src/leased_runner.rs
@@ -5,7 +5,7 @@
     Announcement, CallId, FencingToken, LeaseTiming, LeasedEffect, LeasedRuns, TargetCall,
     TargetLife, TargetReply,
 };
-use lagoonhill_protocol::{Start, Target, TaskResult};
+use lagoonhill_protocol::{Start, Target};
 use lagoonhill_types::prelude::*;
 use log::{debug, info};
 use tokio::runtime::Handle;
@@ -145,14 +145,3 @@
         std::mem::take(&mut self.reports)
     }
 }
-
-/// Logs how a run ended.
-pub(crate) fn describe(result: &TaskResult) -> String {
-    match result {
-        TaskResult::Done(_) => "done".to_owned(),
-        TaskResult::Failed(why) => format!("failed why=\"{why}\""),
-        TaskResult::NotRun(why) => format!("not-run why=\"{why}\""),
-        TaskResult::MayHaveRun(why) => format!("may-have-run why=\"{why}\""),
-        TaskResult::Interrupted(why) => format!("interrupted why=\"{why}\""),
-    }
-}
--- a/crates/lagoonhill_core/src/agent/machine.rs
+++ b/crates/lagoonhill_core/src/agent/machine.rs
@@ -638,11 +638,7 @@
             .map(|(key, _)| key)
             .collect();
         for key in cancelled {
-            if self.tasks[key].phase == TaskPhase::Waiting {
-                self.withdraw(key, NotRunReason::Cancelled);
-            } else {
-                self.drop_or_stop(key);
-            }
+            self.take_back(key);
         }
     }
 
@@ -651,10 +647,14 @@
             .tasks
             .iter()
             .find(|(_, task)| task.entry == entry && task.start.task == id);
-        let Some((key, task)) = found else {
-            return;
-        };
-        if task.phase == TaskPhase::Waiting {
+        if let Some((key, _)) = found {
+            self.take_back(key);
+        }
+    }
+
+    /// Withdraws a waiting task, or stops a running one; its outcome follows.
+    fn take_back(&mut self, key: TaskKey) {
+        if self.tasks[key].phase == TaskPhase::Waiting {
             self.withdraw(key, NotRunReason::Cancelled);
         } else {
             self.drop_or_stop(key);
--- a/crates/lagoonhill_core/src/entry/fleet.rs
+++ b/crates/lagoonhill_core/src/entry/fleet.rs
@@ -136,16 +136,9 @@
         now: TimestampMs,
     ) -> Vec<Candidate> {
         let candidate = |key: &WorkerKey| {
-            let worker = self.workers.get(*key).filter(|worker| worker.fits(needs))?;
-            let takes_one = match allowance(worker, rules, now) {
-                Allowance::Nothing => return None,
-                Allowance::OneTask => true,
-                Allowance::Anything => false,
-            };
-            Some(Candidate {
-                takes_one,
-                ..worker.candidate(*key, needs)?
-            })
+            let worker = self.workers.get(*key)?;
+            let is_open = worker.fits(needs) && may_get_task(worker, rules, now);
+            is_open.then(|| worker.candidate(*key, needs)).flatten()
         };
         self.of_service(service)
             .iter()
@@ -208,40 +201,31 @@
             .sum()
     }
 
-    /// Whether so many of a service's workers fail that the service itself,
-    /// not a worker, is at fault.
-    pub fn service_is_failing(&self, service: &ServiceName) -> bool {
+    /// Whether something is true of more than half of a service's workers. Then
+    /// the service is at fault, not a worker.
+    pub fn is_true_of_most(
+        &self,
+        service: &ServiceName,
+        is_true: impl Fn(&Worker) -> bool,
+    ) -> bool {
         let keys = self.of_service(service);
-        let failing = keys
-            .iter()
-            .filter(|key| {
-                self.workers
-                    .get(**key)
-                    .is_some_and(|w| w.health.is_failing())
-            })
-            .count();
-        failing * 2 > keys.len()
+        let workers = keys.iter().filter_map(|key| self.workers.get(*key));
+        workers.filter(|worker| is_true(worker)).count() * 2 > keys.len()
     }
 }
 
-/// What a worker may be given now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Allowance {
-    Nothing,
-    OneTask,
-    Anything,
-}
-
-fn allowance(worker: &Worker, rules: &RuleSet, now: TimestampMs) -> Allowance {
+/// Whether a worker may be given a task now. One in quarantine gets its next
+/// only when it has none.
+fn may_get_task(worker: &Worker, rules: &RuleSet, now: TimestampMs) -> bool {
     if worker.state() != WorkerState::Serving {
-        return Allowance::Nothing;
+        return false;
     }
-    let is_free = worker.is_idle();
-    let quarantined = worker.health.is_quarantined();
     match rules.serving_state(&worker.id, &worker.zone) {
-        ServingState::Serve if !quarantined => Allowance::Anything,
-        ServingState::Serve if is_free && worker.health.may_probe(now) => Allowance::OneTask,
-        ServingState::Quarantine if is_free => Allowance::OneTask,
-        ServingState::Serve | ServingState::Quarantine | ServingState::Drain => Allowance::Nothing,
+        ServingState::Serve if worker.health.is_quarantined() => {
+            worker.is_idle() && worker.health.may_probe(now)
+        }
+        ServingState::Serve => true,
+        ServingState::Quarantine => worker.is_idle(),
+        ServingState::Drain => false,
     }
 }
--- a/crates/lagoonhill_core/src/entry/job.rs
+++ b/crates/lagoonhill_core/src/entry/job.rs
@@ -32,8 +32,7 @@
     state: TaskState,
     moves: u8,
     runs: u32,
-    failures: u16,
-    /// Where it has failed.
+    /// Where it has failed, once for each time.
     failed_on: Vec<WorkerKey>,
 }
 
@@ -149,7 +148,6 @@
             state: TaskState::Ready,
             moves: 0,
             runs: 0,
-            failures: 0,
             failed_on: Vec::new(),
         };
         let rank_ms = plan.accepted_ms.0;
@@ -223,16 +221,6 @@
         self.ready.len()
     }
 
-    /// How many tasks are ordered from workers.
-    pub fn sent_count(&self) -> usize {
-        self.sent
-    }
-
-    /// How many tasks there are.
-    pub fn task_count(&self) -> usize {
-        self.tasks.len()
-    }
-
     /// Whether every task has a result.
     pub fn is_complete(&self) -> bool {
         self.done == self.tasks.len()
@@ -352,10 +340,9 @@
             .map_or(1, |queue| queue.attempts);
         let task = self.sent_task(index, worker)?;
         if failed {
-            task.failures += 1;
             task.failed_on.push(worker);
         }
-        let has_attempt = !failed || task.failures < attempts;
+        let has_attempt = !failed || task.failed_on.len() < usize::from(attempts);
         task.state = TaskState::Ready;
         self.sent -= 1;
         self.has_run = true;
--- a/crates/lagoonhill_core/src/entry/machine/admission.rs
+++ b/crates/lagoonhill_core/src/entry/machine/admission.rs
@@ -5,8 +5,8 @@
 
 use super::{DEFAULT_RETRY_MS, Entry};
 use crate::entry::{
-    CallerId, Cause, DecisionKind, Job, JobFailure, JobPlan, Lane, Placement, Promise, QueuedAs,
-    Record, RecordKey, Step, Submission, WorkKind,
+    CallerId, Cause, DecisionKind, Job, JobFailure, JobPlan, Placement, Promise, QueuedAs, Record,
+    RecordKey, Step, Submission, WorkKind,
 };
 
 /// An answer after this many times the promised time is of no use.
@@ -104,12 +104,7 @@
             self.last_rush_ms.insert(service.clone(), now);
         }
         let queued = self.queued_tasks(&service);
-        *self.queued.entry((service.clone(), class)).or_default() += ready;
-        let place = self.jobs[key].place(key);
-        self.queues
-            .entry(service.clone())
-            .or_default()
-            .insert(Lane::InTime, &place);
+        self.enqueue(key, ready);
         self.decide(
             now,
             Some(id),
--- a/crates/lagoonhill_core/src/entry/machine/dispatch.rs
+++ b/crates/lagoonhill_core/src/entry/machine/dispatch.rs
@@ -102,7 +102,9 @@
             // never find out that this one has recovered.
             let probe = open.iter().position(|candidate| candidate.is_probe);
             match probe.or_else(|| self.placement.choose(&open, situation)) {
-                Some(choice) => self.place(key, open[choice], &open, now),
+                Some(choice) => {
+                    self.place(key, open[choice], &open, situation.run_time_ms, now);
+                }
                 None if situation.room == Room::KeepReserve && needs == Needs::default() => {
                     blocked.classes.insert(self.jobs[key].plan.class);
                 }
@@ -249,9 +251,17 @@
         }
     }
 
-    fn place(&mut self, key: JobKey, chosen: Candidate, open: &[Candidate], now: TimestampMs) {
+    /// Orders a job's next task, expected to run that long on a worker of
+    /// average speed, from the chosen worker.
+    fn place(
+        &mut self,
+        key: JobKey,
+        chosen: Candidate,
+        open: &[Candidate],
+        expected_ms: DurationMs,
+        now: TimestampMs,
+    ) {
         let kind = self.kind_of(key);
-        let expected_ms = self.next_run_time(key);
         let job = &mut self.jobs[key];
         let declared_ms = job.next_estimate_ms();
         let Some(next) = job.send_next(chosen.key) else {
--- a/crates/lagoonhill_core/src/entry/machine/endings.rs
+++ b/crates/lagoonhill_core/src/entry/machine/endings.rs
@@ -7,8 +7,8 @@
 
 use super::{DEFAULT_RETRY_MS, Entry};
 use crate::entry::{
-    Answer, CallerId, Cause, Decision, DecisionKind, EntryEffect, Job, JobFailure, JobKey,
-    Placement, RunCertainty,
+    Answer, CallerId, Cause, DecisionKind, EntryEffect, Job, JobFailure, JobKey, Placement,
+    RunCertainty,
 };
 
 impl<P: Placement> Entry<P> {
@@ -22,13 +22,7 @@
         let kind = DecisionKind::Refused {
             cause: failure.cause.clone(),
         };
-        self.effects.push(EntryEffect::Decided(Decision {
-            at_ms: now,
-            job: None,
-            request,
-            index: None,
-            kind,
-        }));
+        self.decide_about(now, None, request, None, kind);
         self.answer(
             caller,
             Answer {
@@ -120,13 +114,7 @@
 
     /// Logs the end of a job that is in no index any more.
     fn decide_ended(&mut self, job: &Job, kind: DecisionKind, now: TimestampMs) {
-        self.effects.push(EntryEffect::Decided(Decision {
-            at_ms: now,
-            job: Some(job.plan.id),
-            request: job.name(),
-            index: None,
-            kind,
-        }));
+        self.decide_about(now, Some(job.plan.id), job.name(), None, kind);
     }
 
     pub(super) fn close_job(
--- a/crates/lagoonhill_core/src/entry/machine/mod.rs
+++ b/crates/lagoonhill_core/src/entry/machine/mod.rs
@@ -205,6 +205,18 @@
     ) {
         let known = job.and_then(|id| self.by_job.get(&id));
         let request = known.and_then(|key| self.jobs[*key].name());
+        self.decide_about(at_ms, job, request, index, kind);
+    }
+
+    /// As [`Self::decide`], for what is in no index.
+    fn decide_about(
+        &mut self,
+        at_ms: TimestampMs,
+        job: Option<JobId>,
+        request: Option<RequestKey>,
+        index: Option<TaskIndex>,
+        kind: DecisionKind,
+    ) {
         self.effects.push(EntryEffect::Decided(Decision {
             at_ms,
             job,
--- a/crates/lagoonhill_core/src/entry/machine/outcomes.rs
+++ b/crates/lagoonhill_core/src/entry/machine/outcomes.rs
@@ -4,7 +4,7 @@
 use lagoonhill_types::prelude::*;
 
 use super::Entry;
-use crate::entry::{Cause, DecisionKind, Health, JobKey, Order, Placement, WorkerKey};
+use crate::entry::{Cause, DecisionKind, Health, JobKey, Order, Placement, Worker, WorkerKey};
 
 /// A probe that took this many times the expected run time was not well run.
 const SLOW_PROBE_FACTOR: u64 = 3;
@@ -230,7 +230,11 @@
             .fleet
             .get(key)
             .is_some_and(|worker| worker.health.is_failing());
-        if is_failing && !self.fleet.service_is_failing(service) {
+        if is_failing
+            && !self
+                .fleet
+                .is_true_of_most(service, |worker| worker.health.is_failing())
+        {
             self.quarantine(key, now, Health::quarantine_failing);
         }
     }
@@ -271,16 +275,11 @@
         };
         let reports_overdue = worker.reports_overdue();
         self.quarantine_if_alone(key, &service, now);
-        if !reports_overdue {
-            return;
-        }
-        let keys = self.fleet.of_service(&service);
-        let is_overdue = |key: &&WorkerKey| {
-            self.fleet
-                .get(**key)
-                .is_some_and(crate::entry::Worker::reports_overdue)
-        };
-        if keys.iter().filter(is_overdue).count() * 2 <= keys.len() {
+        if reports_overdue
+            && !self
+                .fleet
+                .is_true_of_most(&service, Worker::reports_overdue)
+        {
             self.quarantine(key, now, Health::quarantine_slow);
             self.recall_overdue(key, now);
         }
@@ -310,16 +309,19 @@
     /// half of their service does.
     pub(super) fn quarantine_stuck(&mut self, now: TimestampMs) {
         for service in self.fleet.services() {
-            let keys = self.fleet.of_service(&service).to_vec();
+            if self
+                .fleet
+                .is_true_of_most(&service, |worker| worker.is_stuck(now))
+            {
+                continue;
+            }
+            let keys = self.fleet.of_service(&service);
             let is_stuck = |key: &WorkerKey| {
                 self.fleet
                     .get(*key)
                     .is_some_and(|worker| worker.is_stuck(now))
             };
             let stuck: Vec<WorkerKey> = keys.iter().copied().filter(is_stuck).collect();
-            if stuck.len() * 2 > keys.len() {
-                continue;
-            }
             for key in stuck {
                 self.quarantine(key, now, Health::quarantine_slow);
             }
--- a/crates/lagoonhill_core/src/entry/placement.rs
+++ b/crates/lagoonhill_core/src/entry/placement.rs
@@ -15,8 +15,6 @@
     pub slowness_permille: u32,
     /// Quarantined and due for a probe: gets the next task, and only that.
     pub is_probe: bool,
-    /// Gets one task at a time.
-    pub takes_one: bool,
 }
 
 impl Candidate {
--- a/crates/lagoonhill_core/src/entry/worker.rs
+++ b/crates/lagoonhill_core/src/entry/worker.rs
@@ -238,7 +238,6 @@
             load,
             slowness_permille,
             is_probe: self.health.is_quarantined(),
-            takes_one: self.health.is_quarantined(),
         })
     }
 
--- a/crates/lagoonhill_core/src/leased/runs.rs
+++ b/crates/lagoonhill_core/src/leased/runs.rs
@@ -173,20 +173,10 @@
     }
 
     /// Whether the target takes orders.
-    pub fn is_usable(&self) -> bool {
+    fn is_usable(&self) -> bool {
         self.told.is_some()
     }
 
-    /// How many runs are not over.
-    pub fn len(&self) -> usize {
-        self.runs.len()
-    }
-
-    /// Whether every run is over.
-    pub fn is_empty(&self) -> bool {
-        self.runs.is_empty()
-    }
-
     /// A target announced itself. Another incarnation ends every run of the
     /// one before. Returns false when the announcement is out of date.
     pub fn announce(&mut self, announcement: Announcement, now: TimestampMs) -> bool {
--- a/crates/lagoonhill_core/src/session.rs
+++ b/crates/lagoonhill_core/src/session.rs
@@ -300,17 +300,13 @@
         let skip = usize::try_from(self.transmitted.0 - self.acked.0).unwrap_or(usize::MAX);
         let has_new = skip < self.unacked.len();
         let ack_due = self.ack_due_ms.is_some_and(|due_ms| due_ms <= now);
-        let interval_ms = match header.heartbeat {
-            Heartbeat::None => None,
-            Heartbeat::AsAgreed => Some(self.heartbeat_ms),
-            Heartbeat::WithinLease(interval_ms) => Some(interval_ms),
-        };
-        let silent_ms = match header.heartbeat {
-            // Answers count, not questions.
-            Heartbeat::WithinLease(_) => now.since(self.alive_ms.max(self.asked_ms)),
-            Heartbeat::None | Heartbeat::AsAgreed => now.since(self.last_sent_ms),
+        let heartbeat_due = match header.heartbeat {
+            Heartbeat::None => false,
+            Heartbeat::AsAgreed => now.since(self.last_sent_ms) >= self.heartbeat_ms,
+            Heartbeat::WithinLease(interval_ms) => {
+                now.since(self.alive_ms.max(self.asked_ms)) >= interval_ms
+            }
         };
-        let heartbeat_due = interval_ms.is_some_and(|interval_ms| silent_ms >= interval_ms);
         if !has_new && !ack_due && !heartbeat_due && !self.ping_due {
             return None;
         }
--- a/crates/lagoonhill_core/tests/entry.rs
+++ b/crates/lagoonhill_core/tests/entry.rs
@@ -34,7 +34,6 @@
         load,
         slowness_permille,
         is_probe: false,
-        takes_one: false,
     }
 }
 
--- a/crates/lagoonhill_link/src/tcp_link.rs
+++ b/crates/lagoonhill_link/src/tcp_link.rs
@@ -81,6 +81,14 @@
 }
 
 impl Peer {
+    /// A peer whose connection is being opened.
+    fn dial(runtime: &Handle, to: SocketAddr) -> Self {
+        Self {
+            state: TcpLink::connect(runtime, to),
+            pending: Vec::new(),
+        }
+    }
+
     /// Writes what waits, as far as the connection takes it.
     fn flush(&mut self, runtime: &Handle, to: SocketAddr) {
         match &self.state {
@@ -135,10 +143,10 @@
     fn send(&mut self, to: SocketAddr, packet: &Packet) -> usize {
         let bytes = encode(packet);
         let runtime = &self.runtime;
-        let peer = self.peers.entry(to).or_insert_with(|| Peer {
-            state: TcpLink::connect(runtime, to),
-            pending: Vec::new(),
-        });
+        let peer = self
+            .peers
+            .entry(to)
+            .or_insert_with(|| Peer::dial(runtime, to));
         if peer.pending.len() + bytes.len() > MAX_PENDING_BYTES {
             debug!("a packet to {to} was dropped; its session sends it again");
             return bytes.len();
@@ -160,11 +168,7 @@
     }
 
     fn redial(&mut self, to: SocketAddr) {
-        let peer = Peer {
-            state: TcpLink::connect(&self.runtime, to),
-            pending: Vec::new(),
-        };
-        self.peers.insert(to, peer);
+        self.peers.insert(to, Peer::dial(&self.runtime, to));
     }
 
     fn hangup(&mut self, to: SocketAddr) {
