Read the change once more: work done once, and one piece for what stood twice

Cause: admission worked out a submission's class, deadline, expected run time and steps two to three times for each job, and some twins were left.

Left out: the forms of a step and of a capacity name the same three fields; folding them by serde's flatten would change what a malformed body is told. Adding, subtracting and taking the larger of resources stay three functions: one for all would need an operation for each field's type.

--- a/crates/lagoonhill/src/main.rs
+++ b/crates/lagoonhill/src/main.rs
@@ -8,30 +8,12 @@
 use std::process::ExitCode;
 
 use cli::Command;
+use lagoonhill_daemon::run_to_end;
+use tokio::runtime::Builder;
 
 fn main() -> ExitCode {
     let command = cli::parse();
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build();
-    let runtime = match runtime {
-        Ok(runtime) => runtime,
-        Err(error) => {
-            eprintln!("could not start the runtime: {error}; raise the limit on processes");
-            return ExitCode::FAILURE;
-        }
-    };
-    let result = runtime.block_on(run(command));
-    // Blocked helper threads must not hold up the exit.
-    runtime.shutdown_background();
-    lagoonhill_daemon::logging::flush();
-    match result {
-        Ok(code) => code,
-        Err(message) => {
-            eprintln!("{message}");
-            ExitCode::FAILURE
-        }
-    }
+    run_to_end(&mut Builder::new_multi_thread(), run(command))
 }
 
 async fn run(command: Command) -> Result<ExitCode, String> {
--- a/crates/lagoonhill/tests/command_line.rs
+++ b/crates/lagoonhill/tests/command_line.rs
@@ -118,25 +118,10 @@
     assert!(text(&show).contains(line));
     let log = run_beside(arguments(&["rules", "log", "--platform", &address])).await;
     assert!(text(&log).contains("Asha"));
-    let remove = run_beside(arguments(&[
-        "rules",
-        "remove",
-        "--platform",
-        &address,
-        "team",
-        "north",
-    ]))
-    .await;
+    let remove_north = || arguments(&["rules", "remove", "--platform", &address, "team", "north"]);
+    let remove = run_beside(remove_north()).await;
     assert!(text(&remove).contains("revision 2"), "{}", errors(&remove));
-    let again = run_beside(arguments(&[
-        "rules",
-        "remove",
-        "--platform",
-        &address,
-        "team",
-        "north",
-    ]))
-    .await;
+    let again = run_beside(remove_north()).await;
     assert!(errors(&again).contains("no line"));
 }
 
--- a/crates/lagoonhill_core/src/entry/job.rs
+++ b/crates/lagoonhill_core/src/entry/job.rs
@@ -216,6 +216,12 @@
         self.plan.queued_as.is_some()
     }
 
+    /// Failed runs of one task that fail the job.
+    pub fn attempts(&self) -> u16 {
+        let queued_as = self.plan.queued_as.as_ref();
+        queued_as.map_or(1, |order| order.attempts)
+    }
+
     /// How many tasks wait in the queue.
     pub fn ready_count(&self) -> usize {
         self.ready.len()
@@ -333,11 +339,7 @@
     /// Makes a task ready again after a run that ended without success.
     /// Returns false when `failed` and no attempt is left.
     pub fn rerun(&mut self, index: TaskIndex, worker: WorkerKey, failed: bool) -> Option<bool> {
-        let attempts = self
-            .plan
-            .queued_as
-            .as_ref()
-            .map_or(1, |queue| queue.attempts);
+        let attempts = self.attempts();
         let task = self.sent_task(index, worker)?;
         if failed {
             task.failed_on.push(worker);
--- a/crates/lagoonhill_core/src/entry/machine/admission.rs
+++ b/crates/lagoonhill_core/src/entry/machine/admission.rs
@@ -15,6 +15,19 @@
 /// One, in thousandths.
 const PERMILLE: u64 = 1_000;
 
+/// What is worked out about a submission, once.
+#[derive(Debug)]
+struct Appraisal {
+    class: Class,
+    /// Time allowed for the answer.
+    deadline_ms: DurationMs,
+    /// Expected run time on a worker of average speed.
+    run_time_ms: DurationMs,
+    /// The steps, each with the stricter of what the service and the caller
+    /// ask of a worker.
+    steps: Vec<Step>,
+}
+
 impl<P: Placement> Entry<P> {
     /// What can be refused without regard to load.
     pub(super) fn check(&self, submission: &Submission) -> Result<(), JobFailure> {
@@ -66,12 +79,15 @@
         record: Option<RecordKey>,
         now: TimestampMs,
     ) {
-        if let Err(failure) = self
-            .check(&submission)
-            .and_then(|()| self.check_load(&submission, now))
-        {
-            return self.refuse(caller, submission.name(), failure, now);
-        }
+        let checked = self.check(&submission).and_then(|()| {
+            let appraisal = self.appraise(&submission);
+            self.check_load(&submission, &appraisal, now)?;
+            Ok(appraisal)
+        });
+        let appraisal = match checked {
+            Ok(appraisal) => appraisal,
+            Err(failure) => return self.refuse(caller, submission.name(), failure, now),
+        };
         let fingerprint = submission.fingerprint();
         let Submission {
             service,
@@ -80,12 +96,13 @@
             ..
         } = &submission;
         let (service, team, count) = (service.clone(), team.clone(), tasks.len());
-        let promise = self.promise(&submission, now);
+        let run_time_ms = appraisal.run_time_ms;
+        let promise = self.promise(&submission, run_time_ms, now);
         let rank_ms = match promise {
             Some(promise) => promise.latest_start_ms.0,
-            None => self.rank(&submission, now),
+            None => self.rank(&submission, run_time_ms, now),
         };
-        let mut job = self.new_job(submission, number, now);
+        let mut job = self.new_job(submission, appraisal, number, now);
         job.callers.push(caller);
         job.record.clone_from(&record);
         job.rank_ms = rank_ms;
@@ -120,11 +137,24 @@
         );
     }
 
+    fn appraise(&self, submission: &Submission) -> Appraisal {
+        Appraisal {
+            class: self.class_of(submission),
+            deadline_ms: self.deadline(submission),
+            run_time_ms: self.expected_run_time(submission),
+            steps: self.steps_of(submission),
+        }
+    }
+
     /// What the submission's queue promises of it.
-    fn promise(&self, submission: &Submission, now: TimestampMs) -> Option<Promise> {
+    fn promise(
+        &self,
+        submission: &Submission,
+        run_time_ms: DurationMs,
+        now: TimestampMs,
+    ) -> Option<Promise> {
         let order = submission.order.as_ref()?;
         let rule = self.rules().queue(&order.queue)?;
-        let run_time_ms = self.expected_run_time(submission);
         let promised_ms = DurationMs(run_time_ms.0 * u64::from(rule.slack_permille) / PERMILLE);
         let promised_ms = promised_ms + rule.objective_ms;
         let slowness = u64::from(self.fleet.least_slowness_permille(&submission.service));
@@ -138,20 +168,29 @@
     }
 
     /// A job's place in its queue: short before long.
-    fn rank(&self, submission: &Submission, now: TimestampMs) -> u64 {
-        let run_time_ms = self.expected_run_time(submission);
+    fn rank(&self, submission: &Submission, run_time_ms: DurationMs, now: TimestampMs) -> u64 {
         let slots = u64::from(self.fleet.slots(&submission.service).max(1));
         now.0 + run_time_ms.0 * submission.tasks.len() as u64 / slots
     }
 
-    fn new_job(&self, submission: Submission, number: u64, now: TimestampMs) -> Job {
+    fn new_job(
+        &self,
+        submission: Submission,
+        appraisal: Appraisal,
+        number: u64,
+        now: TimestampMs,
+    ) -> Job {
+        let Appraisal {
+            class,
+            deadline_ms,
+            steps,
+            ..
+        } = appraisal;
         let rule = self
             .rules()
             .service(&submission.service)
             .cloned()
             .unwrap_or_default();
-        let deadline_ms = self.deadline(&submission);
-        let steps = self.steps_of(&submission);
         let queued_as = submission.order.as_ref().map(|order| QueuedAs {
             queue: order.queue.clone(),
             name: order.name.clone(),
@@ -165,7 +204,7 @@
                 entry: self.config.address.incarnation,
                 number,
             },
-            class: self.class_of(&submission),
+            class,
             service: submission.service,
             team: submission.team,
             accepted_ms: now,
@@ -176,8 +215,6 @@
         Job::new(plan, steps, submission.tasks)
     }
 
-    /// The steps, each with the stricter of what the service and the caller
-    /// ask of a worker.
     fn steps_of(&self, submission: &Submission) -> Vec<Step> {
         let by_rule = self.rules().service(&submission.service);
         let by_rule = by_rule.map_or_else(Resources::default, |rule| Resources {
@@ -254,7 +291,12 @@
     }
 
     /// What depends on the fleet and the queues.
-    fn check_load(&mut self, submission: &Submission, now: TimestampMs) -> Result<(), JobFailure> {
+    fn check_load(
+        &mut self,
+        submission: &Submission,
+        appraisal: &Appraisal,
+        now: TimestampMs,
+    ) -> Result<(), JobFailure> {
         let Submission {
             service,
             team,
@@ -266,16 +308,12 @@
             return Err(JobFailure::refused_for_now(cause, DEFAULT_RETRY_MS));
         }
         let fits_none = |step: &Step| !self.fleet.any_fits(service, &step.needs);
-        if let Some(step) = self
-            .steps_of(submission)
-            .iter()
-            .find(|step| fits_none(step))
-        {
+        if let Some(step) = appraisal.steps.iter().find(|step| fits_none(step)) {
             return Err(JobFailure::refused(Cause::NeverFits(
                 step.needs.to_string(),
             )));
         }
-        self.check_queue(submission)?;
+        self.check_queue(submission, appraisal)?;
         let rate = self.rules().team(team).and_then(|rule| rule.rate);
         let Some(rate) = rate else {
             return Ok(());
@@ -293,10 +331,8 @@
     }
 
     /// Tasks like these that the service runs at the same time.
-    fn slots_for(&self, submission: &Submission) -> u64 {
-        let service = &submission.service;
+    fn slots_for(&self, service: &ServiceName, steps: &[Step]) -> u64 {
         let slots = u64::from(self.fleet.slots(service));
-        let steps = submission.steps();
         let need = steps
             .iter()
             .map(|step| u64::from(step.needs.resources.processors.0))
@@ -305,11 +341,19 @@
         by_processors.map_or(slots, |count| count.min(slots))
     }
 
-    fn check_queue(&self, submission: &Submission) -> Result<(), JobFailure> {
+    fn check_queue(
+        &self,
+        submission: &Submission,
+        appraisal: &Appraisal,
+    ) -> Result<(), JobFailure> {
         let Submission { service, tasks, .. } = submission;
-        let class = self.class_of(submission);
-        let run_time_ms = self.expected_run_time(submission);
-        let slots = self.slots_for(submission).max(1);
+        let &Appraisal {
+            class,
+            deadline_ms,
+            run_time_ms,
+            ref steps,
+        } = appraisal;
+        let slots = self.slots_for(service, steps).max(1);
         let slots = (slots / self.entries.len().max(1) as u64).max(1);
         let ahead: usize = Class::ALL
             .iter()
@@ -325,7 +369,6 @@
                 retry_ms,
             ));
         }
-        let deadline_ms = self.deadline(submission);
         if wait_ms + own_ms <= deadline_ms || ahead == 0 {
             return Ok(());
         }
--- a/crates/lagoonhill_core/src/entry/machine/outcomes.rs
+++ b/crates/lagoonhill_core/src/entry/machine/outcomes.rs
@@ -22,15 +22,12 @@
         let Some(order) = worker.take_order(task) else {
             return;
         };
+        let worker = worker.id.clone();
         self.release_quota(&order.team);
         self.learn(key, &order, &result, run_ms, now);
         let Some(&job_key) = self.by_job.get(&task.job) else {
             return;
         };
-        let worker = self.fleet.get(key).map(|worker| worker.id.clone());
-        let Some(worker) = worker else {
-            return;
-        };
         let index = task.index;
         match result {
             TaskResult::Done(payload) => {
@@ -92,12 +89,7 @@
         let Some(has_attempt) = job.rerun(index, from, failure.is_some()) else {
             return;
         };
-        let id = job.plan.id;
-        let attempts = job
-            .plan
-            .queued_as
-            .as_ref()
-            .map_or(1, |queue| queue.attempts);
+        let (id, attempts) = (job.plan.id, job.attempts());
         self.enqueue(key, 1);
         let Some(message) = failure else {
             return;
@@ -179,14 +171,10 @@
         run_ms: DurationMs,
         now: TimestampMs,
     ) {
-        let target = self
-            .fleet
-            .get(key)
-            .and_then(|worker| worker.target.as_ref());
-        let Some(service) = target.map(|target| target.service.clone()) else {
+        let Some(worker) = self.fleet.get_mut(key) else {
             return;
         };
-        let Some(worker) = self.fleet.get_mut(key) else {
+        let Some(service) = worker.target.as_ref().map(|target| target.service.clone()) else {
             return;
         };
         match result {
--- a/crates/lagoonhill_core/src/entry/run_times.rs
+++ b/crates/lagoonhill_core/src/entry/run_times.rs
@@ -36,10 +36,7 @@
 impl RunTimes {
     /// The expected run time, or `prior_ms` when nothing is known.
     pub fn expected(&self, kind: &WorkKind, prior_ms: DurationMs) -> DurationMs {
-        let learned = self.learned.get(kind);
-        learned.map_or(prior_ms, |learned| {
-            DurationMs(learned.run_micros.div_ceil(1_000))
-        })
+        self.learned(kind, DurationMs::ZERO).unwrap_or(prior_ms)
     }
 
     /// The expected run time of a task that declares one. Declared times are
--- a/crates/lagoonhill_core/src/leased/runs.rs
+++ b/crates/lagoonhill_core/src/leased/runs.rs
@@ -177,6 +177,11 @@
         self.told.is_some()
     }
 
+    /// Whether the target has answered lately.
+    fn is_heard(&self, now: TimestampMs) -> bool {
+        now.since(self.heard_ms) < self.timing.silence_ms
+    }
+
     /// A target announced itself. Another incarnation ends every run of the
     /// one before. Returns false when the announcement is out of date.
     pub fn announce(&mut self, announcement: Announcement, now: TimestampMs) -> bool {
@@ -210,10 +215,7 @@
     }
 
     fn end_life(&mut self, why: &str) {
-        let keys: Vec<TaskKey> = self.runs.keys().copied().collect();
-        for key in keys {
-            self.end(key, TaskResult::Interrupted(why.to_owned()));
-        }
+        self.interrupt_all(why);
         self.announced = None;
         self.clock = None;
         self.observed = 0;
@@ -316,7 +318,7 @@
     }
 
     fn hold(&mut self, now: TimestampMs) {
-        let is_heard = now.since(self.heard_ms) < self.timing.silence_ms;
+        let is_heard = self.is_heard(now);
         let clock = self.clock.filter(|_| is_heard && self.foreign.is_empty());
         let until_ms = clock.map(|clock| self.grant(clock, now));
         // The first look must not wait: nothing is started before its answer.
@@ -538,6 +540,13 @@
         }
     }
 
+    fn interrupt_all(&mut self, why: &str) {
+        let keys: Vec<TaskKey> = self.runs.keys().copied().collect();
+        for key in keys {
+            self.end(key, TaskResult::Interrupted(why.to_owned()));
+        }
+    }
+
     /// Runs timers. Call every few tens of milliseconds.
     pub fn tick(&mut self, now: TimestampMs) {
         if self.announced.is_none() {
@@ -556,17 +565,13 @@
         if self.holding.is_none() && now.since(self.held_ms) >= pause_ms {
             self.hold(now);
         }
-        if now.since(self.heard_ms) < self.timing.silence_ms {
+        if self.is_heard(now) {
             return;
         }
         self.responsive = false;
         self.tell();
         if now >= self.lapses_ms {
-            let keys: Vec<TaskKey> = self.runs.keys().copied().collect();
-            for key in keys {
-                let why = "the target fell silent and its lease has lapsed".to_owned();
-                self.end(key, TaskResult::Interrupted(why));
-            }
+            self.interrupt_all("the target fell silent and its lease has lapsed");
         }
     }
 
@@ -578,7 +583,7 @@
             .filter(|(_, run)| is_due(run))
             .map(|(key, _)| *key)
             .collect();
-        let is_heard = now.since(self.heard_ms) < self.timing.silence_ms;
+        let is_heard = self.is_heard(now);
         for key in due {
             match self.runs[&key].phase {
                 Phase::Starting { .. } if is_heard => self.order(key, now),
