--- a/crates/lagoonhill_standin/src/relay.rs
+++ b/crates/lagoonhill_standin/src/relay.rs
@@ -4,10 +4,14 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+/// How often a held connection looks whether it may go on.
+const HOLD_POLL: Duration = Duration::from_millis(5);
+
 /// What a relay does with bytes. Connections stay open in every mode.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[repr(u8)]
@@ -18,6 +22,16 @@
     SilenceOld = 1,
     /// All connections are silent, new ones too.
     SilenceAll = 2,
+    /// What the upstream sends is lost; it still receives.
+    SilenceReplies = 3,
+    /// Nothing passes until the mode changes; then all of it arrives late.
+    Hold = 4,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Direction {
+    ToUpstream,
+    FromUpstream,
 }
 
 #[derive(Debug)]
@@ -26,16 +40,25 @@
     /// Connections numbered below this are silent.
     silent_below: AtomicU64,
     accepted: AtomicU64,
+    /// How long bytes wait on their way.
+    delay_ms: AtomicU64,
+    /// Counts the resets; connections of before each are gone.
+    resets: watch::Sender<u64>,
 }
 
 impl Shared {
-    fn is_silent(&self, number: u64) -> bool {
-        self.mode.load(Ordering::Relaxed) == RelayMode::SilenceAll as u8
+    fn is_mode(&self, mode: RelayMode) -> bool {
+        self.mode.load(Ordering::Relaxed) == mode as u8
+    }
+
+    fn is_silent(&self, number: u64, direction: Direction) -> bool {
+        self.is_mode(RelayMode::SilenceAll)
             || number < self.silent_below.load(Ordering::Relaxed)
+            || (self.is_mode(RelayMode::SilenceReplies) && direction == Direction::FromUpstream)
     }
 }
 
-/// A TCP relay that can lose track of connections without closing them.
+/// A TCP relay that delays, holds, loses or resets what passes through it.
 #[derive(Debug)]
 pub struct Relay {
     address: SocketAddr,
@@ -48,10 +71,13 @@
     pub async fn start(upstream: SocketAddr) -> std::io::Result<Self> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
+        let (resets, _) = watch::channel(0);
         let shared = Arc::new(Shared {
             mode: AtomicU8::new(0),
             silent_below: AtomicU64::new(0),
             accepted: AtomicU64::new(0),
+            delay_ms: AtomicU64::new(0),
+            resets,
         });
         let state = Arc::clone(&shared);
         let server = tokio::spawn(async move {
@@ -85,6 +111,17 @@
         }
         self.shared.mode.store(mode as u8, Ordering::Relaxed);
     }
+
+    /// Bytes wait this long on their way from now on.
+    pub fn set_delay(&self, delay: Duration) {
+        let delay_ms = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
+        self.shared.delay_ms.store(delay_ms, Ordering::Relaxed);
+    }
+
+    /// Resets all connections that exist now; new ones work.
+    pub fn reset(&self) {
+        self.shared.resets.send_modify(|resets| *resets += 1);
+    }
 }
 
 impl Drop for Relay {
@@ -93,26 +130,50 @@
     }
 }
 
-async fn connect(stream: TcpStream, upstream: SocketAddr, number: u64, shared: Arc<Shared>) {
-    let Ok(onward) = TcpStream::connect(upstream).await else {
+async fn connect(mut stream: TcpStream, upstream: SocketAddr, number: u64, shared: Arc<Shared>) {
+    let mut resets = shared.resets.subscribe();
+    let Ok(mut onward) = TcpStream::connect(upstream).await else {
         return;
     };
     let _ = (stream.set_nodelay(true), onward.set_nodelay(true));
-    let (read_in, write_in) = stream.into_split();
-    let (read_out, write_out) = onward.into_split();
-    tokio::join!(
-        copy(read_in, write_out, number, &shared),
-        copy(read_out, write_in, number, &shared)
-    );
+    let (read_in, write_in) = stream.split();
+    let (read_out, write_out) = onward.split();
+    let copying = async {
+        tokio::join!(
+            copy(read_in, write_out, number, Direction::ToUpstream, &shared),
+            copy(read_out, write_in, number, Direction::FromUpstream, &shared)
+        )
+    };
+    let is_reset = tokio::select! {
+        _ = copying => false,
+        changed = resets.changed() => changed.is_ok(),
+    };
+    if is_reset {
+        // Both ends see a reset instead of an orderly end.
+        let _ = (stream.set_zero_linger(), onward.set_zero_linger());
+    }
 }
 
-async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, number: u64, shared: &Shared) {
+async fn copy(
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
+    number: u64,
+    direction: Direction,
+    shared: &Shared,
+) {
     let mut buffer = vec![0; 64 << 10];
     while let Ok(count) = from.read(&mut buffer).await {
-        if shared.is_silent(number) {
+        if shared.is_silent(number, direction) {
             // The bytes are lost and nobody is told.
             tokio::time::sleep(Duration::from_secs(600)).await;
         }
+        while shared.is_mode(RelayMode::Hold) {
+            tokio::time::sleep(HOLD_POLL).await;
+        }
+        let delay_ms = shared.delay_ms.load(Ordering::Relaxed);
+        if delay_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        }
         if count == 0 || to.write_all(&buffer[..count]).await.is_err() {
             break;
         }
