Hopeless jobs no longer quarantine sound workers

It now counts jobs, and a job that has failed on two workers counts against neither. Ruled out: the agents' reports, which count jobs already.

--- a/crates/lagoonhill_core/src/entry/health.rs
+++ b/crates/lagoonhill_core/src/entry/health.rs
@@ -1,7 +1,8 @@
 use lagoonhill_types::prelude::*;
 
-/// Failures in a row that make a worker suspicious.
-const MAX_FAILURES_IN_A_ROW: u32 = 3;
+/// Jobs that failed in a row, by this entry's own count or an agent's report,
+/// that make a worker suspicious.
+const MAX_FAILED_JOBS: usize = 3;
 
 /// Well-run probes that end the quarantine of a slow worker. A short task may
 /// look well run on it by chance.
@@ -20,14 +21,12 @@
 /// Growth of the time between probes after a bad one.
 const PROBE_BACKOFF: u64 = 4;
 
-/// Failed jobs in a row, as an agent reports them, that make a worker
-/// suspicious.
-const MAX_FAILED_JOBS: u16 = 3;
-
 /// Whether a worker runs tasks well.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Health {
-    failures_in_a_row: u32,
+    /// Jobs of which a task failed here since the last that was run well. Many
+    /// failures of one job speak of the job.
+    failed_jobs: Vec<JobId>,
     reported_failed_jobs: u16,
     quarantine: Option<Quarantine>,
 }
@@ -47,8 +46,8 @@
 
     /// Whether recent tasks failed often enough to be suspicious.
     pub fn is_failing(&self) -> bool {
-        self.failures_in_a_row >= MAX_FAILURES_IN_A_ROW
-            || self.reported_failed_jobs >= MAX_FAILED_JOBS
+        self.failed_jobs.len() >= MAX_FAILED_JOBS
+            || usize::from(self.reported_failed_jobs) >= MAX_FAILED_JOBS
     }
 
     /// Takes an agent's count of jobs that failed in a row, for all entries.
@@ -64,7 +63,7 @@
 
     /// Records a well-run task; returns whether that ended a quarantine.
     pub fn succeeded(&mut self) -> bool {
-        self.failures_in_a_row = 0;
+        self.failed_jobs.clear();
         let Some(quarantine) = &mut self.quarantine else {
             return false;
         };
@@ -76,9 +75,21 @@
         true
     }
 
-    /// Records a failed task, or a probe that ran far too long.
-    pub fn failed(&mut self, now: TimestampMs) {
-        self.failures_in_a_row = self.failures_in_a_row.saturating_add(1);
+    /// Records a failed task of a job.
+    pub fn failed(&mut self, job: JobId, now: TimestampMs) {
+        if self.failed_jobs.len() < MAX_FAILED_JOBS && !self.failed_jobs.contains(&job) {
+            self.failed_jobs.push(job);
+        }
+        self.probe_failed(now);
+    }
+
+    /// Forgets the failures of a job that has failed on other workers too.
+    pub fn forgive(&mut self, job: JobId) {
+        self.failed_jobs.retain(|failed| *failed != job);
+    }
+
+    /// Puts the next probe off, if the worker is quarantined.
+    pub fn probe_failed(&mut self, now: TimestampMs) {
         if let Some(quarantine) = &mut self.quarantine {
             quarantine.interval_ms = (quarantine.interval_ms * PROBE_BACKOFF).min(MAX_PROBE_MS);
             quarantine.due_ms = now + quarantine.interval_ms;
--- a/crates/lagoonhill_core/src/entry/job.rs
+++ b/crates/lagoonhill_core/src/entry/job.rs
@@ -269,6 +269,12 @@
             .is_some_and(|index| self.tasks[usize::from(index.0)].failed_on.contains(&worker))
     }
 
+    /// Whether any task has failed on another worker than this one.
+    pub fn has_failed_elsewhere(&self, worker: WorkerKey) -> bool {
+        let mut failed_on = self.tasks.iter().flat_map(|task| &task.failed_on);
+        failed_on.any(|failed_on| *failed_on != worker)
+    }
+
     /// Tasks of the next ready task's step that a worker holds.
     pub fn siblings_at(&self, worker: WorkerKey) -> u16 {
         let Some(index) = self.ready.front() else {
--- a/crates/lagoonhill_core/src/entry/machine/outcomes.rs
+++ b/crates/lagoonhill_core/src/entry/machine/outcomes.rs
@@ -24,7 +24,7 @@
         };
         let worker = worker.id.clone();
         self.release_quota(&order.team);
-        self.learn(key, &order, &result, run_ms, now);
+        self.learn(key, task.job, &order, &result, run_ms, now);
         let Some(&job_key) = self.by_job.get(&task.job) else {
             return;
         };
@@ -166,6 +166,7 @@
     pub(super) fn learn(
         &mut self,
         key: WorkerKey,
+        job: JobId,
         order: &Order,
         result: &TaskResult,
         run_ms: DurationMs,
@@ -185,7 +186,7 @@
                 if worker.health.is_quarantined()
                     && run_ms > worker.usual_run_time(expected_ms) * SLOW_PROBE_FACTOR
                 {
-                    return worker.health.failed(now);
+                    return worker.health.probe_failed(now);
                 }
                 worker.observe(run_ms, expected_ms);
                 self.run_times
@@ -198,13 +199,32 @@
             }
             TaskResult::Failed(_)
             | TaskResult::NotRun(NotRunReason::TargetRefused | NotRunReason::TargetUnhealthy) => {
-                worker.health.failed(now);
+                if self.has_failed_elsewhere(job, key) {
+                    return self.forgive(job);
+                }
+                if let Some(worker) = self.fleet.get_mut(key) {
+                    worker.health.failed(job, now);
+                }
                 self.quarantine_if_alone(key, &service, now);
             }
             TaskResult::NotRun(_) | TaskResult::MayHaveRun(_) | TaskResult::Interrupted(_) => {}
         }
     }
 
+    /// Whether a job has failed on another worker, or as a whole.
+    fn has_failed_elsewhere(&self, job: JobId, worker: WorkerKey) -> bool {
+        self.by_job
+            .get(&job)
+            .is_none_or(|job| self.jobs[*job].has_failed_elsewhere(worker))
+    }
+
+    /// No worker is to blame for a job that fails on several.
+    fn forgive(&mut self, job: JobId) {
+        for (_, worker) in self.fleet.iter_mut() {
+            worker.health.forgive(job);
+        }
+    }
+
     /// Quarantines a worker that fails, unless its whole service does.
     pub(super) fn quarantine_if_alone(
         &mut self,
--- a/crates/lagoonhill_core/tests/queues.rs
+++ b/crates/lagoonhill_core/tests/queues.rs
@@ -280,6 +280,24 @@
         assert!(early * 10 > refusals.len() * 9, "{early} of {} within the promise", refusals.len());
     }
 
+    // Load pattern: one job in ten can't be done. Its tasks fail wherever they
+    // run, which says nothing of the workers.
+    hopeless_jobs_condemn_no_worker => {
+        let mut condemned = 0;
+        for seed in 0..5 {
+            let mut world = fleet(3, vec![average_target(); 6], 60 + seed);
+            world.keep_decisions = true;
+            for number in 0..400 {
+                let mark = if number % 10 == 0 { "hopeless" } else { "sound" };
+                world.submit(number % 3, simple("short", &format!("{mark}{number}"), 6, 50));
+                world.run_for(12);
+            }
+            let is_condemned = |decision: &&Decision| matches!(decision.kind, DecisionKind::Quarantined { .. });
+            condemned += world.decisions.iter().filter(is_condemned).count();
+        }
+        assert_eq!(condemned, 0, "quarantines of sound workers");
+    }
+
     a_wide_job_survives_a_worker_that_fails_everything => {
         for seed in 0..10 {
             let failing = TargetModel { fails_all: true, ..average_target() };
--- a/crates/lagoonhill_standin/src/world.rs
+++ b/crates/lagoonhill_standin/src/world.rs
@@ -257,6 +257,11 @@
 }
 
 /// A payload asks for its run time in its first word.
+/// Whether a task fails whatever runs it: its mark says so.
+fn is_hopeless(payload: &Payload) -> bool {
+    String::from_utf8_lossy(payload.as_slice()).contains("hopeless")
+}
+
 fn asked_run_ms(payload: &Payload) -> u64 {
     let text = std::str::from_utf8(payload.as_slice()).unwrap_or_default();
     text.split(' ')
@@ -858,6 +863,9 @@
         let model = self.targets[agent].1;
         let (run_ms, result) = if model.fails_all {
             (1, TaskResult::Failed("told to fail".to_owned()))
+        } else if is_hopeless(payload) {
+            let run_ms = asked_run_ms(payload) / 2;
+            (run_ms, TaskResult::Failed("it can't be done".to_owned()))
         } else {
             let run_ms = asked_run_ms(payload) * model.slowness_permille / 1_000;
             (run_ms, TaskResult::Done(result_of(payload)))
