--- a/crates/lagoonhill/src/cli.rs
+++ b/crates/lagoonhill/src/cli.rs
@@ -238,13 +238,17 @@
         #[bpaf(env("LAGOONHILL_ENTRY"), argument("IP:PORT"))]
         entry: String,
     },
-    /// Show the decisions about one job
+    /// Tell one job's story: from logs, or from the memory of its entry
     #[bpaf(command)]
     Explain {
-        /// The entry that owns the job
-        #[bpaf(env("LAGOONHILL_ENTRY"), argument("IP:PORT"))]
-        entry: String,
-        /// The job
+        /// The entry that owns the job, to ask it
+        #[bpaf(env("LAGOONHILL_ENTRY"), argument("IP:PORT"), optional)]
+        entry: Option<String>,
+        /// A log to read, named after its process; `-` for standard input. May
+        /// be given more than once
+        #[bpaf(argument("FILE"), many)]
+        log: Vec<String>,
+        /// The job: the caller's name of it (logs only), or the entry's own
         #[bpaf(positional("JOB"))]
         job: String,
     },
--- a/crates/lagoonhill/src/commands.rs
+++ b/crates/lagoonhill/src/commands.rs
@@ -1,4 +1,7 @@
+use std::fs::File;
+use std::io::Read as _;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
@@ -7,7 +10,8 @@
 use lagoonhill_entry::EntryDaemon;
 use lagoonhill_http::HttpClient;
 use lagoonhill_operator::{
-    ProcessRevision, new_edit_id, query_entry, query_fleet, read_rules, rules_in_force, submit_edit,
+    LogLine, ProcessRevision, Story, new_edit_id, query_entry, query_fleet, read_rules,
+    rules_in_force, submit_edit,
 };
 use lagoonhill_platform::EtcdStore;
 use lagoonhill_rules::{Edit, RuleKey, RuleLine, RuleSet, parse_rules};
@@ -19,6 +23,9 @@
 use crate::cli::{AgentOptions, CommonOptions, EntryOptions, RulesCommand, StoreOptions};
 use crate::settings::{check_agent, check_entry, read_address, read_value};
 
+/// The name that stands for standard input.
+const STANDARD_INPUT: &str = "-";
+
 /// Time within which accepted rules must be in force everywhere.
 const IN_FORCE_LIMIT: Duration = Duration::from_secs(12);
 
@@ -310,9 +317,44 @@
     Ok(ExitCode::SUCCESS)
 }
 
-pub(crate) async fn explain(entry: &str, job: &str) -> Result<ExitCode, String> {
+pub(crate) async fn explain(
+    entry: Option<&str>,
+    logs: &[String],
+    job: &str,
+) -> Result<ExitCode, String> {
+    if !logs.is_empty() {
+        return explain_by_logs(logs, job);
+    }
+    let Some(entry) = entry else {
+        return Err("nothing to ask: name an entry with --entry, or logs with --log".to_owned());
+    };
     let (address, job) = (read_address(entry)?, read_value(job)?);
     let decisions = lagoonhill_operator::explain(&HttpClient::new(), address, job).await;
     print!("{}", decisions.map_err(|error| error.to_string())?);
     Ok(ExitCode::SUCCESS)
 }
+
+/// Fails when no line tells of the job.
+fn explain_by_logs(logs: &[String], job: &str) -> Result<ExitCode, String> {
+    let mut lines = Vec::new();
+    for path in logs {
+        let process = Path::new(path).file_stem().unwrap_or_default();
+        let process = process.to_string_lossy().into_owned();
+        let mut text = String::new();
+        let read = if path == STANDARD_INPUT {
+            std::io::stdin().read_to_string(&mut text)
+        } else {
+            File::open(path).and_then(|mut file| file.read_to_string(&mut text))
+        };
+        read.map_err(|error| format!("{path}: {error}; check the file's name"))?;
+        let found = text.lines().filter_map(LogLine::parse);
+        lines.extend(found.map(|line| (process.clone(), line)));
+    }
+    let story = Story::tell(job, &lines);
+    print!("{story}");
+    Ok(if story.is_empty() {
+        ExitCode::FAILURE
+    } else {
+        ExitCode::SUCCESS
+    })
+}
--- a/crates/lagoonhill/src/main.rs
+++ b/crates/lagoonhill/src/main.rs
@@ -22,7 +22,9 @@
         Command::Agent { common, options } => commands::agent(common, options).await,
         Command::Rules(command) => commands::rules(command).await,
         Command::Status { entry } => commands::status(&entry).await,
-        Command::Explain { entry, job } => commands::explain(&entry, &job).await,
+        Command::Explain { entry, log, job } => {
+            commands::explain(entry.as_deref(), &log, &job).await
+        }
         Command::Demo(options) => demo::run(options).await,
     }
 }
--- a/crates/lagoonhill/tests/processes.rs
+++ b/crates/lagoonhill/tests/processes.rs
@@ -92,6 +92,17 @@
         assert_eq!(fleet.log.starts_of("once-0"), 1);
     }
 
+    an_entry_that_started_during_an_outage_is_on_the_list_soon_after_it => {
+        let mut fleet = Fleet::empty().await;
+        fleet.platform.set_faults(PlatformFaults { down: true, ..PlatformFaults::default() });
+        fleet.add_entry(&[]);
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        fleet.platform.set_faults(PlatformFaults::default());
+        let back = std::time::Instant::now();
+        until(async || fleet.platform.count("lagoonhill/entries/") == 1).await;
+        assert!(back.elapsed() < Duration::from_secs(5), "it took {:?}", back.elapsed());
+    }
+
     key_with_the_platform_down_is_refused_as_not_run_at_once => {
         let fleet = Fleet::start(1, 1).await;
         fleet.platform.set_faults(PlatformFaults { down: true, ..PlatformFaults::default() });
--- a/crates/lagoonhill/tests/support/mod.rs
+++ b/crates/lagoonhill/tests/support/mod.rs
@@ -6,7 +6,7 @@
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::mpsc;
+use std::sync::{Arc, Mutex, PoisonError, mpsc};
 use std::time::{Duration, Instant};
 
 use hyper::Method;
@@ -30,6 +30,8 @@
 /// A child process that announced its addresses on its standard output.
 pub(crate) struct Process {
     child: Child,
+    /// What it has written so far.
+    lines: Arc<Mutex<Vec<String>>>,
     pub(crate) http: SocketAddr,
     pub(crate) inbox: SocketAddr,
 }
@@ -43,6 +45,8 @@
             .expect("the binary was built for this test");
         let output = child.stdout.take().expect("standard output is piped");
         let (sender, addresses) = mpsc::channel();
+        let lines: Arc<Mutex<Vec<String>>> = Arc::default();
+        let kept = Arc::clone(&lines);
         let shows_logs = std::env::var_os("LAGOONHILL_TEST_LOGS").is_some();
         std::thread::spawn(move || {
             for line in BufReader::new(output).lines().map_while(Result::ok) {
@@ -53,12 +57,28 @@
                 if let Some(found) = announced(&line) {
                     let _ = sender.send(found);
                 }
+                kept.lock()
+                    .unwrap_or_else(PoisonError::into_inner)
+                    .push(line);
             }
         });
         let (http, inbox) = addresses
             .recv_timeout(WAIT_LIMIT)
             .expect("the process announces its addresses");
-        Self { child, http, inbox }
+        Self {
+            child,
+            lines,
+            http,
+            inbox,
+        }
+    }
+
+    /// What it has written so far.
+    pub(crate) fn lines(&self) -> Vec<String> {
+        self.lines
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
     }
 
     /// Sends a signal by name.
@@ -123,6 +143,8 @@
 fn announced(line: &str) -> Option<(SocketAddr, SocketAddr)> {
     let (front, inbox) = line.split_once(" and packets on ")?;
     let (_, http) = front.rsplit_once(" on ")?;
+    // In JSON the message ends with a quote.
+    let (inbox, _) = inbox.split_once('"').unwrap_or((inbox, ""));
     Some((http.parse().ok()?, inbox.trim().parse().ok()?))
 }
 
--- a/crates/lagoonhill_agent/src/control.rs
+++ b/crates/lagoonhill_agent/src/control.rs
@@ -108,7 +108,7 @@
                 AgentEffect::Hangup { to } => self.link.hangup(to),
                 AgentEffect::Run { key, start, target } => self.run(key, start, target, now),
                 AgentEffect::Stop { key } => {
-                    info!(target: "decision", "{} to be stopped", self.describe_run(key));
+                    info!(target: "decision", "{} stopping", self.describe_run(key));
                     self.runner.stop(key, now);
                 }
                 AgentEffect::Drained => {
@@ -137,13 +137,15 @@
     fn run(&mut self, key: TaskKey, start: Start, target: Target, now: TimestampMs) {
         info!(
             target: "decision",
-            "{} run={} started target={} expected={}",
+            "{} started run={} target={} expected={}",
             self.describe_run(key),
             start.run,
             target.address,
             start.expected_ms
         );
-        self.metrics.started.inc();
+        if let Some((arrived_ms, _)) = self.agent.times(key) {
+            self.metrics.started(now.since(arrived_ms));
+        }
         self.runner.run(key, start, target, now);
     }
 
@@ -156,7 +158,7 @@
                 ..
             }) => format!("request={} job={} task={}", name.job, task.job, task.index),
             Some(Start { task, .. }) => format!("job={} task={}", task.job, task.index),
-            None => "a run that is over".to_owned(),
+            None => "task=over".to_owned(),
         }
     }
 
@@ -166,10 +168,13 @@
                 RunnerReport::Finished { key, result } => {
                     info!(
                         target: "decision",
-                        "{} ended {}",
+                        "{} ended how={}",
                         self.describe_run(key),
                         describe(&result)
                     );
+                    if let Some((_, Some(started_ms))) = self.agent.times(key) {
+                        self.metrics.ended(name_of(&result), now.since(started_ms));
+                    }
                     self.agent.finished(key, result, now);
                 }
                 RunnerReport::Target(target) => self.agent.set_target(target, now),
@@ -178,13 +183,25 @@
     }
 }
 
+/// How a run ended, as one word.
+fn name_of(result: &TaskResult) -> &'static str {
+    match result {
+        TaskResult::Done(_) => "done",
+        TaskResult::Failed(_) => "failed",
+        TaskResult::NotRun(_) => "not-run",
+        TaskResult::MayHaveRun(_) => "may-have-run",
+        TaskResult::Interrupted(_) => "interrupted",
+    }
+}
+
 /// How a run ended, for the log.
 fn describe(result: &TaskResult) -> String {
+    let name = name_of(result);
     match result {
-        TaskResult::Done(_) => "done".to_owned(),
-        TaskResult::Failed(why) => format!("failed why=\"{why}\""),
-        TaskResult::NotRun(why) => format!("not-run why=\"{why}\""),
-        TaskResult::MayHaveRun(why) => format!("may-have-run why=\"{why}\""),
-        TaskResult::Interrupted(why) => format!("interrupted why=\"{why}\""),
+        TaskResult::Done(_) => name.to_owned(),
+        TaskResult::NotRun(why) => format!("{name} why={}", Quoted(why)),
+        TaskResult::Failed(why) | TaskResult::MayHaveRun(why) | TaskResult::Interrupted(why) => {
+            format!("{name} why={}", Quoted(why))
+        }
     }
 }
--- a/crates/lagoonhill_agent/src/daemon.rs
+++ b/crates/lagoonhill_agent/src/daemon.rs
@@ -92,7 +92,7 @@
             tokio::spawn(discover(store, settings.balancer, control.clone())),
         ];
         info!(
-            "agent of {} takes its target on {http} and packets on {inbox_address}",
+            "start: agent of {} takes its target on {http} and packets on {inbox_address}",
             settings.worker
         );
         let drain_limit_ms = settings.drain_limit_ms;
@@ -125,17 +125,14 @@
     /// Shuts down: tells every entry, hands back what has not started,
     /// finishes and delivers what runs. Returns whether that was done in time.
     pub async fn drain(mut self) -> bool {
-        info!("shutting down: no new work, finishing what runs");
+        info!("stop: no new work, finishing what runs");
         let _ = self.control.send(ControlEvent::Leave);
         let limit = Duration::from(self.drain_limit_ms);
         let drained = timeout(limit, self.drained.wait_for(|done| *done)).await;
         let in_time = matches!(drained, Ok(Ok(_)));
         drop(drained);
         if !in_time {
-            warn!(
-                "shutting down with tasks still running after {}",
-                self.drain_limit_ms
-            );
+            warn!("stop: tasks still run after {}", self.drain_limit_ms);
         }
         in_time
     }
--- a/crates/lagoonhill_agent/src/discovery.rs
+++ b/crates/lagoonhill_agent/src/discovery.rs
@@ -7,7 +7,7 @@
 use lagoonhill_platform::{ENTRIES_PREFIX, Store, Versioned};
 use lagoonhill_protocol::{EntryAddress, PeersAnswer, PeersRequest};
 use lagoonhill_types::prelude::*;
-use log::{debug, info};
+use log::{debug, info, warn};
 use tokio::sync::oneshot;
 use tokio::time::sleep;
 
@@ -66,9 +66,10 @@
 ) -> bool {
     let mut entries: Vec<EntryAddress> = Vec::new();
     if let Some(store) = store {
-        let found = store.list(ENTRIES_PREFIX).await.unwrap_or_default();
-        let address = |found: &Versioned| serde_json::from_slice::<EntryAddress>(&found.value).ok();
-        entries.extend(found.iter().filter_map(address));
+        match store.list(ENTRIES_PREFIX).await {
+            Ok(found) => entries.extend(found.iter().filter_map(read_address)),
+            Err(error) => info!("the list of entries can't be read: {error}"),
+        }
     }
     if let Some(balancer) = balancer
         && let Some(answer) = ask_balancer(http, balancer).await
@@ -83,6 +84,12 @@
     found
 }
 
+fn read_address(found: &Versioned) -> Option<EntryAddress> {
+    serde_json::from_slice(&found.value)
+        .inspect_err(|error| warn!("{} names no entry: {error}", found.key))
+        .ok()
+}
+
 async fn ask_balancer(http: &HttpClient, balancer: SocketAddr) -> Option<PeersAnswer> {
     let request = PeersRequest {
         entry: None,
--- a/crates/lagoonhill_agent/src/metrics.rs
+++ b/crates/lagoonhill_agent/src/metrics.rs
@@ -1,5 +1,6 @@
 use lagoonhill_daemon::{Meters, PacketMeter};
-use prometheus::{IntCounter, IntGauge};
+use lagoonhill_types::prelude::*;
+use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge};
 
 use crate::control::AgentStatus;
 
@@ -8,7 +9,9 @@
 pub(crate) struct Metrics {
     meters: Meters,
     pub(crate) packets: PacketMeter,
-    pub(crate) started: IntCounter,
+    started: IntCounter,
+    ended: IntCounterVec,
+    times: HistogramVec,
     held: IntGauge,
     running: IntGauge,
     sessions: IntGauge,
@@ -24,6 +27,16 @@
                 "lagoonhill_tasks_started_total",
                 "Tasks given to the target.",
             ),
+            ended: meters.counters(
+                "lagoonhill_tasks_ended_total",
+                "Runs that are over, by how they ended.",
+                "how",
+            ),
+            times: meters.times(
+                "lagoonhill_task_seconds",
+                "Time of a task here: from its order to its start (waited), and from its start to its end (ran).",
+                "stage",
+            ),
             held: meters.gauge("lagoonhill_held_tasks", "Tasks waiting or running here."),
             running: meters.gauge("lagoonhill_running_tasks", "Tasks at the target."),
             sessions: meters.gauge("lagoonhill_sessions", "Entries with an open session."),
@@ -35,6 +48,22 @@
         }
     }
 
+    /// A task was given to the target after it had waited here.
+    pub(crate) fn started(&self, waited_ms: DurationMs) {
+        self.started.inc();
+        self.times
+            .with_label_values(&["waited"])
+            .observe(waited_ms.as_secs_f64());
+    }
+
+    /// A run is over.
+    pub(crate) fn ended(&self, how: &str, ran_ms: DurationMs) {
+        self.ended.with_label_values(&[how]).inc();
+        self.times
+            .with_label_values(&["ran"])
+            .observe(ran_ms.as_secs_f64());
+    }
+
     /// Everything as Prometheus text.
     pub(crate) fn render(&self, status: &AgentStatus) -> Vec<u8> {
         let gauge =
--- a/crates/lagoonhill_core/src/agent/machine.rs
+++ b/crates/lagoonhill_core/src/agent/machine.rs
@@ -118,6 +118,18 @@
         self.tasks.get(key).map(|task| &task.start)
     }
 
+    /// When a task that is held arrived here, and when it was started.
+    pub fn times(&self, key: TaskKey) -> Option<(TimestampMs, Option<TimestampMs>)> {
+        let task = self.tasks.get(key)?;
+        let started_ms = match task.phase {
+            TaskPhase::Waiting => None,
+            TaskPhase::Running { started_ms } | TaskPhase::Stopping { started_ms } => {
+                Some(started_ms)
+            }
+        };
+        Some((task.arrived_ms, started_ms))
+    }
+
     /// Tasks held, waiting and running.
     pub fn held(&self) -> usize {
         self.tasks.len()
--- a/crates/lagoonhill_core/src/entry/answer.rs
+++ b/crates/lagoonhill_core/src/entry/answer.rs
@@ -160,6 +160,39 @@
     KeyBudget,
 }
 
+impl Cause {
+    /// The kind of cause as one word, for metrics.
+    pub fn reason(&self) -> &'static str {
+        match self {
+            Self::Leaving => "leaving",
+            Self::NoRules => "no_rules",
+            Self::UnknownService(_) => "unknown_service",
+            Self::UnknownQueue(_) => "unknown_queue",
+            Self::UnknownTeam(_) => "unknown_team",
+            Self::NoTasks { .. } => "no_tasks",
+            Self::TooManyTasks { .. } => "too_many_tasks",
+            Self::NeverFits(_) => "never_fits",
+            Self::NoWorkers(_) => "no_workers",
+            Self::RateLimited(_) => "rate_limited",
+            Self::QueueFull(_) => "queue_full",
+            Self::TooLate { .. } => "too_late",
+            Self::Backlog { .. } => "backlog",
+            Self::DeadlinePassed { .. } => "deadline_passed",
+            Self::TaskFailed { .. } => "task_failed",
+            Self::WorkerLost { .. } => "worker_lost",
+            Self::AttemptsUsedUp { .. } => "attempts_used_up",
+            Self::NoTaker { .. } => "no_taker",
+            Self::Cancelled => "cancelled",
+            Self::KeyReused => "key_reused",
+            Self::TicketExpired => "ticket_expired",
+            Self::OwnerGone => "owner_gone",
+            Self::OwnerUnreachable => "owner_unreachable",
+            Self::StoreUnavailable => "store_unavailable",
+            Self::KeyBudget => "key_budget",
+        }
+    }
+}
+
 /// A failed or refused job.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("{run}: {cause}")]
--- a/crates/lagoonhill_core/src/entry/decision.rs
+++ b/crates/lagoonhill_core/src/entry/decision.rs
@@ -152,7 +152,7 @@
                 )?;
                 promised_ms.map_or(Ok(()), |span| write!(f, " promised={span}"))
             }
-            DecisionKind::Refused { cause } => write!(f, "refused why=\"{cause}\""),
+            DecisionKind::Refused { cause } => write!(f, "refused why={}", Quoted(cause)),
             DecisionKind::Placed {
                 worker,
                 load,
@@ -166,10 +166,10 @@
                 "placed worker={worker} load={load}/{slots} alternatives={alternatives} waited={waited_ms} expected={expected_ms} report_age={report_age_ms}"
             ),
             DecisionKind::Moved { worker, reason } => {
-                write!(f, "moved from={worker} why=\"{reason}\"")
+                write!(f, "moved from={worker} why={}", Quoted(reason))
             }
             DecisionKind::Rerun { worker, why } => {
-                write!(f, "rerun from={worker} why=\"{why}\"")
+                write!(f, "rerun from={worker} why={}", Quoted(why))
             }
             DecisionKind::Unsettled { worker, over_ms } => {
                 write!(f, "unsettled worker={worker} until={over_ms}")
@@ -179,9 +179,11 @@
                 run,
                 cause,
                 took_ms,
-            } => write!(f, "failed run={run} took={took_ms} why=\"{cause}\""),
+            } => write!(f, "failed run={run} took={took_ms} why={}", Quoted(cause)),
             DecisionKind::Joined { worker } => write!(f, "joined worker={worker}"),
-            DecisionKind::Left { worker, why } => write!(f, "left worker={worker} why=\"{why}\""),
+            DecisionKind::Left { worker, why } => {
+                write!(f, "left worker={worker} why={}", Quoted(why))
+            }
             DecisionKind::Quarantined {
                 worker,
                 probe_in_ms,
--- a/crates/lagoonhill_core/src/entry/job.rs
+++ b/crates/lagoonhill_core/src/entry/job.rs
@@ -193,7 +193,8 @@
     /// The caller's name of the job, if it has one.
     pub fn name(&self) -> Option<RequestKey> {
         let queued_as = self.plan.queued_as.as_ref();
-        queued_as.map(|order| order.name.clone())
+        let key = || self.record.as_ref().and_then(RecordKey::request);
+        queued_as.map(|order| order.name.clone()).or_else(key)
     }
 
     /// Where the job stands among waiting ones.
--- a/crates/lagoonhill_core/src/entry/machine/admission.rs
+++ b/crates/lagoonhill_core/src/entry/machine/admission.rs
@@ -86,7 +86,11 @@
         });
         let appraisal = match checked {
             Ok(appraisal) => appraisal,
-            Err(failure) => return self.refuse(caller, submission.name(), failure, now),
+            Err(failure) => {
+                let key = || record.as_ref().and_then(RecordKey::request);
+                let request = submission.name().or_else(key);
+                return self.refuse(caller, request, failure, now);
+            }
         };
         let fingerprint = submission.fingerprint();
         let Submission {
--- a/crates/lagoonhill_core/src/entry/worker.rs
+++ b/crates/lagoonhill_core/src/entry/worker.rs
@@ -1,4 +1,5 @@
 use std::collections::HashMap;
+use std::fmt;
 use std::net::SocketAddr;
 
 use lagoonhill_protocol::{Load, Target};
@@ -27,6 +28,17 @@
     Leaving,
 }
 
+impl fmt::Display for WorkerState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Joining => "joining",
+            Self::Serving => "serving",
+            Self::Suspect => "suspect",
+            Self::Leaving => "leaving",
+        })
+    }
+}
+
 /// An order that has no outcome yet.
 #[derive(Clone, Debug)]
 pub struct Order {
--- a/crates/lagoonhill_daemon/src/meters.rs
+++ b/crates/lagoonhill_daemon/src/meters.rs
@@ -1,6 +1,6 @@
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 /// Upper bounds of the buckets of times: tasks take 50 ms to some seconds, and
@@ -45,6 +45,15 @@
         gauge
     }
 
+    /// Gauges told apart by one label.
+    pub fn gauges(&self, name: &str, help: &str, label: &str) -> IntGaugeVec {
+        let gauges = IntGaugeVec::new(Opts::new(name, help), &[label]).expect("the name is valid");
+        self.registry
+            .register(Box::new(gauges.clone()))
+            .expect("the name is unique");
+        gauges
+    }
+
     /// Histograms of times in seconds, told apart by one label.
     pub fn times(&self, name: &str, help: &str, label: &str) -> HistogramVec {
         let options = HistogramOpts::new(name, help).buckets(TIME_BUCKETS_S.to_vec());
--- /dev/null
+++ b/crates/lagoonhill_entry/src/announcement.rs
@@ -0,0 +1,88 @@
+use lagoonhill_platform::{ENTRIES_PREFIX, LeaseId, Store, StoreUnavailable, WriteOutcome};
+use lagoonhill_types::prelude::*;
+use log::{info, warn};
+
+use crate::peers::Peers;
+
+/// Time between two readings of the platform's list.
+const REREAD: DurationMs = DurationMs::from_secs(10);
+
+/// And while it can't be read: agents that have lost every entry look there.
+const REREAD_LOST: DurationMs = DurationMs::from_secs(1);
+
+/// Survives two readings that fail.
+const LEASE_LIFE: DurationMs = DurationMs::from_secs(30);
+
+/// This entry's key in the platform's list, under a lease.
+#[derive(Debug, Default)]
+pub(crate) struct Announcement {
+    lease: Option<LeaseId>,
+    read_ms: TimestampMs,
+    is_lost: bool,
+}
+
+impl Announcement {
+    /// Keeps the key and reads the list, if that is due.
+    pub(crate) async fn refresh<S: Store>(&mut self, store: &S, peers: &Peers) {
+        let now = peers.now();
+        let pause_ms = if self.lease.is_some() && !self.is_lost {
+            REREAD
+        } else {
+            REREAD_LOST
+        };
+        if now.since(self.read_ms) < pause_ms {
+            return;
+        }
+        self.read_ms = now;
+        match self.keep_and_read(store, peers).await {
+            Ok(()) if std::mem::take(&mut self.is_lost) => {
+                info!("dependency regained: the list of entries can be read again");
+            }
+            Err(error) if !self.is_lost => {
+                self.is_lost = true;
+                warn!(
+                    "dependency lost: the list of entries can't be kept or read: {error}; the entries known stay"
+                );
+            }
+            Ok(()) | Err(_) => {}
+        }
+    }
+
+    async fn keep_and_read<S: Store>(
+        &mut self,
+        store: &S,
+        peers: &Peers,
+    ) -> Result<(), StoreUnavailable> {
+        if let Some(lease) = self.lease
+            && !store.keep(lease).await?
+        {
+            info!("this entry's lease has lapsed; announcing it again");
+            self.lease = None;
+        }
+        if self.lease.is_none() {
+            self.lease = announce(store, peers).await?;
+        }
+        for found in store.list(ENTRIES_PREFIX).await? {
+            match serde_json::from_slice(&found.value) {
+                Ok(address) => peers.named(address),
+                Err(error) => warn!("{} names no entry: {error}", found.key),
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Adds this entry to the list; `None` when the store did not say that it did.
+async fn announce<S: Store>(store: &S, peers: &Peers) -> Result<Option<LeaseId>, StoreUnavailable> {
+    let lease = store.grant(LEASE_LIFE).await?;
+    let address = peers.own_address();
+    let key = format!("{ENTRIES_PREFIX}{}", address.incarnation);
+    let value = serde_json::to_vec(&address).expect("an address always serializes");
+    match store.create(&key, &value, Some(lease)).await {
+        WriteOutcome::Done => Ok(Some(lease)),
+        outcome @ (WriteOutcome::Conflict(_) | WriteOutcome::Unknown) => {
+            warn!("this entry may not be on the list: {outcome:?}; trying again");
+            Ok(None)
+        }
+    }
+}
--- a/crates/lagoonhill_entry/src/api.rs
+++ b/crates/lagoonhill_entry/src/api.rs
@@ -11,7 +11,7 @@
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Method, Request, StatusCode, header};
 use lagoonhill_core::entry::{
-    Answer, Cause, EntryStatus, JobFailure, Needs, RunCertainty, Submission, WorkerState,
+    Answer, Cause, EntryStatus, JobFailure, Needs, RunCertainty, Submission,
 };
 use lagoonhill_http::{HttpClient, Problem, Reply, read_body, reply};
 use lagoonhill_platform::CallCounts;
@@ -447,7 +447,7 @@
             serde_json::json!({
                 "worker": worker.id,
                 "zone": worker.zone,
-                "state": worker_state(worker.state),
+                "state": worker.state.to_string(),
                 "quarantined": worker.quarantined,
                 "service": worker.service,
                 "slots": worker.slots,
@@ -474,12 +474,3 @@
         "entries": entries,
     })))
 }
-
-fn worker_state(state: WorkerState) -> &'static str {
-    match state {
-        WorkerState::Joining => "joining",
-        WorkerState::Serving => "serving",
-        WorkerState::Suspect => "suspect",
-        WorkerState::Leaving => "leaving",
-    }
-}
--- a/crates/lagoonhill_entry/src/daemon.rs
+++ b/crates/lagoonhill_entry/src/daemon.rs
@@ -133,7 +133,7 @@
             let _ = stopping.wait_for(|stop| *stop).await;
         }));
         info!(
-            "entry {} takes requests on {http} and packets on {}",
+            "start: entry {} takes requests on {http} and packets on {}",
             address.incarnation, address.inbox
         );
         Ok(Self {
@@ -169,7 +169,7 @@
     /// answer. Returns whether every accepted job was answered in time.
     pub async fn drain(mut self) -> bool {
         info!(
-            "shutting down: not ready any more, serving for {}",
+            "stop: not ready any more, serving for {}",
             self.settings.drain_delay_ms
         );
         self.state.draining.store(true, Ordering::Relaxed);
@@ -182,7 +182,7 @@
         let answered = served && timeout(limit, self.until_idle()).await.is_ok();
         if !answered {
             warn!(
-                "shutting down with requests unanswered after {}",
+                "stop: requests are still unanswered after {}",
                 self.settings.drain_limit_ms
             );
         }
--- a/crates/lagoonhill_entry/src/lib.rs
+++ b/crates/lagoonhill_entry/src/lib.rs
@@ -1,6 +1,7 @@
 //! The entry daemon as a library: HTTP towards callers, links towards agents,
 //! the platform's store, and one control thread that owns all state.
 
+mod announcement;
 mod api;
 mod api_types;
 mod client;
--- a/crates/lagoonhill_entry/src/metrics.rs
+++ b/crates/lagoonhill_entry/src/metrics.rs
@@ -1,8 +1,8 @@
-use lagoonhill_core::entry::{DecisionKind, EntryStatus, RunCertainty};
+use lagoonhill_core::entry::{Cause, DecisionKind, EntryStatus, RunCertainty};
 use lagoonhill_daemon::{Meters, PacketMeter};
 use lagoonhill_platform::{CallCounts, CallKind};
 use lagoonhill_types::prelude::*;
-use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge};
+use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
 
 /// The entry's metrics.
 #[derive(Clone, Debug)]
@@ -14,7 +14,10 @@
     moved: IntCounter,
     rerun: IntCounter,
     times: HistogramVec,
+    refusals: IntCounterVec,
     platform_calls: IntCounterVec,
+    platform_failures: IntCounterVec,
+    by_state: IntGaugeVec,
     queued: IntGauge,
     running_jobs: IntGauge,
     workers: IntGauge,
@@ -49,6 +52,21 @@
                 "Time since a job was admitted, at each of its tasks' placements and at its end.",
                 "stage",
             ),
+            refusals: meters.counters(
+                "lagoonhill_refusals_total",
+                "Jobs refused, or given up before anything ran, by reason.",
+                "reason",
+            ),
+            platform_failures: meters.counters(
+                "lagoonhill_platform_failures_total",
+                "Calls to the platform's store without a usable answer.",
+                "kind",
+            ),
+            by_state: meters.gauges(
+                "lagoonhill_workers_by_state",
+                "Workers with a session, by what is believed of them.",
+                "state",
+            ),
             platform_calls: meters.counters(
                 "lagoonhill_platform_calls_total",
                 "Calls to the platform's store.",
@@ -74,15 +92,25 @@
             }
             DecisionKind::Moved { .. } => return self.moved.inc(),
             DecisionKind::Admitted { .. } => "admitted",
-            DecisionKind::Refused { .. } => "refused",
+            DecisionKind::Refused { cause } => {
+                self.count_refusal(cause);
+                "refused"
+            }
             DecisionKind::Completed { took_ms } => {
                 self.observe("completed", *took_ms);
                 "completed"
             }
-            DecisionKind::Failed { run, took_ms, .. } => {
+            DecisionKind::Failed {
+                run,
+                took_ms,
+                cause,
+            } => {
                 self.observe("failed", *took_ms);
                 match run {
-                    RunCertainty::NotRun => "failed_not_run",
+                    RunCertainty::NotRun => {
+                        self.count_refusal(cause);
+                        "failed_not_run"
+                    }
                     RunCertainty::MayHaveRun => "failed_may_have_run",
                 }
             }
@@ -97,10 +125,13 @@
         self.jobs.with_label_values(&[outcome]).inc();
     }
 
+    fn count_refusal(&self, cause: &Cause) {
+        self.refusals.with_label_values(&[cause.reason()]).inc();
+    }
+
     fn observe(&self, stage: &str, span_ms: DurationMs) {
-        const MS_PER_S: f64 = 1_000.0;
         let histogram = self.times.with_label_values(&[stage]);
-        histogram.observe(span_ms.0 as f64 / MS_PER_S);
+        histogram.observe(span_ms.as_secs_f64());
     }
 
     /// Everything as Prometheus text.
@@ -113,12 +144,28 @@
         gauge(&self.entries, status.entries.len());
         self.rules_revision
             .set(i64::try_from(status.rules_revision.0).unwrap_or(i64::MAX));
+        self.by_state.reset();
+        for worker in &status.workers {
+            let state = if worker.quarantined {
+                "quarantined".to_owned()
+            } else {
+                worker.state.to_string()
+            };
+            self.by_state.with_label_values(&[state.as_str()]).inc();
+        }
         for kind in CallKind::ALL {
-            let counter = self
-                .platform_calls
-                .with_label_values(&[kind.to_string().as_str()]);
-            let calls = calls.map_or(0, |calls| calls.get(kind));
-            counter.inc_by(calls.saturating_sub(counter.get()));
+            let count = |counters: &IntCounterVec, calls: u64| {
+                let counter = counters.with_label_values(&[kind.to_string().as_str()]);
+                counter.inc_by(calls.saturating_sub(counter.get()));
+            };
+            count(
+                &self.platform_calls,
+                calls.map_or(0, |calls| calls.get(kind)),
+            );
+            count(
+                &self.platform_failures,
+                calls.map_or(0, |calls| calls.failed(kind)),
+            );
         }
         self.meters.render()
     }
--- a/crates/lagoonhill_entry/src/peers.rs
+++ b/crates/lagoonhill_entry/src/peers.rs
@@ -4,26 +4,22 @@
 
 use hyper::Method;
 use lagoonhill_http::HttpClient;
-use lagoonhill_platform::{ENTRIES_PREFIX, LeaseId, Store, WriteOutcome};
+use lagoonhill_platform::Store;
 use lagoonhill_protocol::{EntryAddress, PeersAnswer, PeersRequest};
 use lagoonhill_types::prelude::*;
-use log::{debug, info};
+use log::debug;
 use tokio::time::sleep;
 
+use crate::announcement::Announcement;
 use crate::control::ControlEvent;
 use crate::handle::ControlHandle;
 
 /// Time between two exchanges with the other entries.
 const EXCHANGE: Duration = Duration::from_secs(2);
 
-/// Time between two readings of the platform's list.
-const REREAD: DurationMs = DurationMs::from_secs(10);
-
 /// Silence after which another entry no longer counts as live.
 const DEAD_AFTER: DurationMs = DurationMs::from_secs(15);
 
-const LEASE_LIFE: DurationMs = DurationMs::from_secs(30);
-
 const CALL_LIMIT: Duration = Duration::from_secs(1);
 
 /// The other entries, by what they last answered.
@@ -56,6 +52,15 @@
         self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn now(&self) -> TimestampMs {
+        self.clock.now()
+    }
+
+    /// Where this entry is.
+    pub(crate) fn own_address(&self) -> EntryAddress {
+        self.address
+    }
+
     /// An entry introduced itself, or answered.
     pub(crate) fn heard(&self, address: EntryAddress) {
         if address.incarnation != self.address.incarnation {
@@ -68,7 +73,7 @@
     }
 
     /// Others named an entry; it gets the benefit of the doubt once.
-    fn named(&self, address: EntryAddress) {
+    pub(crate) fn named(&self, address: EntryAddress) {
         if address.incarnation != self.address.incarnation {
             let known = Known {
                 address,
@@ -107,10 +112,7 @@
     control: ControlHandle,
 ) {
     let http = HttpClient::new();
-    let mut announcement = Announcement {
-        lease: None,
-        read_ms: TimestampMs(0),
-    };
+    let mut announcement = Announcement::default();
     loop {
         if let Some(store) = &store {
             announcement.refresh(store, &peers).await;
@@ -173,43 +175,3 @@
         control.tell(ControlEvent::Rules(rules));
     }
 }
-
-/// This entry's key in the platform's list, under a lease.
-struct Announcement {
-    lease: Option<LeaseId>,
-    read_ms: TimestampMs,
-}
-
-impl Announcement {
-    async fn refresh<S: Store>(&mut self, store: &S, peers: &Peers) {
-        let now = peers.clock.now();
-        if now.since(self.read_ms) < REREAD {
-            return;
-        }
-        self.read_ms = now;
-        if let Some(lease) = self.lease
-            && !store.keep(lease).await.unwrap_or(true)
-        {
-            info!("this entry's lease has lapsed; announcing it again");
-            self.lease = None;
-        }
-        if self.lease.is_none() {
-            self.lease = announce(store, peers.address).await;
-        }
-        for found in store.list(ENTRIES_PREFIX).await.unwrap_or_default() {
-            if let Ok(address) = serde_json::from_slice(&found.value) {
-                peers.named(address);
-            }
-        }
-    }
-}
-
-async fn announce<S: Store>(store: &S, address: EntryAddress) -> Option<LeaseId> {
-    let lease = store.grant(LEASE_LIFE).await.ok()?;
-    let key = format!("{ENTRIES_PREFIX}{}", address.incarnation);
-    let value = serde_json::to_vec(&address).expect("an address always serializes");
-    match store.create(&key, &value, Some(lease)).await {
-        WriteOutcome::Done => Some(lease),
-        WriteOutcome::Conflict(_) | WriteOutcome::Unknown => None,
-    }
-}
--- a/crates/lagoonhill_entry/src/rules_watch.rs
+++ b/crates/lagoonhill_entry/src/rules_watch.rs
@@ -65,6 +65,9 @@
     }
     loop {
         match timeout(source.reread, events.recv()).await {
+            // The watch is of a prefix: other keys may begin with this one.
+            Ok(Some(WatchEvent::Put(found))) if found.key != source.key => {}
+            Ok(Some(WatchEvent::Deleted(key))) if key != source.key => {}
             Ok(Some(WatchEvent::Put(found))) => {
                 seen = found.revision;
                 install(source, &found.value, control);
--- a/crates/lagoonhill_operator/src/lib.rs
+++ b/crates/lagoonhill_operator/src/lib.rs
@@ -1,11 +1,17 @@
 //! What operators do: change the rules in the platform's store, see who has
-//! them in force, ask entries for their state.
+//! them in force, ask entries for their state, read logs.
 
 mod edit_store;
 mod fleet_status;
+mod log_line;
+mod log_schema;
+mod story;
 
 pub use edit_store::{EditError, new_edit_id, read_rules, submit_edit};
 pub use fleet_status::{
     EntryReport, ProcessRevision, QueryError, WorkerReport, count_serving, explain, query_entry,
     query_fleet, rules_in_force,
 };
+pub use log_line::{DECISION_TARGET, LogLine, LogMessage};
+pub use log_schema::LogSchema;
+pub use story::Story;
--- a/crates/lagoonhill_platform/src/calls.rs
+++ b/crates/lagoonhill_platform/src/calls.rs
@@ -30,10 +30,12 @@
     }
 }
 
-/// Calls made so far, by kind.
+/// Calls made so far, by kind, and those that the platform did not answer or
+/// refused for a reason of its own.
 #[derive(Debug, Default)]
 pub struct CallCounts {
     counts: [AtomicU64; 4],
+    failed: [AtomicU64; 4],
 }
 
 impl CallCounts {
@@ -42,6 +44,16 @@
         self.counts[kind as usize].fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Counts one call that failed; it was counted as a call before.
+    pub fn add_failed(&self, kind: CallKind) {
+        self.failed[kind as usize].fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// The calls of one kind that failed.
+    pub fn failed(&self, kind: CallKind) -> u64 {
+        self.failed[kind as usize].load(Ordering::Relaxed)
+    }
+
     /// The calls of one kind.
     pub fn get(&self, kind: CallKind) -> u64 {
         self.counts[kind as usize].load(Ordering::Relaxed)
--- a/crates/lagoonhill_platform/src/etcd.rs
+++ b/crates/lagoonhill_platform/src/etcd.rs
@@ -4,6 +4,8 @@
 use http_body_util::BodyExt;
 use lagoonhill_types::DurationMs;
 use log::debug;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use tokio::sync::mpsc;
 
 use crate::http::JsonClient;
@@ -36,14 +38,24 @@
         }
     }
 
+    /// Makes one call, and counts it.
+    async fn call<R: DeserializeOwned>(
+        &self,
+        kind: CallKind,
+        path: &str,
+        request: &impl Serialize,
+    ) -> Result<R, StoreUnavailable> {
+        self.counts.add(kind);
+        let answered = self.client.call(path, request).await;
+        answered.inspect_err(|_| self.counts.add_failed(kind))
+    }
+
     async fn range(&self, request: RangeRequest) -> Result<Vec<Versioned>, StoreUnavailable> {
-        self.counts.add(CallKind::Read);
-        let answer: RangeResponse = self.client.call("/v3/kv/range", &request).await?;
+        let answer: RangeResponse = self.call(CallKind::Read, "/v3/kv/range", &request).await?;
         answer.kvs.into_iter().map(versioned).collect()
     }
 
     async fn swap(&self, compare: Compare, put: PutRequest) -> WriteOutcome {
-        self.counts.add(CallKind::Write);
         let read = RangeRequest {
             key: put.key.clone(),
             range_end: None,
@@ -60,8 +72,7 @@
             }],
         };
         match self
-            .client
-            .call::<_, TxnResponse>("/v3/kv/txn", &request)
+            .call::<TxnResponse>(CallKind::Write, "/v3/kv/txn", &request)
             .await
         {
             Ok(answer) if answer.succeeded => WriteOutcome::Done,
@@ -160,11 +171,9 @@
     }
 
     async fn delete(&self, key: &str) -> WriteOutcome {
-        self.counts.add(CallKind::Write);
         let request = DeleteRequest { key: key.into() };
         match self
-            .client
-            .call::<_, serde_json::Value>("/v3/kv/deleterange", &request)
+            .call::<serde_json::Value>(CallKind::Write, "/v3/kv/deleterange", &request)
             .await
         {
             Ok(_) => WriteOutcome::Done,
@@ -173,33 +182,36 @@
     }
 
     async fn grant(&self, ttl: DurationMs) -> Result<LeaseId, StoreUnavailable> {
-        self.counts.add(CallKind::Lease);
         let ttl_s = i64::try_from(ttl.as_secs_ceil()).unwrap_or(i64::MAX);
         let request = Lease {
             id: Int64(0),
             ttl: Int64(ttl_s),
         };
-        let lease: Lease = self.client.call("/v3/lease/grant", &request).await?;
+        let lease: Lease = self
+            .call(CallKind::Lease, "/v3/lease/grant", &request)
+            .await?;
         Ok(LeaseId(lease.id.0))
     }
 
     async fn keep(&self, lease: LeaseId) -> Result<bool, StoreUnavailable> {
-        self.counts.add(CallKind::Lease);
         let request = Lease {
             id: Int64(lease.0),
             ttl: Int64(0),
         };
-        let kept: KeepAliveResponse = self.client.call("/v3/lease/keepalive", &request).await?;
+        let kept: KeepAliveResponse = self
+            .call(CallKind::Lease, "/v3/lease/keepalive", &request)
+            .await?;
         Ok(kept.result.ttl.0 > 0)
     }
 
     async fn end(&self, lease: LeaseId) -> Result<(), StoreUnavailable> {
-        self.counts.add(CallKind::Lease);
         let request = Lease {
             id: Int64(lease.0),
             ttl: Int64(0),
         };
-        let _: serde_json::Value = self.client.call("/v3/lease/revoke", &request).await?;
+        let _: serde_json::Value = self
+            .call(CallKind::Lease, "/v3/lease/revoke", &request)
+            .await?;
         Ok(())
     }
 
--- a/crates/lagoonhill_standin/src/platform.rs
+++ b/crates/lagoonhill_standin/src/platform.rs
@@ -130,6 +130,14 @@
             .map(|stored| stored.value.0.clone())
     }
 
+    /// How many keys begin with a prefix.
+    pub fn count(&self, prefix: &str) -> usize {
+        let state = lock(&self.state);
+        let keys = state.values.keys();
+        keys.filter(|key| key.0.starts_with(prefix.as_bytes()))
+            .count()
+    }
+
     /// Ends every lease at once, as if all holders had been silent.
     pub fn lapse_leases(&self) {
         let mut state = lock(&self.state);
--- a/crates/lagoonhill_types/src/duration.rs
+++ b/crates/lagoonhill_types/src/duration.rs
@@ -23,6 +23,11 @@
         Self(secs * 1_000)
     }
 
+    /// Seconds, as metrics want them.
+    pub fn as_secs_f64(self) -> f64 {
+        Duration::from(self).as_secs_f64()
+    }
+
     /// Whole seconds, rounded up, as HTTP's `Retry-After` wants them.
     pub const fn as_secs_ceil(self) -> u64 {
         self.0.div_ceil(1_000)
--- a/crates/lagoonhill_types/src/lib.rs
+++ b/crates/lagoonhill_types/src/lib.rs
@@ -9,6 +9,7 @@
 mod job_id;
 mod names;
 mod payload;
+mod quoted;
 mod resources;
 mod revision;
 mod run;
@@ -25,6 +26,7 @@
     AvailabilityZone, InvalidName, Label, QueueName, RequestKey, ServiceName, TeamName, WorkerId,
 };
 pub use payload::Payload;
+pub use quoted::Quoted;
 pub use resources::{MilliProcessors, Resources};
 pub use revision::Revision;
 pub use run::{RunNumber, TaskName};
--- a/crates/lagoonhill_types/src/prelude.rs
+++ b/crates/lagoonhill_types/src/prelude.rs
@@ -2,6 +2,6 @@
 
 pub use crate::{
     AvailabilityZone, ByteCount, Clock, DurationMs, Incarnation, JobId, Label, MilliProcessors,
-    Payload, PerSecond, QueueName, RequestKey, Resources, Revision, RunNumber, ServiceName,
+    Payload, PerSecond, QueueName, Quoted, RequestKey, Resources, Revision, RunNumber, ServiceName,
     SlotCount, TaskId, TaskIndex, TaskName, TeamName, Ticket, TimestampMs, WorkerId,
 };
