The clock counts suspensions: a machine that slept must not think its leases fresh

Cause: found by reading; the monotonic clock stands still while a machine is suspended, so an agent that wakes would count its entry as just alive. The clock reads the time since boot instead.

--- a/crates/lagoonhill_types/src/clock.rs
+++ b/crates/lagoonhill_types/src/clock.rs
@@ -1,17 +1,30 @@
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use rustix::time::{ClockId, clock_gettime};
 
 use crate::{Incarnation, TimestampMs};
 
 /// The process's monotonic clock, in milliseconds.
 ///
-/// Starts at the wall-clock time of its creation and then only moves forward
-/// with the monotonic clock, so timestamps order correctly and stay readable.
+/// Starts at the wall-clock time of its creation and then only moves forward,
+/// so timestamps order correctly and stay readable. Unlike
+/// [`std::time::Instant`] it counts the time for which the machine was
+/// suspended: leases that others granted have run out meanwhile.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    started: Instant,
+    /// Since the machine's start.
+    started: Duration,
     started_ms: u64,
 }
 
+/// Time since the machine's start, suspensions included.
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    // Both parts are positive: the clock starts at zero.
+    let secs = u64::try_from(time.tv_sec).unwrap_or(0);
+    Duration::new(secs, u32::try_from(time.tv_nsec).unwrap_or(0))
+}
+
 impl Clock {
     /// Starts a clock at the current wall-clock time.
     pub fn start() -> Self {
@@ -19,14 +32,15 @@
             .duration_since(UNIX_EPOCH)
             .unwrap_or_default();
         Self {
-            started: Instant::now(),
+            started: since_boot(),
             started_ms: u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX),
         }
     }
 
     /// The current time.
     pub fn now(&self) -> TimestampMs {
-        let elapsed_ms = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let elapsed = since_boot().saturating_sub(self.started);
+        let elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
         TimestampMs(self.started_ms.saturating_add(elapsed_ms))
     }
 
