--- /dev/null
+++ b/crates/lagoonhill/tests/kept_jobs.rs
@@ -0,0 +1,137 @@
+//! Jobs of queues through the product's own interface: submitted through one
+//! entry, asked for and cancelled through another, finished after their owner
+//! is gone.
+
+mod support;
+
+use std::time::Duration;
+
+use hyper::Method;
+use lagoonhill_standin::PlatformFaults;
+use serde_json::{Value, json};
+use support::{Fleet, until};
+
+/// Runs one async test body for each named case.
+macro_rules! cases {
+    ($($name:ident => $body:block)+) => {
+        $(
+            #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+            async fn $name() $body
+        )+
+    };
+}
+
+async fn fleet(entries: usize) -> Fleet {
+    let fleet = Fleet::start(entries, 2).await;
+    let revision = fleet
+        .set_rule("queue nightly service=dispatch attempts=2 objective=1s  # tests")
+        .await;
+    for entry in 0..entries {
+        until(async || {
+            fleet
+                .report(entry)
+                .await
+                .is_some_and(|report| report.rules_revision >= revision)
+        })
+        .await;
+    }
+    fleet
+}
+
+/// Asks an entry; returns the status and the body.
+async fn ask(fleet: &Fleet, entry: usize, method: Method, path: &str, body: Value) -> (u16, Value) {
+    let body = if body.is_null() {
+        Vec::new()
+    } else {
+        body.to_string().into_bytes()
+    };
+    let sent = fleet.http.send(
+        fleet.entries[entry].http,
+        method,
+        path,
+        &[],
+        body.into(),
+        Duration::from_secs(20),
+    );
+    let reply = sent.await.expect("an answer");
+    let body = serde_json::from_slice(&reply.body).unwrap_or_default();
+    (reply.status.as_u16(), body)
+}
+
+fn job(mark: &str, tasks: u16, run_ms: u64) -> Value {
+    json!({"input": {"run_ms": run_ms, "echo": mark}, "steps": [{"count": tasks, "run_time_ms": run_ms}]})
+}
+
+async fn put(fleet: &Fleet, entry: usize, name: &str, job: Value) -> (u16, Value) {
+    let path = format!("/v1/queues/nightly/jobs/{name}");
+    ask(fleet, entry, Method::PUT, &path, job).await
+}
+
+async fn state(fleet: &Fleet, entry: usize, name: &str) -> String {
+    let path = format!("/v1/queues/nightly/jobs/{name}");
+    let (_, body) = ask(fleet, entry, Method::GET, &path, Value::Null).await;
+    body["state"].as_str().unwrap_or_default().to_owned()
+}
+
+cases! {
+    a_kept_job_is_asked_for_through_any_entry_and_is_one_however_often_submitted => {
+        let fleet = fleet(2).await;
+        for entry in [0, 0, 1] {
+            let (status, body) = put(&fleet, entry, "report", job("report", 4, 100)).await;
+            assert_eq!((status, body["state"].as_str()), (200, Some("queued")), "{body}");
+        }
+        for entry in [0, 1] {
+            until(async || state(&fleet, entry, "report").await == "complete").await;
+        }
+        assert_eq!(fleet.log.starts_of("report"), 4);
+        let (status, _) = ask(&fleet, 1, Method::GET, "/v1/queues/nightly/jobs/nothing", Value::Null).await;
+        assert_eq!(status, 404);
+        let (status, body) = ask(&fleet, 0, Method::GET, "/v1/queues/nightly", Value::Null).await;
+        assert_eq!((status, body["waiting"].as_u64()), (200, Some(0)));
+    }
+
+    a_kept_job_is_cancelled_through_any_entry => {
+        let fleet = fleet(2).await;
+        let (status, _) = put(&fleet, 0, "long", job("long", 2, 30_000)).await;
+        assert_eq!(status, 200);
+        fleet.until_started("long").await;
+        let path = "/v1/queues/nightly/jobs/long";
+        let (status, body) = ask(&fleet, 1, Method::DELETE, path, Value::Null).await;
+        assert_eq!((status, body["state"].as_str()), (200, Some("cancelled")), "{body}");
+        until(async || fleet.workers.iter().all(|worker| worker.target.running() == 0)).await;
+        assert_eq!(state(&fleet, 0, "long").await, "cancelled");
+    }
+
+    another_entry_finishes_the_job_of_one_that_was_killed => {
+        let mut fleet = fleet(2).await;
+        let (status, _) = put(&fleet, 0, "orphan", job("orphan", 2, 2_000)).await;
+        assert_eq!(status, 200);
+        fleet.until_started("orphan").await;
+        fleet.entries[0].kill();
+        until(async || state(&fleet, 1, "orphan").await == "complete").await;
+    }
+
+    a_job_that_was_stored_though_nobody_was_told_is_found_and_finished => {
+        let fleet = fleet(1).await;
+        let (status, _) = put(&fleet, 0, "first", job("first", 1, 10)).await;
+        assert_eq!(status, 200);
+        let faults = PlatformFaults { lost_answers: 1_000, ..Default::default() };
+        fleet.platform.set_faults(faults);
+        let (status, body) = put(&fleet, 0, "untold", job("untold", 2, 50)).await;
+        assert_eq!((status, body["run"].as_str()), (503, Some("may-have-run")), "{body}");
+        fleet.platform.set_faults(PlatformFaults::default());
+        until(async || state(&fleet, 0, "untold").await == "complete").await;
+    }
+
+    a_job_that_can_not_be_stored_is_refused_as_not_run => {
+        let fleet = fleet(1).await;
+        let faults = PlatformFaults { down: true, ..Default::default() };
+        fleet.platform.set_faults(faults);
+        let (status, body) = put(&fleet, 0, "refused", job("refused", 1, 10)).await;
+        assert_eq!((status, body["run"].as_str()), (503, Some("not-run")), "{body}");
+        let bad = json!({"input": 1, "steps": [{"count": 1, "after": [0]}]});
+        let (status, _) = put(&fleet, 0, "bad", bad).await;
+        assert_eq!(status, 400);
+        assert_eq!(fleet.log.starts_of("refused"), 0);
+    }
+}
--- a/crates/lagoonhill_agent/src/control.rs
+++ b/crates/lagoonhill_agent/src/control.rs
@@ -111,6 +111,8 @@
                     info!(target: "decision", "{} stopping", self.describe_run(key));
                     self.runner.stop(key, now);
                 }
+                AgentEffect::Noted { key } => self.runner.noted(key, now),
+                AgentEffect::Void { key } => self.runner.void(key),
                 AgentEffect::Drained => {
                     let _ = self.drained.send(true);
                 }
--- a/crates/lagoonhill_agent/src/leased_runner.rs
+++ b/crates/lagoonhill_agent/src/leased_runner.rs
@@ -115,6 +115,17 @@
         self.carry_out();
     }
 
+    fn noted(&mut self, key: TaskKey, now: TimestampMs) {
+        self.runs.noted(key, now);
+        self.carry_out();
+    }
+
+    fn void(&mut self, key: TaskKey) {
+        info!("an end is void: the target's lease is left to lapse");
+        self.runs.void(key);
+        self.carry_out();
+    }
+
     fn handle(&mut self, event: LeasedEvent, now: TimestampMs) {
         match event {
             LeasedEvent::Announced(announcement) => {
--- a/crates/lagoonhill_agent/src/target_runner.rs
+++ b/crates/lagoonhill_agent/src/target_runner.rs
@@ -30,6 +30,12 @@
     /// Stops a run; its end is reported as of any other.
     fn stop(&mut self, key: TaskKey, now: TimestampMs);
 
+    /// The end of a run is stored.
+    fn noted(&mut self, _key: TaskKey, _now: TimestampMs) {}
+
+    /// The end of a run will never be stored.
+    fn void(&mut self, _key: TaskKey) {}
+
     /// Takes what has come back.
     fn handle(&mut self, event: Self::Event, now: TimestampMs);
 
--- a/crates/lagoonhill_bench/src/workload.rs
+++ b/crates/lagoonhill_bench/src/workload.rs
@@ -75,6 +75,7 @@
         run_time_ms: None,
         needs: Needs::default(),
         tasks: runs.iter().enumerate().map(payload).collect(),
+        kept: false,
         order: None,
     };
     PlannedJob {
--- a/crates/lagoonhill_core/src/agent/effect.rs
+++ b/crates/lagoonhill_core/src/agent/effect.rs
@@ -38,6 +38,16 @@
         /// The run.
         key: TaskKey,
     },
+    /// The end of a run is stored; the target may forget it.
+    Noted {
+        /// The run.
+        key: TaskKey,
+    },
+    /// The end of a run will never be stored: it must not count.
+    Void {
+        /// The run.
+        key: TaskKey,
+    },
     /// Everything is delivered; the process may exit.
     Drained,
 }
--- a/crates/lagoonhill_core/src/agent/machine.rs
+++ b/crates/lagoonhill_core/src/agent/machine.rs
@@ -60,6 +60,8 @@
     running: u16,
     /// What the running tasks take of the target.
     used: Resources,
+    /// Runs of kept jobs whose ends their entries have not stored yet.
+    unnoted: HashMap<TaskId, Unnoted>,
     rules: RulesSpread,
     rules_installed_ms: TimestampMs,
     leaving: bool,
@@ -83,6 +85,7 @@
             waiting: VecDeque::new(),
             running: 0,
             used: Resources::default(),
+            unnoted: HashMap::new(),
             rules: RulesSpread::default(),
             rules_installed_ms: TimestampMs(0),
             leaving: false,
@@ -212,10 +215,43 @@
             TaskResult::NotRun(_) => DurationMs::ZERO,
             _ => now.since(started_ms),
         };
+        self.hold_end(key, &task, &result);
         self.report(&task, run_ms, result);
         self.start_waiting(now);
     }
 
+    /// The end of a kept job's run counts once its entry has stored it. If that
+    /// entry is not there any more, it never will.
+    fn hold_end(&mut self, key: TaskKey, task: &HeldTask, result: &TaskResult) {
+        let is_held = matches!(result, TaskResult::Done(_) | TaskResult::Failed(_));
+        if !task.start.kept || !is_held {
+            return;
+        }
+        let session = self
+            .entries
+            .get(task.entry)
+            .and_then(|link| link.session.as_ref());
+        if session.is_some_and(|open| open.id() == task.session) {
+            let session = task.session;
+            self.unnoted
+                .insert(task.start.task, Unnoted { key, session });
+        } else {
+            self.effects.push(AgentEffect::Void { key });
+        }
+    }
+
+    fn note(&mut self, tasks: &[TaskId], is_stored: bool) {
+        for task in tasks {
+            if let Some(Unnoted { key, .. }) = self.unnoted.remove(task) {
+                self.effects.push(if is_stored {
+                    AgentEffect::Noted { key }
+                } else {
+                    AgentEffect::Void { key }
+                });
+            }
+        }
+    }
+
     /// Several tasks of one job that fail speak of the job, not of the target.
     fn count_failure(&mut self, task: &HeldTask, result: &TaskResult) {
         match result {
@@ -493,6 +529,12 @@
         for task_key in ended {
             self.drop_or_stop(task_key);
         }
+        let unnoted = self.unnoted.iter();
+        let void: Vec<TaskId> = unnoted
+            .filter(|(_, unnoted)| unnoted.session == id)
+            .map(|(task, _)| *task)
+            .collect();
+        self.note(&void, false);
         self.start_waiting(now);
     }
 
@@ -568,6 +610,8 @@
                     session.acknowledge_now(now);
                 }
             }
+            Message::Noted(tasks) => self.note(&tasks, true),
+            Message::Forgone(tasks) => self.note(&tasks, false),
             Message::Entries(entries) => self.add_entries(&entries, now),
             Message::Leaving => self.on_departure(key, now),
             Message::Outcome(_) | Message::Target(_) => {}
@@ -764,6 +808,13 @@
     }
 }
 
+/// The end of a run that its entry has not stored yet.
+#[derive(Clone, Copy, Debug)]
+struct Unnoted {
+    key: TaskKey,
+    session: SessionId,
+}
+
 /// Whether a waiting task may start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Readiness {
--- a/crates/lagoonhill_core/src/entry/answer.rs
+++ b/crates/lagoonhill_core/src/entry/answer.rs
@@ -155,6 +155,9 @@
         "the key could not be bound because the platform's store does not answer: send the request again later"
     )]
     StoreUnavailable,
+    /// A job that is to be kept has no name.
+    #[error("a job that is kept needs a name: submit it to a queue under one")]
+    NotNamed,
     /// Too many keys are being bound.
     #[error("too many keys are being bound: send the request again later, or use a ticket")]
     KeyBudget,
@@ -188,6 +191,7 @@
             Self::OwnerGone => "owner_gone",
             Self::OwnerUnreachable => "owner_unreachable",
             Self::StoreUnavailable => "store_unavailable",
+            Self::NotNamed => "not_named",
             Self::KeyBudget => "key_budget",
         }
     }
--- a/crates/lagoonhill_core/src/entry/decision.rs
+++ b/crates/lagoonhill_core/src/entry/decision.rs
@@ -3,7 +3,7 @@
 use lagoonhill_protocol::NotRunReason;
 use lagoonhill_types::prelude::*;
 
-use super::{Cause, RunCertainty};
+use super::{Cause, KeptState, RunCertainty};
 
 /// What was decided about a job or task.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -104,6 +104,18 @@
         /// Which.
         worker: WorkerId,
     },
+    /// A kept job whose owner is gone is gone on with.
+    Adopted {
+        /// Counts its owners.
+        epoch: u32,
+        /// Nothing of it starts before.
+        over_ms: TimestampMs,
+    },
+    /// A kept job turned out to be another owner's, or over.
+    GivenUp {
+        /// How it stands in the store.
+        state: KeptState,
+    },
     /// Newer rules are in force.
     Rules {
         /// Their revision.
@@ -191,6 +203,10 @@
                 write!(f, "quarantined worker={worker} probe_in={probe_in_ms}")
             }
             DecisionKind::Recovered { worker } => write!(f, "recovered worker={worker}"),
+            DecisionKind::Adopted { epoch, over_ms } => {
+                write!(f, "adopted epoch={epoch} until={over_ms}")
+            }
+            DecisionKind::GivenUp { state } => write!(f, "given-up state={state}"),
             DecisionKind::Rules { revision } => write!(f, "rules revision={revision}"),
         }
     }
--- a/crates/lagoonhill_core/src/entry/effect.rs
+++ b/crates/lagoonhill_core/src/entry/effect.rs
@@ -3,7 +3,7 @@
 use lagoonhill_protocol::{EntryAddress, Packet};
 use lagoonhill_types::prelude::*;
 
-use super::{Answer, CallerId, Decision};
+use super::{Answer, CallerId, Decision, KeepOrder};
 
 /// What the entry's daemon is to do.
 #[derive(Debug)]
@@ -45,6 +45,14 @@
         /// The key.
         key: RequestKey,
     },
+    /// Store something about a kept job, and report back with
+    /// [`super::Entry::stored`].
+    Keep {
+        /// The caller's name of it.
+        name: RequestKey,
+        /// What.
+        order: KeepOrder,
+    },
     /// Log a decision.
     Decided(Decision),
 }
--- a/crates/lagoonhill_core/src/entry/job.rs
+++ b/crates/lagoonhill_core/src/entry/job.rs
@@ -5,7 +5,9 @@
 use lagoonhill_types::prelude::*;
 use slotmap::new_key_type;
 
-use super::{CallerId, Lane, Needs, Place, RecordKey, RunCertainty, Step, WorkerKey};
+use super::{
+    CallerId, Keeping, Lane, Needs, Place, Progress, RecordKey, RunCertainty, Step, WorkerKey,
+};
 
 new_key_type! {
     /// Names a job within an entry.
@@ -34,6 +36,14 @@
     runs: u32,
     /// Where it has failed, once for each time.
     failed_on: Vec<WorkerKey>,
+    /// How often it had failed under earlier owners.
+    failed_before: u16,
+}
+
+impl Task {
+    fn failures(&self) -> usize {
+        self.failed_on.len() + usize::from(self.failed_before)
+    }
 }
 
 #[derive(Debug)]
@@ -96,6 +106,8 @@
     pub callers: Vec<CallerId>,
     /// The ticket or key it was submitted under.
     pub record: Option<RecordKey>,
+    /// Present when it is kept.
+    pub keeping: Option<Keeping>,
     /// Its place among the team's jobs; lower is sooner.
     pub rank_ms: u64,
     /// What its queue promises, if it has one.
@@ -149,12 +161,14 @@
             moves: 0,
             runs: 0,
             failed_on: Vec::new(),
+            failed_before: 0,
         };
         let rank_ms = plan.accepted_ms.0;
         let mut job = Self {
             plan,
             callers: Vec::new(),
             record: None,
+            keeping: None,
             rank_ms,
             promise: None,
             lane: Lane::InTime,
@@ -212,6 +226,91 @@
         self.plan.accepted_ms + self.plan.deadline_ms
     }
 
+    /// Whether the job is kept.
+    pub fn is_kept(&self) -> bool {
+        self.keeping.is_some()
+    }
+
+    /// Whether the job is kept and the store has it.
+    pub fn is_accepted(&self) -> bool {
+        self.keeping
+            .as_ref()
+            .is_some_and(|keeping| keeping.accepted)
+    }
+
+    /// Whether its end has been decided, though not stored yet.
+    pub fn is_ending(&self) -> bool {
+        let keeping = self.keeping.as_ref();
+        keeping.is_some_and(|keeping| keeping.ending.is_some())
+    }
+
+    /// A task's end was reported that must be stored.
+    pub fn note_end(&mut self, task: TaskId, worker: WorkerKey) {
+        if let Some(keeping) = &mut self.keeping {
+            keeping.unnoted.push((task, worker));
+            keeping.dirty = true;
+        }
+    }
+
+    /// How far it has come.
+    pub fn progress(&self) -> Progress {
+        let tasks = || (0_u16..).map(TaskIndex).zip(&self.tasks);
+        let is_done = |task: &Task| matches!(task.state, TaskState::Done(_));
+        let failures = |task: &Task| u16::try_from(task.failures()).unwrap_or(u16::MAX);
+        Progress {
+            done: tasks()
+                .filter(|(_, task)| is_done(task))
+                .map(|(index, _)| index)
+                .collect(),
+            failed: tasks()
+                .filter(|(_, task)| task.failures() > 0)
+                .map(|(index, task)| (index, failures(task)))
+                .collect(),
+        }
+    }
+
+    /// Numbers the runs of a kept job's tasks from where this owner's begin.
+    pub fn number_runs(&mut self, epoch: u32) {
+        for task in &mut self.tasks {
+            task.runs = RunNumber::before_owner(epoch).0;
+        }
+    }
+
+    /// Takes up what an earlier owner has stored. Its runs may go on until
+    /// `over_ms`; returns the tasks that wait for that.
+    pub fn resume(&mut self, progress: &Progress, over_ms: TimestampMs) -> Vec<TaskIndex> {
+        for index in &progress.done {
+            let Some(task) = self.tasks.get_mut(usize::from(index.0)) else {
+                continue;
+            };
+            if matches!(task.state, TaskState::Ready) {
+                task.state = TaskState::Done(Payload::default());
+                self.done += 1;
+                self.steps[usize::from(task.step)].done += 1;
+            }
+        }
+        for (index, count) in &progress.failed {
+            if let Some(task) = self.tasks.get_mut(usize::from(index.0)) {
+                task.failed_before = *count;
+            }
+        }
+        self.release_steps();
+        self.has_run = true;
+        let is_open =
+            |index: &TaskIndex| matches!(self.tasks[usize::from(index.0)].state, TaskState::Ready);
+        let waiting: Vec<TaskIndex> = self.ready.drain(..).collect();
+        let waiting: Vec<TaskIndex> = waiting.into_iter().filter(is_open).collect();
+        for index in &waiting {
+            self.tasks[usize::from(index.0)].state = TaskState::Unsettled(over_ms);
+        }
+        waiting
+    }
+
+    /// Takes all waiting tasks out of the queue, for good.
+    pub fn withdraw(&mut self) {
+        self.ready.clear();
+    }
+
     /// Whether tasks may run again after a run that ended without success.
     pub fn may_rerun(&self) -> bool {
         self.plan.queued_as.is_some()
@@ -223,6 +322,11 @@
         queued_as.map_or(1, |order| order.attempts)
     }
 
+    /// How many tasks there are.
+    pub fn task_count(&self) -> usize {
+        self.tasks.len()
+    }
+
     /// How many tasks wait in the queue.
     pub fn ready_count(&self) -> usize {
         self.ready.len()
@@ -351,7 +455,7 @@
         if failed {
             task.failed_on.push(worker);
         }
-        let has_attempt = !failed || task.failed_on.len() < usize::from(attempts);
+        let has_attempt = !failed || task.failures() < usize::from(attempts);
         task.state = TaskState::Ready;
         self.sent -= 1;
         self.has_run = true;
--- a/crates/lagoonhill_core/src/entry/machine/admission.rs
+++ b/crates/lagoonhill_core/src/entry/machine/admission.rs
@@ -5,8 +5,8 @@
 
 use super::{DEFAULT_RETRY_MS, Entry};
 use crate::entry::{
-    CallerId, Cause, DecisionKind, Job, JobFailure, JobPlan, Placement, Promise, QueuedAs, Record,
-    RecordKey, Step, Submission, WorkKind,
+    CallerId, Cause, DecisionKind, Job, JobFailure, JobKey, JobPlan, Keeping, Placement, Promise,
+    QueuedAs, Record, RecordKey, Step, Submission, WorkKind,
 };
 
 /// An answer after this many times the promised time is of no use.
@@ -141,6 +141,60 @@
         );
     }
 
+    /// Checks a job that is to be kept, and makes it. It enters the queue when
+    /// the store has it.
+    pub(super) fn admit_kept(
+        &mut self,
+        submission: &Submission,
+        keeping: Keeping,
+        number: u64,
+        now: TimestampMs,
+    ) -> Result<JobKey, JobFailure> {
+        self.check(submission)?;
+        let appraisal = self.appraise(submission);
+        self.check_load(submission, &appraisal, now)?;
+        Ok(self.insert_kept(submission, keeping, number, now))
+    }
+
+    pub(super) fn insert_kept(
+        &mut self,
+        submission: &Submission,
+        keeping: Keeping,
+        number: u64,
+        now: TimestampMs,
+    ) -> JobKey {
+        let appraisal = self.appraise(submission);
+        let promise = self.promise(submission, appraisal.run_time_ms, now);
+        let mut job = self.new_job(submission.clone(), appraisal, number, now);
+        job.rank_ms = promise.map_or(now.0, |promise| promise.latest_start_ms.0);
+        job.promise = promise;
+        job.number_runs(keeping.epoch);
+        job.keeping = Some(keeping);
+        let id = job.plan.id;
+        let key = self.jobs.insert(job);
+        self.by_job.insert(id, key);
+        key
+    }
+
+    /// Lets a kept job's tasks wait for workers.
+    pub(super) fn enqueue_kept(&mut self, key: JobKey, now: TimestampMs) {
+        let job = &self.jobs[key];
+        let (id, service, team) = (job.plan.id, job.plan.service.clone(), job.plan.team.clone());
+        let (tasks, ready) = (job.task_count(), job.ready_count());
+        let (deadline_ms, promise) = (job.plan.deadline_ms, job.promise);
+        let queued = self.queued_tasks(&service);
+        self.enqueue(key, ready);
+        let kind = DecisionKind::Admitted {
+            tasks,
+            service,
+            team,
+            queued,
+            deadline_ms,
+            promised_ms: promise.map(|promise| promise.due_ms.since(now)),
+        };
+        self.decide(now, Some(id), None, kind);
+    }
+
     fn appraise(&self, submission: &Submission) -> Appraisal {
         Appraisal {
             class: self.class_of(submission),
--- a/crates/lagoonhill_core/src/entry/machine/dispatch.rs
+++ b/crates/lagoonhill_core/src/entry/machine/dispatch.rs
@@ -71,7 +71,7 @@
         self.triage(service, now);
         let mut blocked = Blocked::default();
         while blocked.looks < MAX_BLOCKED_LOOKS {
-            let Some(key) = self.next_job(service, &blocked) else {
+            let Some(key) = self.next_job(service, &blocked, now) else {
                 return;
             };
             let Some(needs) = self.jobs[key].next_needs().cloned() else {
@@ -152,7 +152,7 @@
             .filter(|key| now.0 + wait_ms.0 > self.jobs[*key].rank_ms);
         let refused: BTreeSet<JobKey> = hopeless
             .chain(overdue)
-            .filter(|key| !self.jobs[*key].has_started())
+            .filter(|key| !self.jobs[*key].has_started() && !self.jobs[*key].is_kept())
             .collect();
         for key in refused {
             let retry_ms = wait_ms.max(MIN_RETRY_MS);
@@ -180,11 +180,18 @@
         DurationMs(work.checked_div(share).unwrap_or(0))
     }
 
-    fn next_job(&self, service: &ServiceName, blocked: &Blocked) -> Option<JobKey> {
+    fn next_job(
+        &self,
+        service: &ServiceName,
+        blocked: &Blocked,
+        now: TimestampMs,
+    ) -> Option<JobKey> {
         let queue = self.queues.get(service)?;
+        let is_owner = self.is_owner(now);
+        let may_run = |key: JobKey| is_owner || !self.jobs[key].is_kept();
         queue.next(
             |class| !blocked.classes.contains(&class),
-            |team, key| !blocked.jobs.contains(&key) && self.has_quota(team),
+            |team, key| !blocked.jobs.contains(&key) && may_run(key) && self.has_quota(team),
         )
     }
 
@@ -309,6 +316,7 @@
             expected_ms,
             declared_ms,
             recalled: false,
+            kept: self.jobs[key].is_kept(),
         };
         let expected_ms = worker.usual_run_time(expected_ms);
         worker.add_order(task, order);
@@ -319,6 +327,7 @@
             expected_ms,
             needs: next.needs,
             run: next.run,
+            kept: self.jobs[key].is_kept(),
             name: next.name,
             payload: next.payload,
         }));
--- a/crates/lagoonhill_core/src/entry/machine/mod.rs
+++ b/crates/lagoonhill_core/src/entry/machine/mod.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod dispatch;
 mod endings;
+mod keeping;
 mod outcomes;
 mod sessions;
 mod submissions;
@@ -46,6 +47,14 @@
     due: BTreeSet<(TimestampMs, JobKey)>,
     /// Tasks of lost workers, by when they can't run there any more.
     unsettled: BTreeSet<(TimestampMs, JobKey, TaskIndex)>,
+    /// Jobs that are kept, by their callers' names.
+    kept: HashMap<RequestKey, JobKey>,
+    /// Jobs whose progress is to be stored, by when.
+    saves_due: BTreeSet<(TimestampMs, JobKey)>,
+    /// Jobs given up to another owner.
+    forgone: BTreeSet<JobId>,
+    /// Until when the store has shown that kept jobs are ours.
+    owned_until_ms: TimestampMs,
     usage: HashMap<TeamName, TeamUsage>,
     /// When each service last got a job of the most urgent class.
     last_rush_ms: HashMap<ServiceName, TimestampMs>,
@@ -76,6 +85,10 @@
             queued: HashMap::new(),
             due: BTreeSet::new(),
             unsettled: BTreeSet::new(),
+            kept: HashMap::new(),
+            saves_due: BTreeSet::new(),
+            forgone: BTreeSet::new(),
+            owned_until_ms: TimestampMs(0),
             usage: HashMap::new(),
             last_rush_ms: HashMap::new(),
             run_times: RunTimes::default(),
@@ -237,6 +250,8 @@
             }
             self.quarantine_stuck(now);
         }
+        self.disown(now);
+        self.save_progress(now);
         self.records.expire(now);
         self.settle(now);
         self.dispatch_all(now);
--- a/crates/lagoonhill_core/src/entry/machine/outcomes.rs
+++ b/crates/lagoonhill_core/src/entry/machine/outcomes.rs
@@ -25,24 +25,33 @@
         let worker = worker.id.clone();
         self.release_quota(&order.team);
         self.learn(key, task.job, &order, &result, run_ms, now);
+        let must_note = order.kept && matches!(result, TaskResult::Done(_) | TaskResult::Failed(_));
         let Some(&job_key) = self.by_job.get(&task.job) else {
+            if must_note {
+                self.answer_stray_end(task, key);
+            }
             return;
         };
         let index = task.index;
+        if must_note {
+            self.jobs[job_key].note_end(task, key);
+        }
         match result {
             TaskResult::Done(payload) => {
                 let job = &mut self.jobs[job_key];
                 let Some(released) = job.finish(index, key, payload) else {
-                    return;
+                    return self.save_soon(job_key, now);
                 };
                 if job.is_complete() {
                     self.complete_job(job_key, now);
-                } else if released > 0 {
+                } else if released > 0 && !job.is_ending() {
                     self.enqueue(job_key, released);
                 }
+                self.save_soon(job_key, now);
             }
             TaskResult::Failed(message) if self.jobs[job_key].may_rerun() => {
                 self.rerun(job_key, index, key, &worker, Some(message), now);
+                self.save_soon(job_key, now);
             }
             TaskResult::Failed(message) => {
                 let cause = Cause::TaskFailed {
@@ -90,6 +99,9 @@
             return;
         };
         let (id, attempts) = (job.plan.id, job.attempts());
+        if job.is_ending() {
+            return job.withdraw();
+        }
         self.enqueue(key, 1);
         let Some(message) = failure else {
             return;
@@ -131,7 +143,7 @@
             let settled = self
                 .jobs
                 .get_mut(key)
-                .is_some_and(|job| job.settle(index, now));
+                .is_some_and(|job| !job.is_ending() && job.settle(index, now));
             if settled {
                 self.enqueue(key, 1);
             }
@@ -150,6 +162,9 @@
             return;
         };
         let bounded = !job.may_rerun();
+        if job.is_ending() {
+            return job.withdraw();
+        }
         self.enqueue(key, 1);
         if bounded && moves > self.config.max_moves {
             self.fail_job(key, Cause::NoTaker { index }, now);
--- a/crates/lagoonhill_core/src/entry/machine/sessions.rs
+++ b/crates/lagoonhill_core/src/entry/machine/sessions.rs
@@ -148,6 +148,8 @@
             Message::Start(_)
             | Message::CancelJob(_)
             | Message::Recall(_)
+            | Message::Noted(_)
+            | Message::Forgone(_)
             | Message::Entries(_) => {}
         }
     }
--- a/crates/lagoonhill_core/src/entry/machine/submissions.rs
+++ b/crates/lagoonhill_core/src/entry/machine/submissions.rs
@@ -220,7 +220,8 @@
         };
         let job = &mut self.jobs[key];
         job.callers.retain(|waiting| *waiting != caller);
-        if job.callers.is_empty() && (job.record.is_none() || job.may_rerun()) {
+        let is_withdrawn = job.record.is_none() || job.may_rerun();
+        if job.callers.is_empty() && is_withdrawn && !job.is_kept() {
             self.fail_job(key, Cause::Cancelled, now);
             self.dispatch_all(now);
         }
--- a/crates/lagoonhill_core/src/entry/submission.rs
+++ b/crates/lagoonhill_core/src/entry/submission.rs
@@ -80,6 +80,9 @@
     pub needs: Needs,
     /// One input a task.
     pub tasks: Vec<Payload>,
+    /// Whether it is to be stored before it is accepted, and finished whatever
+    /// becomes of this entry.
+    pub kept: bool,
     /// Present when the job was submitted to a queue.
     pub order: Option<QueueOrder>,
 }
--- a/crates/lagoonhill_core/src/entry/worker.rs
+++ b/crates/lagoonhill_core/src/entry/worker.rs
@@ -56,6 +56,8 @@
     pub declared_ms: DurationMs,
     /// Whether its agent has been told to give it back.
     pub recalled: bool,
+    /// Whether its end must be stored.
+    pub kept: bool,
 }
 
 /// A task that has taken this many times the expected run time is late.
--- a/crates/lagoonhill_core/src/leased/runs.rs
+++ b/crates/lagoonhill_core/src/leased/runs.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use lagoonhill_protocol::{NotRunReason, Start, Target, TaskResult};
 use lagoonhill_types::prelude::*;
@@ -50,6 +50,10 @@
 /// has lasted.
 const SILENT_LOOKS: u64 = 4;
 
+/// Pause between two looks while ends wait to be stored, which takes a few of
+/// the store's answers.
+const UNNOTED_PAUSE_MS: DurationMs = DurationMs(25);
+
 /// Longest pause between two looks at a silent target.
 const MAX_LOOK_PAUSE_MS: DurationMs = DurationMs(1_000);
 
@@ -67,6 +71,8 @@
 struct Run {
     reference: RunRef,
     payload: Payload,
+    /// Whether its end must be held until it is stored.
+    kept: bool,
     phase: Phase,
     /// When an unanswered call about it is repeated.
     due_ms: Option<TimestampMs>,
@@ -124,7 +130,14 @@
     clock: Option<TargetClock>,
     /// When the target has ended everything, if it gets no further lease.
     lapses_ms: TimestampMs,
-    observed: u64,
+    /// The highest end seen.
+    seen: u64,
+    /// Ends that are not stored yet, by number, and the runs of this process
+    /// among them; the target must go on listing them.
+    unnoted: BTreeMap<u64, Option<TaskKey>>,
+    /// Ends that will never be stored wait for the lease to lapse: then they no
+    /// longer count, and neither does what still runs.
+    voiding: bool,
     runs: HashMap<TaskKey, Run>,
     by_reference: HashMap<RunRef, TaskKey>,
     /// Runs of a predecessor of this process, being stopped.
@@ -151,8 +164,11 @@
             announced: None,
             departed: None,
             clock: None,
-            lapses_ms: now,
-            observed: 0,
+            // A predecessor may have granted a lease until just now.
+            lapses_ms: now + on_slow_clock(timing.hold_ms),
+            seen: 0,
+            unnoted: BTreeMap::new(),
+            voiding: false,
             runs: HashMap::new(),
             by_reference: HashMap::new(),
             foreign: HashMap::new(),
@@ -218,7 +234,9 @@
         self.interrupt_all(why);
         self.announced = None;
         self.clock = None;
-        self.observed = 0;
+        self.seen = 0;
+        self.unnoted.clear();
+        self.voiding = false;
         self.foreign.clear();
         self.calls.clear();
         self.holding = None;
@@ -247,7 +265,7 @@
                 result: TaskResult::Failed(why),
             });
         };
-        if !self.is_usable() {
+        if !self.is_usable() || self.voiding {
             return self.effects.push(LeasedEffect::Ended {
                 key,
                 result: TaskResult::NotRun(NotRunReason::NoTarget),
@@ -260,6 +278,7 @@
         let run = Run {
             reference: reference.clone(),
             payload: start.payload.clone(),
+            kept: start.kept,
             phase: Phase::Starting { tries: 0 },
             due_ms: None,
         };
@@ -319,7 +338,8 @@
 
     fn hold(&mut self, now: TimestampMs) {
         let is_heard = self.is_heard(now);
-        let clock = self.clock.filter(|_| is_heard && self.foreign.is_empty());
+        let may_grant = is_heard && self.foreign.is_empty() && !self.voiding;
+        let clock = self.clock.filter(|_| may_grant);
         let until_ms = clock.map(|clock| self.grant(clock, now));
         // The first look must not wait: nothing is started before its answer.
         let wait_ms = match (until_ms, self.clock) {
@@ -330,7 +350,7 @@
         self.held_ms = now;
         let hold = TargetCall::Hold {
             until_ms,
-            observed: self.observed,
+            observed: self.observed(),
             wait_ms,
         };
         let purpose = Purpose::Hold { sent_ms: now };
@@ -472,23 +492,74 @@
             return self.end_life("another incarnation of the target answers");
         }
         for end in ended {
-            self.take_end(&end);
+            self.take_end(&end, now);
         }
         self.reconcile(&running, sent_ms);
         self.stop_foreign(running, now);
-        if self.foreign.is_empty() {
+        if self.foreign.is_empty() && !self.voiding {
             self.responsive = true;
             self.tell();
         }
-        self.hold(now);
+        // A target that lists ends does not wait; neither do ours get stored
+        // sooner by looking.
+        if self.unnoted.is_empty() {
+            self.hold(now);
+        }
+    }
+
+    /// Ends up to this one may be forgotten by the target.
+    fn observed(&self) -> u64 {
+        let first = self.unnoted.first_key_value();
+        first.map_or(self.seen, |(number, _)| (*number - 1).min(self.seen))
+    }
+
+    /// The end of a run is stored.
+    pub fn noted(&mut self, key: TaskKey, now: TimestampMs) {
+        self.unnoted.retain(|_, unnoted| *unnoted != Some(key));
+        if self.unnoted.is_empty() && self.holding.is_none() {
+            self.hold(now);
+        }
+    }
+
+    /// The end of a run will never be stored, so the task may run again
+    /// elsewhere. It stops to count when the lease lapses before the target may
+    /// forget it.
+    pub fn void(&mut self, key: TaskKey) {
+        if self.unnoted.values().any(|unnoted| *unnoted == Some(key)) {
+            self.begin_voiding();
+        }
     }
 
-    fn take_end(&mut self, end: &EndedRun) {
-        self.observed = self.observed.max(end.number);
+    fn begin_voiding(&mut self) {
+        self.voiding = true;
+        self.responsive = false;
+        self.tell();
+    }
+
+    fn end_voiding(&mut self) {
+        self.voiding = false;
+        self.unnoted.clear();
+    }
+
+    fn take_end(&mut self, end: &EndedRun, now: TimestampMs) {
+        if end.number <= self.seen {
+            return;
+        }
+        self.seen = end.number;
         self.foreign.remove(&end.run);
+        let counts = matches!(end.kind, EndKind::Done | EndKind::Failed);
         let Some(&key) = self.by_reference.get(&end.run) else {
+            // Its entry counts the run as lost.
+            if counts && end.run.run.is_of_kept_job() && now < self.lapses_ms {
+                self.unnoted.insert(end.number, None);
+                self.begin_voiding();
+            }
             return;
         };
+        let is_kept = self.runs.get(&key).is_some_and(|run| run.kept);
+        if is_kept && counts {
+            self.unnoted.insert(end.number, Some(key));
+        }
         let result = match end.kind {
             EndKind::Done => TaskResult::Done(Payload::default()),
             EndKind::Failed => TaskResult::Failed("the target lists it as failed".to_owned()),
@@ -562,6 +633,14 @@
         }
         let silent_ms = now.since(self.heard_ms);
         let pause_ms = (silent_ms / SILENT_LOOKS).min(MAX_LOOK_PAUSE_MS);
+        let pause_ms = if self.unnoted.is_empty() {
+            pause_ms
+        } else {
+            pause_ms.max(UNNOTED_PAUSE_MS)
+        };
+        if self.voiding && now >= self.lapses_ms {
+            self.end_voiding();
+        }
         if self.holding.is_none() && now.since(self.held_ms) >= pause_ms {
             self.hold(now);
         }
@@ -586,7 +665,7 @@
         let is_heard = self.is_heard(now);
         for key in due {
             match self.runs[&key].phase {
-                Phase::Starting { .. } if is_heard => self.order(key, now),
+                Phase::Starting { .. } if is_heard && !self.voiding => self.order(key, now),
                 Phase::Stopping { .. } => self.order_stop(key, now),
                 Phase::Starting { .. } | Phase::Running { .. } => {}
             }
--- a/crates/lagoonhill_core/tests/agent.rs
+++ b/crates/lagoonhill_core/tests/agent.rs
@@ -294,6 +294,7 @@
         expected_ms: DurationMs(100),
         needs: Resources::default(),
         run: RunNumber(1),
+        kept: false,
         name: None,
         payload: Payload::default(),
     }
--- a/crates/lagoonhill_core/tests/leased.rs
+++ b/crates/lagoonhill_core/tests/leased.rs
@@ -71,6 +71,8 @@
     calls: Vec<Call>,
     ended: Vec<(TaskKey, TaskResult)>,
     target: Option<Target>,
+    /// Whether what is started belongs to kept jobs.
+    kept: bool,
 }
 
 impl Bench {
@@ -83,6 +85,7 @@
             calls: Vec::new(),
             ended: Vec::new(),
             target: None,
+            kept: false,
         }
     }
 
@@ -126,6 +129,7 @@
             expected_ms: DurationMs(100),
             needs: Resources::default(),
             run: RunNumber(1),
+            kept: self.kept,
             name: Some(run_ref(index, 1).task),
             payload: Payload::default(),
         };
@@ -205,6 +209,9 @@
     }
 }
 
+/// The first run of a kept job's task.
+const KEPT_RUN: u32 = 1_001;
+
 cases! {
     a_listed_end_ends_the_run_and_is_taken_note_of_next => {
         let mut bench = Bench::ready();
@@ -215,6 +222,78 @@
         assert!(matches!(next.what, TargetCall::Hold { observed: 3, .. }), "{next:?}");
     }
 
+    the_end_of_a_kept_run_is_held_until_it_is_stored => {
+        let mut bench = Bench::ready();
+        bench.kept = true;
+        let (first, second) = (bench.started(0), bench.started(1));
+        let ends = [end(3, 0, 1, EndKind::Done), end(4, 1, 1, EndKind::Failed)];
+        bench.answer_hold(&[], &ends);
+        bench.pass(30);
+        let held = bench.answer_hold(&[], &ends);
+        assert!(matches!(held.what, TargetCall::Hold { observed: 2, .. }), "{held:?}");
+        assert_eq!(bench.ended.len(), 2, "an end was reported again");
+        bench.runs.noted(second, bench.now);
+        bench.pass(30);
+        let held = bench.answer_hold(&[], &ends);
+        assert!(matches!(held.what, TargetCall::Hold { observed: 2, .. }), "{held:?}");
+        bench.runs.noted(first, bench.now);
+        bench.collect();
+        let held = bench.answer_hold(&[], &[]);
+        assert!(matches!(held.what, TargetCall::Hold { observed: 4, .. }), "{held:?}");
+    }
+
+    an_end_that_is_never_stored_is_passed_over_after_the_lease_has_lapsed => {
+        let mut bench = Bench::ready();
+        bench.kept = true;
+        let key = bench.started(0);
+        let ends = [end(3, 0, 1, EndKind::Done)];
+        bench.answer_hold(&[], &ends);
+        bench.runs.void(key);
+        bench.collect();
+        assert!(bench.target.is_none(), "the target takes orders while its lease is to lapse");
+        let began = bench.now;
+        loop {
+            bench.pass(30);
+            let held = bench.answer_hold(&[], &ends);
+            let TargetCall::Hold { observed, until_ms, .. } = held.what else {
+                unreachable!("a hold was answered");
+            };
+            if observed >= 3 {
+                break;
+            }
+            assert_eq!(until_ms, None, "the lease was extended");
+        }
+        assert!(bench.now.since(began) >= LeaseTiming::default().hold_ms, "the lease may not have lapsed");
+        assert!(bench.target.is_some(), "the target takes orders again");
+    }
+
+    the_ends_of_a_predecessors_other_runs_are_passed_over_at_once => {
+        let mut bench = Bench::new();
+        bench.announce(announcement(life("target", 5), 1, false));
+        bench.answer_hold(&[], &[end(3, 0, 1, EndKind::Done)]);
+        let held = bench.answer_hold(&[], &[]);
+        assert!(matches!(held.what, TargetCall::Hold { observed: 3, until_ms: Some(_), .. }), "{held:?}");
+        assert!(bench.target.is_some());
+    }
+
+    what_a_predecessor_did_not_store_is_passed_over_after_its_lease => {
+        let mut bench = Bench::new();
+        bench.announce(announcement(life("target", 5), 1, false));
+        let ends = [end(3, 0, KEPT_RUN, EndKind::Done)];
+        bench.answer_hold(&[], &ends);
+        bench.pass(30);
+        let held = bench.answer_hold(&[], &ends);
+        assert!(matches!(held.what, TargetCall::Hold { observed: 2, until_ms: None, .. }), "{held:?}");
+        while bench.now < BEGAN + LeaseTiming::default().hold_ms * 2 {
+            bench.pass(50);
+            bench.answer_hold(&[], &ends);
+        }
+        bench.pass(30);
+        let held = bench.answer_hold(&[], &[]);
+        assert!(matches!(held.what, TargetCall::Hold { observed: 3, .. }), "{held:?}");
+        assert!(bench.target.is_some());
+    }
+
     an_unanswered_start_is_repeated_with_the_same_number => {
         let mut bench = Bench::ready();
         bench.start(0);
--- a/crates/lagoonhill_core/tests/queues.rs
+++ b/crates/lagoonhill_core/tests/queues.rs
@@ -68,6 +68,7 @@
         run_time_ms: steps.iter().map(|step| step.estimate_ms).max(),
         needs: Needs::default(),
         tasks,
+        kept: false,
         order: Some(QueueOrder {
             queue: queue.parse().expect("the name is valid"),
             name: name.parse().expect("the name is valid"),
--- a/crates/lagoonhill_core/tests/support/mod.rs
+++ b/crates/lagoonhill_core/tests/support/mod.rs
@@ -75,6 +75,7 @@
         run_time_ms: None,
         needs: Needs::default(),
         tasks: (0..tasks).map(payload).collect(),
+        kept: false,
         order: None,
     }
 }
--- a/crates/lagoonhill_entry/src/api.rs
+++ b/crates/lagoonhill_entry/src/api.rs
@@ -20,10 +20,12 @@
 use serde::de::DeserializeOwned;
 
 use crate::api_types::{JobRequest, TicketsAnswer, TicketsRequest};
+use crate::client::EntryClient;
 use crate::control::{CallerReply, ControlEvent, SubmissionKind};
 use crate::handle::{ControlHandle, Stopped};
 use crate::metrics::Metrics;
 use crate::peers::Peers;
+use crate::queue_api;
 
 /// Marks a request that another entry handed over; names the incarnation that
 /// is meant to answer it.
@@ -50,6 +52,8 @@
     pub(crate) peers: Peers,
     pub(crate) calls: Option<Arc<CallCounts>>,
     pub(crate) client: HttpClient,
+    /// Jobs of queues.
+    pub(crate) queues: EntryClient,
     pub(crate) max_body_bytes: ByteCount,
     pub(crate) ticket_life_ms: DurationMs,
     pub(crate) draining: AtomicBool,
@@ -92,6 +96,17 @@
         (&Method::POST, ["v1", "jobs"]) => post_job(state, request).await,
         (&Method::DELETE, ["v1", "jobs", job]) => cancel_job(state, job).await,
         (&Method::GET, ["v1", "jobs", job, "decisions"]) => explain_job(state, job).await,
+        (&Method::PUT, ["v1", "queues", queue, "jobs", name]) => {
+            put_queue_job(state, request, queue, name).await
+        }
+        (method @ (&Method::GET | &Method::DELETE), ["v1", "queues", _, "jobs", name]) => {
+            let shown = queue_api::show_or_cancel(&state.queues, method, name).await;
+            shown.map(|answer| json(&answer))
+        }
+        (&Method::GET, ["v1", "queues", queue]) => {
+            let counted = queue_api::count_waiting(&state.queues, queue).await;
+            counted.map(|answer| json(&answer))
+        }
         (&Method::POST, ["v1", "tickets"]) => post_tickets(state, request).await,
         (&Method::POST, ["v1", "peers"]) => post_peers(state, request).await,
         (&Method::GET, ["v1", "status"]) => get_status(state).await,
@@ -105,6 +120,18 @@
     }
 }
 
+async fn put_queue_job(
+    state: &ApiState,
+    request: Request<Incoming>,
+    queue: &str,
+    name: &str,
+) -> Result<Reply, Problem> {
+    let body = read_body(request.into_body(), state.max_body_bytes.0).await?;
+    let job = parse_body(&body)?;
+    let taken = queue_api::put_job(&state.queues, queue, name, job).await;
+    taken.map(|answer| json(&answer))
+}
+
 fn stopped(error: &Stopped) -> Problem {
     let mut problem = Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, error.to_string());
     problem.run = RunCertainty::MayHaveRun.to_string();
@@ -204,6 +231,7 @@
             ..Resources::default()
         }),
         tasks: job.tasks.into_iter().map(payload).collect(),
+        kept: false,
         order: None,
     }
 }
@@ -301,7 +329,7 @@
         Cause::UnknownService(_) | Cause::UnknownTeam(_) | Cause::UnknownQueue(_) => {
             StatusCode::NOT_FOUND
         }
-        Cause::NoTasks { .. } => StatusCode::BAD_REQUEST,
+        Cause::NoTasks { .. } | Cause::NotNamed => StatusCode::BAD_REQUEST,
         Cause::TooManyTasks { .. } => StatusCode::PAYLOAD_TOO_LARGE,
         Cause::NeverFits(_) | Cause::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
         Cause::RateLimited(_) | Cause::KeyBudget => StatusCode::TOO_MANY_REQUESTS,
--- a/crates/lagoonhill_entry/src/client.rs
+++ b/crates/lagoonhill_entry/src/client.rs
@@ -1,12 +1,44 @@
+use std::fmt;
 use std::sync::Arc;
+use std::time::Duration;
 
-use lagoonhill_core::entry::{Answer, Submission};
+use lagoonhill_core::entry::{Answer, KeptState, Submission};
+use lagoonhill_platform::StoreUnavailable;
 use lagoonhill_rules::RuleSet;
 use lagoonhill_types::prelude::*;
 use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
 
 use crate::control::{CallerReply, ControlEvent, SubmissionKind};
 use crate::handle::{ControlHandle, Stopped};
+use crate::keeping::Keeping;
+
+/// How a job that is kept stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum JobStanding {
+    /// No task has been ordered yet.
+    Queued,
+    /// It is not over.
+    Running,
+    /// It is over.
+    Over(KeptState),
+}
+
+impl fmt::Display for JobStanding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Queued => f.write_str("queued"),
+            Self::Running | Self::Over(KeptState::Open) => f.write_str("running"),
+            Self::Over(state) => state.fmt(f),
+        }
+    }
+}
+
+/// Time between two looks at whether a cancel has been stored.
+const CANCEL_POLL: Duration = Duration::from_millis(10);
+
+/// How long a first kept job waits for this entry to become an owner.
+const OWNER_WAIT: Duration = Duration::from_millis(800);
 
 /// Submits jobs to an entry of the same process, for front ends that speak
 /// another protocol than the entry's own.
@@ -14,11 +46,82 @@
 pub struct EntryClient {
     control: ControlHandle,
     rules: watch::Receiver<Arc<RuleSet>>,
+    keeping: Keeping,
 }
 
 impl EntryClient {
-    pub(crate) fn new(control: ControlHandle, rules: watch::Receiver<Arc<RuleSet>>) -> Self {
-        Self { control, rules }
+    pub(crate) fn new(
+        control: ControlHandle,
+        rules: watch::Receiver<Arc<RuleSet>>,
+        keeping: Keeping,
+    ) -> Self {
+        Self {
+            control,
+            rules,
+            keeping,
+        }
+    }
+
+    /// Submits a job that is kept; answered when the platform's store has it.
+    /// Dropping the future does not withdraw it.
+    pub async fn submit_kept(&self, submission: Submission) -> Result<Answer, Stopped> {
+        self.keeping.requests.need_owner();
+        let mut is_owner = self.keeping.is_owner.clone();
+        // Without the store the submission is refused below.
+        let _ = timeout(OWNER_WAIT, is_owner.wait_for(|is_owner| *is_owner)).await;
+        match self
+            .control
+            .submit(SubmissionKind::Kept, submission)
+            .await?
+        {
+            CallerReply::Answer(answer) => Ok(answer),
+            CallerReply::Forward(_) => Err(Stopped),
+        }
+    }
+
+    /// How a kept job stands, through any entry; `None` when there is none.
+    pub async fn standing(
+        &self,
+        name: RequestKey,
+    ) -> Result<Option<JobStanding>, StoreUnavailable> {
+        if let Some(standing) = self.own_standing(&name).await {
+            return Ok(Some(standing));
+        }
+        let found = self.keeping.requests.look_up(name).await?;
+        Ok(found.map(|state| match state {
+            KeptState::Open => JobStanding::Running,
+            state => JobStanding::Over(state),
+        }))
+    }
+
+    async fn own_standing(&self, name: &RequestKey) -> Option<JobStanding> {
+        let name = name.clone();
+        let asked = self
+            .control
+            .ask(|reply| ControlEvent::KeptStarted { name, reply });
+        // An entry that has stopped owns nothing.
+        let has_started = asked.await.unwrap_or(None)?;
+        Some(if has_started {
+            JobStanding::Running
+        } else {
+            JobStanding::Queued
+        })
+    }
+
+    /// Cancels a kept job, through any entry; answered when the store knows.
+    /// `None` when there is no such job.
+    pub async fn cancel(&self, name: RequestKey) -> Result<Option<KeptState>, StoreUnavailable> {
+        let asked = self.control.ask(|reply| ControlEvent::CancelKept {
+            name: name.clone(),
+            reply,
+        });
+        if asked.await.unwrap_or(false) {
+            while self.own_standing(&name).await.is_some() {
+                sleep(CANCEL_POLL).await;
+            }
+        }
+        // It may have become another's meanwhile; one that is over stays so.
+        self.keeping.requests.cancel(name).await
     }
 
     /// Submits a job and waits for its answer. Dropping the future withdraws
--- a/crates/lagoonhill_entry/src/control.rs
+++ b/crates/lagoonhill_entry/src/control.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use lagoonhill_core::entry::{
-    Answer, CallerId, Decision, Entry, EntryEffect, EntryStatus, KeyBinding, Placement, Submission,
+    Answer, CallerId, Decision, Entry, EntryEffect, EntryStatus, KeepOrder, KeptJob, KeyBinding,
+    Placement, Stored, Submission,
 };
 use lagoonhill_daemon::ControlState;
 use lagoonhill_link::Link;
@@ -23,7 +24,12 @@
 pub(crate) enum SubmissionKind {
     Plain,
     Ticket(Ticket),
-    Key { key: RequestKey, bound_here: bool },
+    Key {
+        key: RequestKey,
+        bound_here: bool,
+    },
+    /// Answered when the store has the job.
+    Kept,
 }
 
 /// What a waiting caller gets.
@@ -59,6 +65,24 @@
         key: RequestKey,
         binding: KeyBinding,
     },
+    Stored {
+        name: RequestKey,
+        stored: Stored,
+    },
+    OwnedUntil(TimestampMs),
+    Adopt {
+        name: RequestKey,
+        kept: Box<KeptJob>,
+    },
+    CancelledElsewhere(RequestKey),
+    CancelKept {
+        name: RequestKey,
+        reply: oneshot::Sender<bool>,
+    },
+    KeptStarted {
+        name: RequestKey,
+        reply: oneshot::Sender<Option<bool>>,
+    },
     Rules(RuleSet),
     Entries(Vec<EntryAddress>),
     Status(oneshot::Sender<EntryStatus>),
@@ -82,6 +106,7 @@
     link: L,
     metrics: Metrics,
     keys_to_bind: mpsc::UnboundedSender<RequestKey>,
+    orders_to_keep: mpsc::UnboundedSender<(RequestKey, KeepOrder)>,
     callers: HashMap<CallerId, oneshot::Sender<CallerReply>>,
     decisions: VecDeque<Decision>,
     rules: watch::Sender<Arc<RuleSet>>,
@@ -121,6 +146,18 @@
                 let _ = reply.send(self.entry.issue_tickets(count, now));
             }
             ControlEvent::KeyBound { key, binding } => self.entry.key_bound(key, binding, now),
+            ControlEvent::Stored { name, stored } => self.entry.stored(&name, stored, now),
+            ControlEvent::OwnedUntil(until_ms) => self.entry.set_owned_until(until_ms),
+            ControlEvent::Adopt { name, kept } => self.entry.adopt(&name, &kept, now),
+            ControlEvent::CancelledElsewhere(name) => {
+                self.entry.cancel_kept(&name, now);
+            }
+            ControlEvent::CancelKept { name, reply } => {
+                let _ = reply.send(self.entry.cancel_kept(&name, now));
+            }
+            ControlEvent::KeptStarted { name, reply } => {
+                let _ = reply.send(self.entry.kept_started(&name));
+            }
             ControlEvent::Rules(rules) => {
                 self.entry.install_rules(rules, now);
             }
@@ -167,6 +204,9 @@
                 EntryEffect::BindKey { key } => {
                     let _ = self.keys_to_bind.send(key);
                 }
+                EntryEffect::Keep { name, order } => {
+                    let _ = self.orders_to_keep.send((name, order));
+                }
                 EntryEffect::Decided(decision) => self.record(decision),
             }
         }
@@ -180,6 +220,7 @@
         link: L,
         metrics: Metrics,
         keys_to_bind: mpsc::UnboundedSender<RequestKey>,
+        orders_to_keep: mpsc::UnboundedSender<(RequestKey, KeepOrder)>,
         rules: watch::Sender<Arc<RuleSet>>,
     ) -> Self {
         let (callers, decisions) = (HashMap::new(), VecDeque::new());
@@ -188,6 +229,7 @@
             link,
             metrics,
             keys_to_bind,
+            orders_to_keep,
             callers,
             decisions,
             rules,
@@ -210,6 +252,7 @@
                 self.entry
                     .submit_key(caller, key, bound_here, submission, now);
             }
+            SubmissionKind::Kept => self.entry.submit_kept(caller, submission, now),
         }
     }
 
--- a/crates/lagoonhill_entry/src/daemon.rs
+++ b/crates/lagoonhill_entry/src/daemon.rs
@@ -21,6 +21,7 @@
 use crate::client::EntryClient;
 use crate::control::{Control, ControlEvent};
 use crate::handle::ControlHandle;
+use crate::keeping::Keeping;
 use crate::key_binder::KeyBinder;
 use crate::metrics::Metrics;
 use crate::peers::{Peers, exchange};
@@ -40,6 +41,7 @@
     state: Arc<ApiState>,
     control: ControlHandle,
     rules: watch::Receiver<Arc<RuleSet>>,
+    keeping: Keeping,
     shutdown: watch::Sender<bool>,
     server: JoinHandle<()>,
     background: Vec<JoinHandle<()>>,
@@ -78,6 +80,7 @@
         let (events, event_queue) = std::sync::mpsc::channel();
         let control = ControlHandle::new(events);
         let (keys_to_bind, key_queue) = mpsc::unbounded_channel();
+        let (orders_to_keep, order_queue) = mpsc::unbounded_channel();
         let entry = Entry::new(config, LeastExpectedFinish::default(), clock.now());
         let (rules_sender, rules) = watch::channel(Arc::default());
         let state = Control::new(
@@ -85,6 +88,7 @@
             TcpLink::new(),
             metrics.clone(),
             keys_to_bind,
+            orders_to_keep,
             rules_sender,
         );
         spawn_control(state, clock, event_queue)?;
@@ -111,6 +115,14 @@
                 control.clone(),
             )),
         ];
+        let (keeping, tasks) = Keeping::start(
+            store.clone(),
+            address.incarnation,
+            clock,
+            &control,
+            order_queue,
+        );
+        background.extend(tasks);
         if let Some(store) = store {
             let following = follow_rules(store, rules_source, control.clone());
             background.push(tokio::spawn(following));
@@ -123,6 +135,7 @@
             peers,
             calls,
             client: HttpClient::new(),
+            queues: EntryClient::new(control.clone(), rules.clone(), keeping.clone()),
             max_body_bytes: settings.max_body_bytes,
             ticket_life_ms,
             draining: AtomicBool::new(false),
@@ -142,6 +155,7 @@
             state,
             control,
             rules,
+            keeping,
             shutdown,
             server,
             background,
@@ -151,7 +165,11 @@
 
     /// Reaches the entry from the same process.
     pub fn client(&self) -> EntryClient {
-        EntryClient::new(self.control.clone(), self.rules.clone())
+        EntryClient::new(
+            self.control.clone(),
+            self.rules.clone(),
+            self.keeping.clone(),
+        )
     }
 
     /// Where the entry is.
@@ -186,6 +204,7 @@
                 self.settings.drain_limit_ms
             );
         }
+        self.keeping.requests.leave().await;
         self.control.tell(ControlEvent::Depart);
         sleep(GOODBYE).await;
         answered
--- /dev/null
+++ b/crates/lagoonhill_entry/src/keeping.rs
@@ -0,0 +1,45 @@
+use lagoonhill_core::entry::KeepOrder;
+use lagoonhill_platform::Store;
+use lagoonhill_types::prelude::*;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+
+use crate::handle::ControlHandle;
+use crate::keeper::Keeper;
+use crate::kept_requests::{KeptRequests, serve_kept_requests};
+use crate::ownership::Ownership;
+
+/// What an entry needs so that jobs can be kept.
+#[derive(Clone, Debug)]
+pub(crate) struct Keeping {
+    pub(crate) requests: KeptRequests,
+    /// Whether the store has ever shown that this entry is an owner.
+    pub(crate) is_owner: watch::Receiver<bool>,
+}
+
+impl Keeping {
+    /// Starts the tasks that keep jobs in the store. Without one, jobs that are
+    /// to be kept are refused.
+    pub(crate) fn start<S: Store>(
+        store: Option<S>,
+        owner: Incarnation,
+        clock: Clock,
+        control: &ControlHandle,
+        orders: mpsc::UnboundedReceiver<(RequestKey, KeepOrder)>,
+    ) -> (Self, Vec<JoinHandle<()>>) {
+        let (requests, request_queue) = mpsc::unbounded_channel();
+        let (is_needed, owner_needed) = watch::channel(false);
+        let (owning, is_owner) = watch::channel(false);
+        let requests = KeptRequests::new(requests, is_needed);
+        let mut tasks = Vec::new();
+        if let Some(store) = store {
+            let keeper = Keeper::new(store.clone(), owner, clock, control.clone());
+            let ownership = Ownership::new(store, owner, clock, control.clone(), keeper.clone());
+            let owning = ownership.run(owner_needed, requests.clone(), owning);
+            tasks.push(tokio::spawn(keeper.clone().run(orders)));
+            tasks.push(tokio::spawn(serve_kept_requests(keeper, request_queue)));
+            tasks.push(tokio::spawn(owning));
+        }
+        (Self { requests, is_owner }, tasks)
+    }
+}
--- a/crates/lagoonhill_entry/src/metrics.rs
+++ b/crates/lagoonhill_entry/src/metrics.rs
@@ -120,6 +120,8 @@
             | DecisionKind::Left { .. }
             | DecisionKind::Quarantined { .. }
             | DecisionKind::Recovered { .. }
+            | DecisionKind::Adopted { .. }
+            | DecisionKind::GivenUp { .. }
             | DecisionKind::Rules { .. } => return,
         };
         self.jobs.with_label_values(&[outcome]).inc();
--- /dev/null
+++ b/crates/lagoonhill_entry/src/ownership.rs
@@ -0,0 +1,287 @@
+use std::collections::BTreeSet;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use lagoonhill_platform::{
+    CANCELS_PREFIX, LeaseId, OPEN_PREFIX, OWNERS_PREFIX, Store, StoreRevision, StoreUnavailable,
+    Versioned, WatchEvent, WriteOutcome,
+};
+use lagoonhill_types::prelude::*;
+use log::{debug, info, warn};
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+use crate::control::ControlEvent;
+use crate::handle::ControlHandle;
+use crate::keeper::{Keeper, owner_key};
+use crate::kept_requests::KeptRequests;
+
+/// After this without a renewal an owner is gone. Longer than the store is
+/// usually away; its jobs are late by then, but not lost.
+const OWNER_LIFE: DurationMs = DurationMs::from_secs(6);
+
+/// An owner acts as one for this long after a renewal was sent: a tenth less,
+/// as clocks may differ.
+const OWNED_FOR: DurationMs = DurationMs(5_400);
+
+/// Time between two looks for owners while no kept job is known.
+const IDLE_LOOK: Duration = Duration::from_secs(5);
+
+/// Time between two renewals, and between two looks at the other owners.
+const RENEWAL: Duration = Duration::from_secs(1);
+
+/// Looks between two searches for jobs of owners that this one never saw.
+const LOOKS_PER_SEARCH: u32 = 8;
+
+/// How long a watch of cancels is trusted.
+const WATCH_LIFE: Duration = Duration::from_secs(10);
+
+/// Keeps this entry an owner, and takes over what owners that are gone have
+/// left.
+pub(crate) struct Ownership<S> {
+    store: S,
+    owner: Incarnation,
+    clock: Clock,
+    control: ControlHandle,
+    keeper: Keeper<S>,
+    /// Jobs of this owner may be in the store that it does not know.
+    must_search: AtomicBool,
+}
+
+impl<S: Store> Ownership<S> {
+    pub(crate) fn new(
+        store: S,
+        owner: Incarnation,
+        clock: Clock,
+        control: ControlHandle,
+        keeper: Keeper<S>,
+    ) -> Self {
+        Self {
+            store,
+            owner,
+            clock,
+            control,
+            keeper,
+            must_search: AtomicBool::new(false),
+        }
+    }
+
+    /// Waits until kept jobs are seen, here or at another owner, and goes on
+    /// for ever. Without kept jobs all this costs one call in some seconds.
+    pub(crate) async fn run(
+        self,
+        needed: watch::Receiver<bool>,
+        requests: KeptRequests,
+        is_owner: watch::Sender<bool>,
+    ) {
+        self.wait_until_needed(needed).await;
+        requests.need_owner();
+        info!("kept jobs: this entry becomes an owner");
+        tokio::join!(
+            self.renew(is_owner),
+            self.look_after_others(),
+            self.follow_cancels()
+        );
+    }
+
+    async fn wait_until_needed(&self, mut needed: watch::Receiver<bool>) {
+        let mut prefix = OPEN_PREFIX;
+        loop {
+            match self.store.list(prefix).await {
+                Ok(found) if !found.is_empty() => return,
+                // Jobs left by a fleet that is gone have been looked for.
+                Ok(_) => prefix = OWNERS_PREFIX,
+                Err(error) => debug!("kept jobs can't be looked for: {error}"),
+            }
+            let is_needed = needed.wait_for(|is_needed| *is_needed);
+            if timeout(IDLE_LOOK, is_needed).await.is_ok() {
+                return;
+            }
+        }
+    }
+
+    fn key(&self) -> String {
+        owner_key(self.owner)
+    }
+
+    async fn renew(&self, is_owner: watch::Sender<bool>) {
+        let mut lease = None;
+        let mut is_lost = false;
+        let mut owned_until_ms = TimestampMs(0);
+        loop {
+            let sent_ms = self.clock.now();
+            match self.renew_once(&mut lease).await {
+                Ok(true) => {
+                    if sent_ms >= owned_until_ms {
+                        self.must_search.store(true, Ordering::Relaxed);
+                    }
+                    owned_until_ms = sent_ms + OWNED_FOR;
+                    self.control.tell(ControlEvent::OwnedUntil(owned_until_ms));
+                    is_owner.send_replace(true);
+                    if std::mem::take(&mut is_lost) {
+                        info!("dependency regained: kept jobs can be stored again");
+                    }
+                }
+                Err(error) if !is_lost => {
+                    is_lost = true;
+                    warn!("dependency lost: kept jobs can't be stored: {error}");
+                }
+                Ok(false) | Err(_) => {}
+            }
+            sleep(RENEWAL).await;
+        }
+    }
+
+    /// Whether the store knows this owner for the whole of a lease from now.
+    async fn renew_once(&self, lease: &mut Option<LeaseId>) -> Result<bool, StoreUnavailable> {
+        if let Some(held) = *lease {
+            if self.store.keep(held).await? {
+                return Ok(true);
+            }
+            *lease = None;
+        }
+        let granted = self.store.grant(OWNER_LIFE).await?;
+        match self.store.create(&self.key(), b"{}", Some(granted)).await {
+            WriteOutcome::Done => {
+                *lease = Some(granted);
+                Ok(true)
+            }
+            outcome @ (WriteOutcome::Conflict(_) | WriteOutcome::Unknown) => {
+                debug!("not an owner yet: {outcome:?}");
+                Ok(false)
+            }
+        }
+    }
+
+    async fn look_after_others(&self) {
+        let mut known: BTreeSet<String> = BTreeSet::new();
+        let mut looks: u32 = 0;
+        loop {
+            sleep(RENEWAL).await;
+            let living = match self.store.list(OWNERS_PREFIX).await {
+                Ok(living) => living,
+                Err(error) => {
+                    debug!("other owners can't be looked at: {error}");
+                    continue;
+                }
+            };
+            let living: BTreeSet<String> = living.into_iter().map(|found| found.key).collect();
+            if !living.contains(&self.key()) {
+                continue;
+            }
+            let gone: Vec<&String> = known.difference(&living).collect();
+            // Now and then by one of the owners; by each for its own.
+            let is_first = living.first() == Some(&self.key());
+            looks += 1;
+            let is_due = looks.is_multiple_of(LOOKS_PER_SEARCH);
+            if self.must_search.swap(false, Ordering::Relaxed) || is_first && is_due {
+                self.take_over(OPEN_PREFIX, &living).await;
+            } else {
+                if is_due {
+                    self.take_over(&format!("{OPEN_PREFIX}{}/", self.owner), &living)
+                        .await;
+                }
+                for owner in gone {
+                    let owner = owner.trim_start_matches(OWNERS_PREFIX);
+                    self.take_over(&format!("{OPEN_PREFIX}{owner}/"), &living)
+                        .await;
+                }
+            }
+            known = living;
+        }
+    }
+
+    /// Takes over the jobs under a prefix whose owner is not alive, and those
+    /// of this owner that it does not know.
+    async fn take_over(&self, prefix: &str, living: &BTreeSet<String>) {
+        let open = match self.store.list(prefix).await {
+            Ok(open) => open,
+            Err(error) => return debug!("a takeover waits: {error}"),
+        };
+        let is_orphan = |found: &Versioned| {
+            let rest = found.key.trim_start_matches(OPEN_PREFIX);
+            let owner = rest.split_once('/').map_or(rest, |(owner, _)| owner);
+            !living.contains(&format!("{OWNERS_PREFIX}{owner}"))
+        };
+        let mut orphans = Vec::new();
+        for found in open {
+            if is_orphan(&found) || self.is_forgotten(&found).await {
+                orphans.push(found);
+            }
+        }
+        if orphans.is_empty() {
+            return;
+        }
+        let found = orphans.len();
+        let mut taken = 0;
+        for orphan in orphans {
+            if let Some((name, kept)) = self.keeper.take_over(&orphan).await {
+                taken += 1;
+                self.control.tell(ControlEvent::Adopt {
+                    name,
+                    kept: Box::new(kept),
+                });
+            }
+        }
+        info!("takeover: {taken} of {found} jobs without an owner are now ours");
+    }
+
+    /// Whether a job is this owner's, and unknown to it.
+    async fn is_forgotten(&self, found: &Versioned) -> bool {
+        let own = format!("{OPEN_PREFIX}{}/", self.owner);
+        let Some(Ok(name)) = found.key.strip_prefix(&own).map(str::parse) else {
+            return false;
+        };
+        let asked = self
+            .control
+            .ask(|reply| ControlEvent::KeptStarted { name, reply });
+        asked.await.is_ok_and(|has_started| has_started.is_none())
+    }
+
+    /// Learns of cancels that reached other entries.
+    async fn follow_cancels(&self) {
+        let prefix = format!("{CANCELS_PREFIX}{}/", self.owner);
+        loop {
+            if let Err(error) = self.follow_cancels_once(&prefix).await {
+                debug!("cancels can't be followed: {error}");
+            }
+            sleep(RENEWAL).await;
+        }
+    }
+
+    async fn follow_cancels_once(&self, prefix: &str) -> Result<(), StoreUnavailable> {
+        let mut newest = StoreRevision::default();
+        for found in self.store.list(prefix).await? {
+            newest = newest.max(found.revision);
+            self.cancel(prefix, &found.key);
+        }
+        if newest == StoreRevision::default() {
+            // Nothing to continue from: the store's newest change is as good.
+            newest = self.newest().await?;
+        }
+        let mut events = self
+            .store
+            .watch(prefix, StoreRevision(newest.0 + 1))
+            .await?;
+        while let Ok(Some(event)) = timeout(WATCH_LIFE, events.recv()).await {
+            if let WatchEvent::Put(found) = event {
+                self.cancel(prefix, &found.key);
+            }
+        }
+        Ok(())
+    }
+
+    /// A revision that is not newer than the store's.
+    async fn newest(&self) -> Result<StoreRevision, StoreUnavailable> {
+        let own = self.store.read(&self.key()).await?;
+        Ok(own.map_or_else(StoreRevision::default, |own| own.revision))
+    }
+
+    fn cancel(&self, prefix: &str, key: &str) {
+        if let Some(name) = key.strip_prefix(prefix)
+            && let Ok(name) = name.parse()
+        {
+            self.control.tell(ControlEvent::CancelledElsewhere(name));
+        }
+    }
+}
--- /dev/null
+++ b/crates/lagoonhill_entry/src/queue_api.rs
@@ -0,0 +1,204 @@
+use hyper::{Method, StatusCode};
+use lagoonhill_core::entry::{Needs, QueueOrder, Step, Submission};
+use lagoonhill_http::Problem;
+use lagoonhill_platform::StoreUnavailable;
+use lagoonhill_types::prelude::*;
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+
+use crate::client::{EntryClient, JobStanding};
+
+/// Most tasks of a job that is kept.
+const MAX_TASKS: usize = 10_000;
+
+/// `PUT /v1/queues/QUEUE/jobs/NAME`.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct QueueJobRequest {
+    /// The input of every task.
+    input: Box<RawValue>,
+    steps: Vec<StepRequest>,
+}
+
+/// Tasks that start together.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct StepRequest {
+    count: u16,
+    #[serde(default)]
+    after: Vec<u16>,
+    #[serde(default)]
+    milli_processors: u32,
+    #[serde(default)]
+    memory_bytes: u64,
+    #[serde(default)]
+    accelerators: u16,
+    label: Option<Label>,
+    near: Option<Label>,
+    max_per_worker: Option<u16>,
+    #[serde(default)]
+    run_time_ms: u64,
+}
+
+/// How a kept job stands, as it is answered.
+#[derive(Debug, Serialize)]
+pub(crate) struct StandingAnswer {
+    state: String,
+}
+
+impl StandingAnswer {
+    fn new(standing: JobStanding) -> Self {
+        Self {
+            state: standing.to_string(),
+        }
+    }
+}
+
+/// How many jobs of a queue wait, as it is answered.
+#[derive(Debug, Serialize)]
+pub(crate) struct WaitingAnswer {
+    waiting: usize,
+}
+
+impl QueueJobRequest {
+    /// The submission of a job to a queue.
+    pub(crate) fn into_submission(
+        self,
+        queue: QueueName,
+        name: RequestKey,
+        service: ServiceName,
+    ) -> Result<Submission, String> {
+        let mut steps = Vec::with_capacity(self.steps.len());
+        for (position, step) in self.steps.into_iter().enumerate() {
+            if step
+                .after
+                .iter()
+                .any(|earlier| usize::from(*earlier) >= position)
+            {
+                return Err("a step comes after a later one: order the steps".to_owned());
+            }
+            steps.push(step.into_step());
+        }
+        let count: usize = steps.iter().map(|step| usize::from(step.count)).sum();
+        if count == 0 || count > MAX_TASKS {
+            return Err(format!(
+                "a job has 1 to {MAX_TASKS} tasks, this one has {count}"
+            ));
+        }
+        let team = queue.as_str().parse();
+        let team = team.map_err(|error: lagoonhill_types::InvalidName| error.to_string())?;
+        let input = Payload::from(self.input.get().as_bytes().to_vec());
+        Ok(Submission {
+            service,
+            team,
+            deadline_ms: None,
+            run_time_ms: steps.iter().map(|step| step.estimate_ms).max(),
+            needs: Needs::default(),
+            tasks: vec![input; count],
+            kept: true,
+            order: Some(QueueOrder { queue, name, steps }),
+        })
+    }
+}
+
+impl StepRequest {
+    fn into_step(self) -> Step {
+        let resources = Resources {
+            processors: MilliProcessors(self.milli_processors),
+            memory_bytes: ByteCount(self.memory_bytes),
+            accelerators: self.accelerators,
+        };
+        Step {
+            count: self.count,
+            after: self.after,
+            needs: Needs {
+                resources,
+                label: self.label,
+                near: self.near,
+                max_per_worker: self.max_per_worker,
+            },
+            estimate_ms: DurationMs(self.run_time_ms),
+        }
+    }
+}
+
+/// Takes a job of a queue; its answer says that it is stored.
+pub(crate) async fn put_job(
+    entry: &EntryClient,
+    queue: &str,
+    name: &str,
+    request: QueueJobRequest,
+) -> Result<StandingAnswer, Problem> {
+    let queue: QueueName = read(queue)?;
+    let rules = entry.rules().borrow().clone();
+    let rule = rules.queue(&queue).ok_or_else(|| no_queue(&queue))?;
+    let service = rule.service.clone().ok_or_else(|| no_queue(&queue))?;
+    let submission = request
+        .into_submission(queue, read(name)?, service)
+        .map_err(|error| Problem::not_run(StatusCode::BAD_REQUEST, error))?;
+    let submitted = entry.submit_kept(submission).await;
+    let answer = submitted.map_err(|error| unknown(error.to_string()))?;
+    match answer.outcome {
+        Ok(_) => Ok(StandingAnswer::new(JobStanding::Queued)),
+        Err(failure) => {
+            let detail = failure.cause.to_string();
+            let mut problem = Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, detail);
+            problem.run = failure.run.to_string();
+            problem.retry_after_s = failure
+                .retry_after_ms
+                .map(|pause| pause.as_secs_ceil().max(1));
+            Err(problem)
+        }
+    }
+}
+
+/// Tells how a kept job stands, or cancels it.
+pub(crate) async fn show_or_cancel(
+    entry: &EntryClient,
+    method: &Method,
+    name: &str,
+) -> Result<StandingAnswer, Problem> {
+    let name: RequestKey = read(name)?;
+    let asked = if method == Method::DELETE {
+        let cancelled = entry.cancel(name.clone()).await;
+        cancelled.map(|state| state.map(JobStanding::Over))
+    } else {
+        entry.standing(name.clone()).await
+    };
+    let standing = asked.map_err(|error: StoreUnavailable| unknown(error.to_string()))?;
+    let standing = standing.ok_or_else(|| {
+        let detail = format!("there is no job `{name}`: check the name, or submit it again");
+        Problem::not_run(StatusCode::NOT_FOUND, detail)
+    })?;
+    Ok(StandingAnswer::new(standing))
+}
+
+/// Counts the jobs of a queue that wait at this entry.
+pub(crate) async fn count_waiting(
+    entry: &EntryClient,
+    queue: &str,
+) -> Result<WaitingAnswer, Problem> {
+    let queue: QueueName = read(queue)?;
+    if entry.rules().borrow().queue(&queue).is_none() {
+        return Err(no_queue(&queue));
+    }
+    let waiting = entry.waiting_jobs(queue).await;
+    let waiting = waiting.map_err(|error| unknown(error.to_string()))?;
+    Ok(WaitingAnswer { waiting })
+}
+
+fn read<T: std::str::FromStr<Err: std::fmt::Display>>(text: &str) -> Result<T, Problem> {
+    text.parse()
+        .map_err(|error: T::Err| Problem::not_run(StatusCode::BAD_REQUEST, error.to_string()))
+}
+
+fn no_queue(queue: &QueueName) -> Problem {
+    let detail = format!("queue `{queue}` does not exist: have an operator add a `queue` line");
+    Problem::not_run(StatusCode::NOT_FOUND, detail)
+}
+
+fn unknown(detail: String) -> Problem {
+    let mut problem = Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, detail);
+    problem.run = lagoonhill_core::entry::RunCertainty::MayHaveRun.to_string();
+    problem
+}
--- a/crates/lagoonhill_platform/src/etcd.rs
+++ b/crates/lagoonhill_platform/src/etcd.rs
@@ -15,8 +15,8 @@
     WatchRequest, prefix_end,
 };
 use crate::{
-    CallCounts, CallKind, LeaseId, Store, StoreRevision, StoreUnavailable, Versioned, WatchEvent,
-    WriteOutcome,
+    CallCounts, CallKind, LeaseId, Put, Store, StoreRevision, StoreUnavailable, Transaction,
+    TransactionOutcome, Versioned, WatchEvent, WriteOutcome,
 };
 
 /// Events that wait for a slow reader of a watch.
@@ -64,11 +64,11 @@
             compare: vec![compare],
             success: vec![RequestOp {
                 request_put: Some(put),
-                request_range: None,
+                ..RequestOp::default()
             }],
             failure: vec![RequestOp {
-                request_put: None,
                 request_range: Some(read),
+                ..RequestOp::default()
             }],
         };
         match self
@@ -97,6 +97,7 @@
         key,
         value: kv.value.0,
         revision: StoreRevision(kv.mod_revision.0),
+        created: StoreRevision(kv.create_revision.0),
     })
 }
 
@@ -170,6 +171,63 @@
         self.swap(compare, put).await
     }
 
+    async fn transact(&self, transaction: &Transaction) -> TransactionOutcome {
+        let compare = |(key, revision): &(String, StoreRevision)| Compare {
+            target: "MOD".to_owned(),
+            result: "EQUAL".to_owned(),
+            key: key.as_str().into(),
+            mod_revision: Some(Int64(revision.0)),
+            create_revision: None,
+        };
+        let put = |put: &Put| RequestOp {
+            request_put: Some(PutRequest {
+                key: put.key.as_str().into(),
+                value: Base64(put.value.clone()),
+                lease: Int64(put.lease.map_or(0, |lease| lease.0)),
+            }),
+            ..RequestOp::default()
+        };
+        let remove = |key: &String| RequestOp {
+            request_delete_range: Some(DeleteRequest {
+                key: key.as_str().into(),
+            }),
+            ..RequestOp::default()
+        };
+        let read = |(key, _): &(String, StoreRevision)| RequestOp {
+            request_range: Some(RangeRequest {
+                key: key.as_str().into(),
+                range_end: None,
+            }),
+            ..RequestOp::default()
+        };
+        let puts = transaction.puts.iter().map(put);
+        let request = TxnRequest {
+            compare: transaction.expected.iter().map(compare).collect(),
+            success: puts.chain(transaction.removes.iter().map(remove)).collect(),
+            failure: transaction.expected.iter().map(read).collect(),
+        };
+        match self
+            .call::<TxnResponse>(CallKind::Write, "/v3/kv/txn", &request)
+            .await
+        {
+            Ok(answer) if answer.succeeded => {
+                TransactionOutcome::Done(StoreRevision(answer.header.revision.0))
+            }
+            Ok(answer) => {
+                let ranges = answer
+                    .responses
+                    .into_iter()
+                    .filter_map(|op| op.response_range);
+                let found = ranges.flat_map(|range| range.kvs);
+                TransactionOutcome::Conflict(found.filter_map(|kv| versioned(kv).ok()).collect())
+            }
+            Err(error) => {
+                debug!("a transaction has no answer: {error}");
+                TransactionOutcome::Unknown
+            }
+        }
+    }
+
     async fn delete(&self, key: &str) -> WriteOutcome {
         let request = DeleteRequest { key: key.into() };
         match self
--- a/crates/lagoonhill_platform/src/lib.rs
+++ b/crates/lagoonhill_platform/src/lib.rs
@@ -13,7 +13,11 @@
 
 pub use calls::{CallCounts, CallKind};
 pub use etcd::EtcdStore;
-pub use keys::{ENTRIES_PREFIX, REQUEST_KEYS_PREFIX, RULES_KEY};
+pub use keys::{
+    CANCELS_PREFIX, ENTRIES_PREFIX, JOBS_PREFIX, OPEN_PREFIX, OWNERS_PREFIX, REQUEST_KEYS_PREFIX,
+    RULES_KEY, WAITING_PREFIX,
+};
 pub use store::{
-    LeaseId, Store, StoreRevision, StoreUnavailable, Versioned, WatchEvent, WriteOutcome,
+    LeaseId, Put, Store, StoreRevision, StoreUnavailable, Transaction, TransactionOutcome,
+    Versioned, WatchEvent, WriteOutcome,
 };
--- a/crates/lagoonhill_platform/src/store.rs
+++ b/crates/lagoonhill_platform/src/store.rs
@@ -30,6 +30,65 @@
     pub value: Vec<u8>,
     /// When it was last changed.
     pub revision: StoreRevision,
+    /// When it was created.
+    pub created: StoreRevision,
+}
+
+/// A value to be set by a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Put {
+    /// Its key.
+    pub key: String,
+    /// The bytes.
+    pub value: Vec<u8>,
+    /// The lease that it ends with.
+    pub lease: Option<LeaseId>,
+}
+
+/// Changes that are made together or not at all.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Transaction {
+    /// Keys and the revisions that they must have; 0 for one that must be
+    /// absent.
+    pub expected: Vec<(String, StoreRevision)>,
+    /// Values to set.
+    pub puts: Vec<Put>,
+    /// Keys to remove.
+    pub removes: Vec<String>,
+}
+
+impl Transaction {
+    /// How many keys it names, each time counted.
+    pub fn len(&self) -> usize {
+        self.expected.len() + self.puts.len() + self.removes.len()
+    }
+
+    /// Whether it names none.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Adds another's changes to this one's.
+    pub fn join(&mut self, other: Self) {
+        self.expected.extend(other.expected);
+        self.puts.extend(other.puts);
+        self.removes.extend(other.removes);
+    }
+}
+
+/// What became of a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum TransactionOutcome {
+    /// It took effect as this revision.
+    Done(StoreRevision),
+    /// It did not: these of the expected keys stand there.
+    Conflict(Vec<Versioned>),
+    /// It did not: a lease has ended.
+    LeaseGone,
+    /// It did not, and will not: the platform refused the call.
+    Refused,
+    /// It may have taken effect, or may yet.
+    Unknown,
 }
 
 /// What became of a write.
@@ -90,6 +149,12 @@
         value: &[u8],
     ) -> impl Future<Output = WriteOutcome> + Send;
 
+    /// Makes several changes together.
+    fn transact(
+        &self,
+        transaction: &Transaction,
+    ) -> impl Future<Output = TransactionOutcome> + Send;
+
     /// Removes a key.
     fn delete(&self, key: &str) -> impl Future<Output = WriteOutcome> + Send;
 
--- a/crates/lagoonhill_platform/src/wire.rs
+++ b/crates/lagoonhill_platform/src/wire.rs
@@ -145,6 +145,9 @@
     /// A read.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub request_range: Option<RangeRequest>,
+    /// A removal.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub request_delete_range: Option<DeleteRequest>,
 }
 
 /// `TxnRequest`.
--- a/crates/lagoonhill_protocol/src/message.rs
+++ b/crates/lagoonhill_protocol/src/message.rs
@@ -27,6 +27,10 @@
     CancelJob(JobId),
     /// Entry to agent: withdraw this task, or stop it; its outcome follows.
     Recall(TaskId),
+    /// Entry to agent: the ends of these tasks are stored.
+    Noted(Vec<TaskId>),
+    /// Entry to agent: the ends of these tasks will never be stored.
+    Forgone(Vec<TaskId>),
     /// Agent to entry: the target announced itself anew, or is gone.
     Target(Option<Target>),
     /// Agent to entry: no new work, please.
--- a/crates/lagoonhill_protocol/src/start.rs
+++ b/crates/lagoonhill_protocol/src/start.rs
@@ -19,13 +19,15 @@
     pub needs: Resources,
     /// Which run of the task this is.
     pub run: RunNumber,
+    /// Whether its end must be held until it is stored.
+    pub kept: bool,
     /// The task's name towards the target, if its caller has named the job.
     pub name: Option<TaskName>,
     /// The task's input.
     pub payload: Payload,
 }
 
-const FIELDS: usize = 8;
+const FIELDS: usize = 9;
 
 impl Serialize for Start {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
@@ -36,6 +38,7 @@
         tuple.serialize_element(&self.expected_ms)?;
         tuple.serialize_element(&self.needs)?;
         tuple.serialize_element(&self.run)?;
+        tuple.serialize_element(&self.kept)?;
         tuple.serialize_element(&self.name)?;
         tuple.serialize_element(&self.payload)?;
         tuple.end()
@@ -48,11 +51,13 @@
     type Value = Start;
 
     fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("a start: task, time, run limit, expected run time, needs, run, name, payload")
+        f.write_str(
+            "a start: task, time, run limit, expected run time, needs, run, kept, name, payload",
+        )
     }
 
     fn visit_seq<A: de::SeqAccess<'de>>(self, mut seq: A) -> Result<Start, A::Error> {
-        let missing = |index| de::Error::invalid_length(index, &"a start of eight fields");
+        let missing = |index| de::Error::invalid_length(index, &"a start of nine fields");
         Ok(Start {
             task: seq.next_element()?.ok_or_else(|| missing(0))?,
             decided_ms: seq.next_element()?.ok_or_else(|| missing(1))?,
@@ -60,8 +65,9 @@
             expected_ms: seq.next_element()?.ok_or_else(|| missing(3))?,
             needs: seq.next_element()?.ok_or_else(|| missing(4))?,
             run: seq.next_element()?.ok_or_else(|| missing(5))?,
-            name: seq.next_element()?.ok_or_else(|| missing(6))?,
-            payload: seq.next_element()?.ok_or_else(|| missing(7))?,
+            kept: seq.next_element()?.ok_or_else(|| missing(6))?,
+            name: seq.next_element()?.ok_or_else(|| missing(7))?,
+            payload: seq.next_element()?.ok_or_else(|| missing(8))?,
         })
     }
 }
--- a/crates/lagoonhill_protocol/tests/codec.rs
+++ b/crates/lagoonhill_protocol/tests/codec.rs
@@ -61,6 +61,7 @@
                 accelerators: index,
             },
             run: RunNumber(u32::from(index)),
+            kept: index.is_multiple_of(2),
             name: Some(TaskName {
                 job: "0123456789abcdef".parse().expect("the name is valid"),
                 step: index,
--- a/crates/lagoonhill_standin/src/lib.rs
+++ b/crates/lagoonhill_standin/src/lib.rs
@@ -3,6 +3,7 @@
 //! a deterministic event loop around the real decisions.
 
 mod balancer;
+mod kept_store;
 mod load;
 mod platform;
 mod relay;
@@ -11,6 +12,7 @@
 mod world;
 
 pub use balancer::Balancer;
+pub use kept_store::KeptStore;
 pub use load::{Load, LoadReport, TaskMix, run_load};
 pub use platform::{PlatformFaults, PlatformStandin};
 pub use relay::{Relay, RelayMode};
--- a/crates/lagoonhill_standin/src/platform.rs
+++ b/crates/lagoonhill_standin/src/platform.rs
@@ -286,6 +286,10 @@
                 self.put(key, value, lease.0);
                 responses.push(ResponseOp::default());
             }
+            if let Some(DeleteRequest { key }) = operation.request_delete_range {
+                self.delete(&key);
+                responses.push(ResponseOp::default());
+            }
             if let Some(read) = operation.request_range {
                 responses.push(ResponseOp {
                     response_range: Some(self.range(&read)),
--- a/crates/lagoonhill_standin/src/world.rs
+++ b/crates/lagoonhill_standin/src/world.rs
@@ -6,12 +6,14 @@
 use lagoonhill_core::agent::{Agent, AgentConfig, AgentEffect, TaskKey};
 use lagoonhill_core::entry::{
     Answer, CallerId, Cause, Decision, DecisionKind, Entry, EntryConfig, EntryEffect, JobFailure,
-    KeyBinding, Placement, RunCertainty, Submission,
+    KeyBinding, Placement, RunCertainty, Stored, Submission,
 };
 use lagoonhill_protocol::{EntryAddress, Message, Packet, Target, TaskResult};
 use lagoonhill_rules::RuleSet;
 use lagoonhill_types::prelude::*;
 
+use crate::KeptStore;
+
 /// Time between two runs of a node's timers.
 const TICK_MS: u64 = 20;
 
@@ -115,6 +117,12 @@
         key: RequestKey,
         binding: KeyBinding,
     },
+    Stored {
+        entry: usize,
+        life: u64,
+        name: RequestKey,
+        stored: Stored,
+    },
     Resubmit {
         entry: usize,
         caller: CallerId,
@@ -192,6 +200,15 @@
     silent: HashSet<(NodeId, SocketAddr, u32)>,
     cut: HashSet<(NodeId, NodeId)>,
     bindings: BTreeMap<RequestKey, usize>,
+    /// Jobs that are kept.
+    pub kept: KeptStore,
+    /// Ends that a target may forget, by the task's payload.
+    pub noted: HashMap<Payload, u32>,
+    /// Ends that never count, by the task's payload.
+    pub void: HashMap<Payload, u32>,
+    /// Starts after a good end was noted.
+    pub started_after_noted: u32,
+    run_payloads: HashMap<(usize, TaskKey), Payload>,
     /// What is known of a run that was stopped.
     pub stopped: Stopped,
     /// The platform answers nothing.
@@ -256,12 +273,12 @@
     result.into()
 }
 
-/// A payload asks for its run time in its first word.
 /// Whether a task fails whatever runs it: its mark says so.
 fn is_hopeless(payload: &Payload) -> bool {
     String::from_utf8_lossy(payload.as_slice()).contains("hopeless")
 }
 
+/// A payload asks for its run time in its first word.
 fn asked_run_ms(payload: &Payload) -> u64 {
     let text = std::str::from_utf8(payload.as_slice()).unwrap_or_default();
     text.split(' ')
@@ -270,7 +287,42 @@
         .unwrap_or(100)
 }
 
+/// How long the platform takes for an order about a kept job.
+const STORE_MS: u64 = 5;
+
 impl<P: Placement> World<P> {
+    /// Submits a job that is kept.
+    pub fn submit_kept(&mut self, entry: usize, submission: Submission) -> CallerId {
+        let caller = self.new_caller(entry);
+        self.with_entry(entry, |machine, now| {
+            machine.submit_kept(caller, submission, now);
+        });
+        caller
+    }
+
+    /// Shows an entry that kept jobs are its own, for so long.
+    pub fn own(&mut self, entry: usize, for_ms: u64) {
+        self.with_entry(entry, |machine, now| {
+            machine.set_owned_until(now + DurationMs(for_ms));
+        });
+    }
+
+    /// Lets an entry take over what another owns.
+    pub fn take_over(&mut self, from: usize, to: usize) {
+        for (name, kept) in self.kept.take_over(from, to) {
+            self.with_entry(to, |machine, now| machine.adopt(&name, &kept, now));
+        }
+    }
+
+    /// Cancels a kept job at its owner; returns whether it was there.
+    pub fn cancel_kept(&mut self, entry: usize, name: &RequestKey) -> bool {
+        let mut is_known = false;
+        self.with_entry(entry, |machine, now| {
+            is_known = machine.cancel_kept(name, now);
+        });
+        is_known
+    }
+
     /// Starts every process at once; `placement` makes each entry's policy.
     pub fn new(config: &WorldConfig, mut placement: impl FnMut(usize) -> P) -> Self {
         let mut world = Self {
@@ -288,6 +340,11 @@
             silent: HashSet::new(),
             cut: HashSet::new(),
             bindings: BTreeMap::new(),
+            kept: KeptStore::default(),
+            noted: HashMap::new(),
+            void: HashMap::new(),
+            started_after_noted: 0,
+            run_payloads: HashMap::new(),
             stopped: Stopped::MayHaveRun,
             platform_down: false,
             platform_loses_answer: false,
@@ -647,9 +704,9 @@
         let node = match &event {
             Event::Tick(node, _) => Some(*node),
             Event::Deliver { to, .. } => self.addresses.get(to).copied(),
-            Event::KeyAnswered { entry, .. } | Event::Resubmit { entry, .. } => {
-                Some(NodeId::Entry(*entry))
-            }
+            Event::KeyAnswered { entry, .. }
+            | Event::Stored { entry, .. }
+            | Event::Resubmit { entry, .. } => Some(NodeId::Entry(*entry)),
             Event::RunEnds { agent, .. } => Some(NodeId::Agent(*agent)),
         };
         let Some(node) = node else {
@@ -684,6 +741,16 @@
                     self.with_entry(entry, |machine, now| machine.key_bound(key, binding, now));
                 }
             }
+            Event::Stored {
+                entry,
+                life,
+                name,
+                stored,
+            } => {
+                if self.entries[entry].life == life {
+                    self.with_entry(entry, |machine, now| machine.stored(&name, stored, now));
+                }
+            }
             Event::Resubmit {
                 entry,
                 caller,
@@ -760,6 +827,17 @@
             }
             EntryEffect::Forward { caller, owner } => self.forward(caller, owner),
             EntryEffect::BindKey { key } => self.bind(index, key),
+            EntryEffect::Keep { name, order } => {
+                let stored = self.kept.carry_out(index, &name, order);
+                let life = self.entries[index].life;
+                let event = Event::Stored {
+                    entry: index,
+                    life,
+                    name,
+                    stored,
+                };
+                self.schedule(STORE_MS, event);
+            }
             EntryEffect::Decided(decision) => self.on_decision(decision),
         }
     }
@@ -833,6 +911,16 @@
             AgentEffect::Send { to, packet } => self.send(NodeId::Agent(index), to, packet),
             AgentEffect::Redial { to } => self.redial(NodeId::Agent(index), to),
             AgentEffect::Hangup { .. } | AgentEffect::Drained => {}
+            AgentEffect::Noted { key } => {
+                if let Some(payload) = self.run_payloads.remove(&(index, key)) {
+                    *self.noted.entry(payload).or_default() += 1;
+                }
+            }
+            AgentEffect::Void { key } => {
+                if let Some(payload) = self.run_payloads.remove(&(index, key)) {
+                    *self.void.entry(payload).or_default() += 1;
+                }
+            }
             AgentEffect::Run { key, start, .. } => self.run_task(index, key, &start.payload),
             AgentEffect::Stop { key } => {
                 let why = "it was stopped".to_owned();
@@ -857,6 +945,8 @@
     fn run_task(&mut self, agent: usize, key: TaskKey, payload: &Payload) {
         self.note(Step::Started);
         *self.starts.entry(payload.clone()).or_default() += 1;
+        self.started_after_noted += u32::from(self.noted.contains_key(payload));
+        self.run_payloads.insert((agent, key), payload.clone());
         self.started_ms.insert(payload.clone(), self.now);
         self.starts_at[agent] += 1;
         let life = self.agents[agent].life;
--- a/crates/lagoonhill_types/src/run.rs
+++ b/crates/lagoonhill_types/src/run.rs
@@ -10,7 +10,22 @@
 )]
 pub struct RunNumber(pub u32);
 
+/// Runs that one owner of a kept job may order of a task; each further owner's
+/// are numbered from the next such number on, and no other run gets so far.
+const RUNS_OF_AN_OWNER: u32 = 1_000;
+
 impl RunNumber {
+    /// The number before the first run under a kept job's owner, counted from
+    /// 1.
+    pub fn before_owner(epoch: u32) -> Self {
+        Self(epoch.saturating_mul(RUNS_OF_AN_OWNER))
+    }
+
+    /// Whether it numbers a run of a kept job's task.
+    pub fn is_of_kept_job(self) -> bool {
+        self.0 > RUNS_OF_AN_OWNER
+    }
+
     /// The number after this one.
     #[must_use]
     pub const fn next(self) -> Self {
