Waiting kept jobs are counted at every entry; a test for the wait at a takeover

Owners write their counts under their lease when they change; changes of owners are counted in the metrics. How a kept job ends is told by the decision itself, not by a cause that stood in for one.

--- a/crates/lagoonhill/tests/kept_jobs.rs
+++ b/crates/lagoonhill/tests/kept_jobs.rs
@@ -90,6 +90,20 @@
         assert_eq!((status, body["waiting"].as_u64()), (200, Some(0)));
     }
 
+    jobs_that_wait_at_one_entry_are_counted_by_another => {
+        let fleet = fleet(2).await;
+        for number in 0..4 {
+            let name = format!("waits{number}");
+            let (status, _) = put(&fleet, 0, &name, job(&name, 40, 1_000)).await;
+            assert_eq!(status, 200);
+        }
+        until(async || {
+            let (_, body) = ask(&fleet, 1, Method::GET, "/v1/queues/nightly", Value::Null).await;
+            body["waiting"].as_u64().is_some_and(|waiting| waiting >= 2)
+        })
+        .await;
+    }
+
     a_kept_job_is_cancelled_through_any_entry => {
         let fleet = fleet(2).await;
         let (status, _) = put(&fleet, 0, "long", job("long", 2, 30_000)).await;
--- a/crates/lagoonhill_core/src/entry/machine/endings.rs
+++ b/crates/lagoonhill_core/src/entry/machine/endings.rs
@@ -7,8 +7,8 @@
 
 use super::{DEFAULT_RETRY_MS, Entry};
 use crate::entry::{
-    Answer, CallerId, Cause, DecisionKind, EntryEffect, Job, JobFailure, JobKey, KeptState,
-    Placement, RunCertainty,
+    Answer, CallerId, Cause, DecisionKind, EntryEffect, Job, JobFailure, JobKey, Placement,
+    RunCertainty,
 };
 
 impl<P: Placement> Entry<P> {
@@ -59,7 +59,7 @@
 
     pub(super) fn complete_job(&mut self, key: JobKey, now: TimestampMs) {
         if self.jobs[key].is_kept() {
-            return self.end_kept(key, KeptState::Complete, Cause::Cancelled, now);
+            return self.complete_kept(key, now);
         }
         let Some(job) = self.remove_job(key) else {
             return;
@@ -88,11 +88,7 @@
         now: TimestampMs,
     ) {
         if self.jobs[key].is_kept() {
-            let state = match cause {
-                Cause::Cancelled => KeptState::Cancelled,
-                _ => KeptState::Failed,
-            };
-            return self.end_kept(key, state, cause, now);
+            return self.fail_kept(key, cause, now);
         }
         let Some(job) = self.remove_job(key) else {
             return;
--- a/crates/lagoonhill_core/src/entry/machine/keeping.rs
+++ b/crates/lagoonhill_core/src/entry/machine/keeping.rs
@@ -100,7 +100,10 @@
             None,
             DecisionKind::Adopted { epoch, over_ms },
         );
-        self.note_if_over(key, now);
+        // Its last owner may have stored every end but its own.
+        if self.jobs[key].is_complete() {
+            self.complete_kept(key, now);
+        }
     }
 
     /// What became of an order to store.
@@ -223,19 +226,40 @@
         if !self.jobs[key].is_accepted() {
             return false;
         }
-        self.end_kept(key, KeptState::Cancelled, Cause::Cancelled, now);
+        self.fail_kept(key, Cause::Cancelled, now);
         self.dispatch_all(now);
         true
     }
 
+    /// Every task of a kept job has ended well.
+    pub(super) fn complete_kept(&mut self, key: JobKey, now: TimestampMs) {
+        let took_ms = now.since(self.jobs[key].plan.accepted_ms);
+        self.end_kept(
+            key,
+            KeptState::Complete,
+            DecisionKind::Completed { took_ms },
+            now,
+        );
+    }
+
+    /// A kept job can't be done, or is not wanted any more.
+    pub(super) fn fail_kept(&mut self, key: JobKey, cause: Cause, now: TimestampMs) {
+        let job = &self.jobs[key];
+        let state = if cause == Cause::Cancelled {
+            KeptState::Cancelled
+        } else {
+            KeptState::Failed
+        };
+        let kind = DecisionKind::Failed {
+            run: job.certainty(),
+            cause,
+            took_ms: now.since(job.plan.accepted_ms),
+        };
+        self.end_kept(key, state, kind, now);
+    }
+
     /// Decides how a kept job ends; its runs are stopped, its end is stored.
-    pub(super) fn end_kept(
-        &mut self,
-        key: JobKey,
-        state: KeptState,
-        cause: Cause,
-        now: TimestampMs,
-    ) {
+    fn end_kept(&mut self, key: JobKey, state: KeptState, kind: DecisionKind, now: TimestampMs) {
         let job = &mut self.jobs[key];
         let Some(keeping) = job
             .keeping
@@ -246,18 +270,8 @@
         };
         keeping.ending = Some(state);
         keeping.dirty = true;
-        let took_ms = now.since(job.plan.accepted_ms);
-        let (id, run) = (job.plan.id, job.certainty());
+        let id = job.plan.id;
         self.stop_runs(key);
-        let kind = if state == KeptState::Complete {
-            DecisionKind::Completed { took_ms }
-        } else {
-            DecisionKind::Failed {
-                run,
-                cause,
-                took_ms,
-            }
-        };
         self.decide(now, Some(id), None, kind);
         self.store_next(key);
     }
@@ -322,13 +336,6 @@
         self.effects.push(EntryEffect::Keep { name, order });
     }
 
-    /// Ends a job at once of which nothing is left to do.
-    fn note_if_over(&mut self, key: JobKey, now: TimestampMs) {
-        if self.jobs[key].is_complete() {
-            self.end_kept(key, KeptState::Complete, Cause::Cancelled, now);
-        }
-    }
-
     fn tell(&mut self, worker: WorkerKey, message: Message) {
         if let Some(worker) = self.fleet.get_mut(worker) {
             worker.session.push(message);
--- a/crates/lagoonhill_core/src/entry/machine/mod.rs
+++ b/crates/lagoonhill_core/src/entry/machine/mod.rs
@@ -9,7 +9,7 @@
 mod sessions;
 mod submissions;
 
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 
 use lagoonhill_protocol::{EntryAddress, Load, Message, Packet};
@@ -122,6 +122,18 @@
         self.jobs.values().filter(is_waiting).count()
     }
 
+    /// Kept jobs of each queue of which no task has been ordered yet.
+    pub fn waiting_kept(&self) -> BTreeMap<QueueName, usize> {
+        let mut counts = BTreeMap::new();
+        let kept = self.kept.values().map(|key| &self.jobs[*key]);
+        for job in kept.filter(|job| job.is_accepted() && !job.has_started()) {
+            if let Some(order) = &job.plan.queued_as {
+                *counts.entry(order.queue.clone()).or_default() += 1;
+            }
+        }
+        counts
+    }
+
     /// The jobs without an answer.
     pub fn jobs(&self) -> Vec<JobId> {
         self.by_job.keys().copied().collect()
--- a/crates/lagoonhill_core/tests/kept.rs
+++ b/crates/lagoonhill_core/tests/kept.rs
@@ -178,6 +178,31 @@
         assert_eq!(world.kept.state(&name("cut")), Some(KeptState::Complete));
     }
 
+    nothing_starts_before_an_earlier_owners_runs_are_over => {
+        for seed in 0..10 {
+            let mut world = fleet(2, 2, 20 + seed);
+            world.own(0, 1_000);
+            world.submit_kept(0, simple("both", 1, 60_000));
+            world.run_for(950);
+            let running = |world: &TestWorld, agent| {
+                world.agent(agent).map_or(0, lagoonhill_core::agent::Agent::running)
+            };
+            let holder = (0..2).find(|agent| running(&world, *agent) > 0).expect("it runs");
+            world.cut(NodeId::Entry(0), NodeId::Agent(holder));
+            world.run_for(60);
+            world.take_over(0, 1);
+            for _ in 0..20_000 {
+                world.run_for(1);
+                if world.starts.values().sum::<u32>() > 1 {
+                    break;
+                }
+            }
+            assert_eq!(world.starts.values().sum::<u32>(), 2, "seed {seed}: it was not gone on with");
+            let at_once = running(&world, 0) + running(&world, 1);
+            assert_eq!(at_once, 1, "seed {seed}: a task runs twice at once");
+        }
+    }
+
     a_job_that_another_took_over_is_given_up => {
         let mut world = fleet(2, 1, 7);
         world.submit_kept(0, simple("taken", 1, 300));
--- a/crates/lagoonhill_entry/src/client.rs
+++ b/crates/lagoonhill_entry/src/client.rs
@@ -6,6 +6,7 @@
 use lagoonhill_platform::StoreUnavailable;
 use lagoonhill_rules::RuleSet;
 use lagoonhill_types::prelude::*;
+use log::info;
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
@@ -141,11 +142,18 @@
         }
     }
 
-    /// Jobs of a queue of which no task has been ordered yet.
+    /// Jobs of a queue of which no task has been ordered yet: those here, and
+    /// kept ones at other entries.
     pub async fn waiting_jobs(&self, queue: QueueName) -> Result<usize, Stopped> {
-        self.control
-            .ask(|reply| ControlEvent::Waiting { queue, reply })
-            .await
+        let elsewhere = self.keeping.requests.waiting_elsewhere(queue.clone()).await;
+        let elsewhere = elsewhere.unwrap_or_else(|error| {
+            info!("only the jobs that wait here are counted: {error}");
+            0
+        });
+        let asked = self
+            .control
+            .ask(|reply| ControlEvent::Waiting { queue, reply });
+        Ok(asked.await? + elsewhere)
     }
 
     /// The rules in force; marked as changed whenever newer ones are.
--- a/crates/lagoonhill_entry/src/control.rs
+++ b/crates/lagoonhill_entry/src/control.rs
@@ -1,4 +1,4 @@
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::ops::ControlFlow;
 use std::sync::Arc;
 
@@ -90,6 +90,8 @@
         queue: QueueName,
         reply: oneshot::Sender<usize>,
     },
+    /// Kept jobs that wait, by queue.
+    WaitingKept(oneshot::Sender<BTreeMap<QueueName, usize>>),
     CurrentRules(oneshot::Sender<RuleSet>),
     Explain {
         job: JobId,
@@ -168,6 +170,9 @@
             ControlEvent::Waiting { queue, reply } => {
                 let _ = reply.send(self.entry.waiting_jobs(&queue));
             }
+            ControlEvent::WaitingKept(reply) => {
+                let _ = reply.send(self.entry.waiting_kept());
+            }
             ControlEvent::CurrentRules(reply) => {
                 let _ = reply.send(self.entry.rules().clone());
             }
--- a/crates/lagoonhill_entry/src/keeper.rs
+++ b/crates/lagoonhill_entry/src/keeper.rs
@@ -1,11 +1,11 @@
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use lagoonhill_core::entry::{KeepOrder, KeptJob, KeptState, Stored};
 use lagoonhill_platform::{
     CANCELS_PREFIX, JOBS_PREFIX, LeaseId, OPEN_PREFIX, OWNERS_PREFIX, Put, Store, StoreRevision,
-    StoreUnavailable, Transaction, TransactionOutcome, Versioned,
+    StoreUnavailable, Transaction, TransactionOutcome, Versioned, WAITING_PREFIX,
 };
 use lagoonhill_types::prelude::*;
 use log::{debug, warn};
@@ -36,6 +36,10 @@
 /// cancel waits for its owner.
 const END_LIFE: DurationMs = DurationMs::from_secs(180);
 
+/// How long the counts of other owners are believed; callers may be told what
+/// is two seconds old.
+const WAITING_LIFE: DurationMs = DurationMs(500);
+
 /// Ends within this time share one lease.
 const LEASE_SHARING: DurationMs = DurationMs::from_secs(30);
 
@@ -62,6 +66,8 @@
     /// At which revision each job that is ours was last seen to be.
     revisions: HashMap<RequestKey, StoreRevision>,
     lease: Option<(LeaseId, TimestampMs)>,
+    /// What other owners last said of their waiting jobs, and when it was read.
+    waiting: Option<(BTreeMap<QueueName, usize>, TimestampMs)>,
 }
 
 /// What a transaction's answer means for one of its orders.
@@ -319,6 +325,51 @@
         Ok(lease)
     }
 
+    /// Tells the others how many jobs wait here, until the owner's lease ends.
+    pub(crate) async fn publish_waiting(
+        &self,
+        counts: &BTreeMap<QueueName, usize>,
+        lease: LeaseId,
+    ) -> bool {
+        let put = Put {
+            key: format!("{WAITING_PREFIX}{}", self.owner),
+            value: serde_json::to_vec(counts).expect("counts always serialize"),
+            lease: Some(lease),
+        };
+        let transaction = Transaction {
+            puts: vec![put],
+            ..Transaction::default()
+        };
+        let published = self.store.transact(&transaction).await;
+        matches!(published, TransactionOutcome::Done(_))
+    }
+
+    /// Kept jobs of a queue that wait at other entries; up to a second old.
+    pub(crate) async fn waiting_elsewhere(
+        &self,
+        queue: &QueueName,
+    ) -> Result<usize, StoreUnavailable> {
+        let now = self.clock.now();
+        if let Some((counts, read_ms)) = &self.shared().waiting
+            && now.since(*read_ms) < WAITING_LIFE
+        {
+            return Ok(counts.get(queue).copied().unwrap_or(0));
+        }
+        let own = format!("{WAITING_PREFIX}{}", self.owner);
+        let mut counts: BTreeMap<QueueName, usize> = BTreeMap::new();
+        let found = self.store.list(WAITING_PREFIX).await?;
+        for found in found.iter().filter(|found| found.key != own) {
+            let theirs: BTreeMap<QueueName, usize> = serde_json::from_slice(&found.value)
+                .map_err(|error| StoreUnavailable(format!("{}: {error}", found.key)))?;
+            for (queue, count) in theirs {
+                *counts.entry(queue).or_default() += count;
+            }
+        }
+        let count = counts.get(queue).copied().unwrap_or(0);
+        self.shared().waiting = Some((counts, now));
+        Ok(count)
+    }
+
     /// This entry ends: other owners need not wait until its lease has lapsed.
     pub(crate) async fn leave(&self) {
         let gone = self.store.delete(&owner_key(self.owner)).await;
--- a/crates/lagoonhill_entry/src/kept_requests.rs
+++ b/crates/lagoonhill_entry/src/kept_requests.rs
@@ -19,6 +19,11 @@
         name: RequestKey,
         reply: oneshot::Sender<Result<Option<KeptState>, StoreUnavailable>>,
     },
+    /// How many jobs of a queue wait at other entries.
+    Waiting {
+        queue: QueueName,
+        reply: oneshot::Sender<Result<usize, StoreUnavailable>>,
+    },
     /// Tell the other owners that this entry ends.
     Leave { reply: oneshot::Sender<()> },
     /// Cancel a job that another entry owns.
@@ -53,6 +58,18 @@
             .send_if_modified(|is_needed| !std::mem::replace(is_needed, true));
     }
 
+    /// Kept jobs of a queue that wait at other entries.
+    pub(crate) async fn waiting_elsewhere(
+        &self,
+        queue: QueueName,
+    ) -> Result<usize, StoreUnavailable> {
+        if !*self.is_needed.borrow() {
+            return Ok(0);
+        }
+        self.ask(|reply| KeptRequest::Waiting { queue, reply })
+            .await
+    }
+
     pub(crate) async fn look_up(
         &self,
         name: RequestKey,
@@ -100,6 +117,9 @@
                     let found = found.map(|found| found.map(|(form, _)| form.state.into()));
                     let _ = reply.send(found);
                 }
+                KeptRequest::Waiting { queue, reply } => {
+                    let _ = reply.send(keeper.waiting_elsewhere(&queue).await);
+                }
                 KeptRequest::Leave { reply } => {
                     keeper.leave().await;
                     let _ = reply.send(());
--- a/crates/lagoonhill_entry/src/metrics.rs
+++ b/crates/lagoonhill_entry/src/metrics.rs
@@ -15,6 +15,7 @@
     rerun: IntCounter,
     times: HistogramVec,
     refusals: IntCounterVec,
+    ownership: IntCounterVec,
     platform_calls: IntCounterVec,
     platform_failures: IntCounterVec,
     by_state: IntGaugeVec,
@@ -57,6 +58,11 @@
                 "Jobs refused, or given up before anything ran, by reason.",
                 "reason",
             ),
+            ownership: meters.counters(
+                "lagoonhill_kept_jobs_total",
+                "Kept jobs that changed their owner: adopted here, or given up.",
+                "change",
+            ),
             platform_failures: meters.counters(
                 "lagoonhill_platform_failures_total",
                 "Calls to the platform's store without a usable answer.",
@@ -115,18 +121,22 @@
                 }
             }
             DecisionKind::Rerun { .. } => return self.rerun.inc(),
+            DecisionKind::Adopted { .. } => return self.count_change("adopted"),
+            DecisionKind::GivenUp { .. } => return self.count_change("given_up"),
             DecisionKind::Unsettled { .. }
             | DecisionKind::Joined { .. }
             | DecisionKind::Left { .. }
             | DecisionKind::Quarantined { .. }
             | DecisionKind::Recovered { .. }
-            | DecisionKind::Adopted { .. }
-            | DecisionKind::GivenUp { .. }
             | DecisionKind::Rules { .. } => return,
         };
         self.jobs.with_label_values(&[outcome]).inc();
     }
 
+    fn count_change(&self, change: &str) {
+        self.ownership.with_label_values(&[change]).inc();
+    }
+
     fn count_refusal(&self, cause: &Cause) {
         self.refusals.with_label_values(&[cause.reason()]).inc();
     }
--- a/crates/lagoonhill_entry/src/ownership.rs
+++ b/crates/lagoonhill_entry/src/ownership.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
@@ -108,8 +108,10 @@
         let mut lease = None;
         let mut is_lost = false;
         let mut owned_until_ms = TimestampMs(0);
+        let mut published = BTreeMap::new();
         loop {
             let sent_ms = self.clock.now();
+            let before = lease;
             match self.renew_once(&mut lease).await {
                 Ok(true) => {
                     if sent_ms >= owned_until_ms {
@@ -118,6 +120,13 @@
                     owned_until_ms = sent_ms + OWNED_FOR;
                     self.control.tell(ControlEvent::OwnedUntil(owned_until_ms));
                     is_owner.send_replace(true);
+                    // What was published ended with the lease.
+                    if lease != before {
+                        published.clear();
+                    }
+                    if let Some(lease) = lease {
+                        self.publish_waiting(lease, &mut published).await;
+                    }
                     if std::mem::take(&mut is_lost) {
                         info!("dependency regained: kept jobs can be stored again");
                     }
@@ -132,6 +141,16 @@
         }
     }
 
+    /// Tells the others how many jobs wait here, when that has changed.
+    async fn publish_waiting(&self, lease: LeaseId, published: &mut BTreeMap<QueueName, usize>) {
+        let Ok(counts) = self.control.ask(ControlEvent::WaitingKept).await else {
+            return;
+        };
+        if counts != *published && self.keeper.publish_waiting(&counts, lease).await {
+            *published = counts;
+        }
+    }
+
     /// Whether the store knows this owner for the whole of a lease from now.
     async fn renew_once(&self, lease: &mut Option<LeaseId>) -> Result<bool, StoreUnavailable> {
         if let Some(held) = *lease {
