--- a/crates/lagoonhill/src/demo.rs
+++ b/crates/lagoonhill/src/demo.rs
@@ -17,6 +17,7 @@
 use tokio::time::sleep;
 
 use crate::cli::DemoOptions;
+use crate::demo_queue;
 use crate::settings::read_value;
 
 const SERVICE: &str = "bus-dispatch";
@@ -35,6 +36,7 @@
 service bus-dispatch class=standard deadline=20s run-time=200ms  # demo
 team parents class=rush weight=4  # demo
 team offices class=office  # demo
+queue nightly service=bus-dispatch attempts=2 objective=1s  # demo
 ";
 
 /// A whole fleet in one process.
@@ -64,7 +66,8 @@
         report = rush(&addresses, options.workers, options.seconds) => report,
         never = show_progress(&fleet) => match never {},
     };
-    let sound = print_report(&report, &fleet, &addresses).await;
+    let kept = demo_queue::show(&addresses).await;
+    let sound = print_report(&report, &fleet, &addresses).await && kept;
     if options.serve {
         println!("staying up; stop with ctrl-c. Try:");
         println!(
--- a/crates/lagoonhill/src/main.rs
+++ b/crates/lagoonhill/src/main.rs
@@ -3,6 +3,7 @@
 mod cli;
 mod commands;
 mod demo;
+mod demo_queue;
 mod settings;
 
 use std::process::ExitCode;
