One way to write to the store: the three single writes are transactions

Each client had a second path for a transaction of one key, and the etcd form a third for a removal; they are default methods of the port now. Gone with them: the time of a value's creation and the size of a transaction, which nothing read.

--- a/crates/lagoonhill_platform/src/etcd.rs
+++ b/crates/lagoonhill_platform/src/etcd.rs
@@ -16,7 +16,7 @@
 };
 use crate::{
     CallCounts, CallKind, LeaseId, Put, Store, StoreRevision, StoreUnavailable, Transaction,
-    TransactionOutcome, Versioned, WatchEvent, WriteOutcome,
+    TransactionOutcome, Versioned, WatchEvent,
 };
 
 /// Events that wait for a slow reader of a watch.
@@ -54,40 +54,6 @@
         let answer: RangeResponse = self.call(CallKind::Read, "/v3/kv/range", &request).await?;
         answer.kvs.into_iter().map(versioned).collect()
     }
-
-    async fn swap(&self, compare: Compare, put: PutRequest) -> WriteOutcome {
-        let read = RangeRequest {
-            key: put.key.clone(),
-            range_end: None,
-        };
-        let request = TxnRequest {
-            compare: vec![compare],
-            success: vec![RequestOp {
-                request_put: Some(put),
-                ..RequestOp::default()
-            }],
-            failure: vec![RequestOp {
-                request_range: Some(read),
-                ..RequestOp::default()
-            }],
-        };
-        match self
-            .call::<TxnResponse>(CallKind::Write, "/v3/kv/txn", &request)
-            .await
-        {
-            Ok(answer) if answer.succeeded => WriteOutcome::Done,
-            Ok(answer) => WriteOutcome::Conflict(found(answer)),
-            Err(error) => {
-                debug!("a write has no answer: {error}");
-                WriteOutcome::Unknown
-            }
-        }
-    }
-}
-
-fn found(answer: TxnResponse) -> Option<Versioned> {
-    let range = answer.responses.into_iter().next()?.response_range?;
-    versioned(range.kvs.into_iter().next()?).ok()
 }
 
 fn versioned(kv: KeyValue) -> Result<Versioned, StoreUnavailable> {
@@ -97,7 +63,6 @@
         key,
         value: kv.value.0,
         revision: StoreRevision(kv.mod_revision.0),
-        created: StoreRevision(kv.create_revision.0),
     })
 }
 
@@ -133,51 +98,12 @@
         .await
     }
 
-    async fn create(&self, key: &str, value: &[u8], lease: Option<LeaseId>) -> WriteOutcome {
-        let compare = Compare {
-            target: "CREATE".to_owned(),
-            result: "EQUAL".to_owned(),
-            key: key.into(),
-            mod_revision: None,
-            create_revision: Some(Int64(0)),
-        };
-        let lease = Int64(lease.map_or(0, |lease| lease.0));
-        let put = PutRequest {
-            key: key.into(),
-            value: Base64(value.to_vec()),
-            lease,
-        };
-        self.swap(compare, put).await
-    }
-
-    async fn compare_and_swap(
-        &self,
-        key: &str,
-        expected: StoreRevision,
-        value: &[u8],
-    ) -> WriteOutcome {
-        let compare = Compare {
-            target: "MOD".to_owned(),
-            result: "EQUAL".to_owned(),
-            key: key.into(),
-            mod_revision: Some(Int64(expected.0)),
-            create_revision: None,
-        };
-        let put = PutRequest {
-            key: key.into(),
-            value: Base64(value.to_vec()),
-            lease: Int64(0),
-        };
-        self.swap(compare, put).await
-    }
-
     async fn transact(&self, transaction: &Transaction) -> TransactionOutcome {
         let compare = |(key, revision): &(String, StoreRevision)| Compare {
             target: "MOD".to_owned(),
             result: "EQUAL".to_owned(),
             key: key.as_str().into(),
-            mod_revision: Some(Int64(revision.0)),
-            create_revision: None,
+            mod_revision: Int64(revision.0),
         };
         let put = |put: &Put| RequestOp {
             request_put: Some(PutRequest {
@@ -228,17 +154,6 @@
         }
     }
 
-    async fn delete(&self, key: &str) -> WriteOutcome {
-        let request = DeleteRequest { key: key.into() };
-        match self
-            .call::<serde_json::Value>(CallKind::Write, "/v3/kv/deleterange", &request)
-            .await
-        {
-            Ok(_) => WriteOutcome::Done,
-            Err(_) => WriteOutcome::Unknown,
-        }
-    }
-
     async fn grant(&self, ttl: DurationMs) -> Result<LeaseId, StoreUnavailable> {
         let ttl_s = i64::try_from(ttl.as_secs_ceil()).unwrap_or(i64::MAX);
         let request = Lease {
--- a/crates/lagoonhill_platform/src/store.rs
+++ b/crates/lagoonhill_platform/src/store.rs
@@ -15,6 +15,11 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct StoreRevision(pub i64);
 
+impl StoreRevision {
+    /// The revision of a key that does not exist.
+    pub const ABSENT: Self = Self(0);
+}
+
 impl fmt::Display for StoreRevision {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}", self.0)
@@ -30,8 +35,6 @@
     pub value: Vec<u8>,
     /// When it was last changed.
     pub revision: StoreRevision,
-    /// When it was created.
-    pub created: StoreRevision,
 }
 
 /// A value to be set by a transaction.
@@ -48,8 +51,7 @@
 /// Changes that are made together or not at all.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Transaction {
-    /// Keys and the revisions that they must have; 0 for one that must be
-    /// absent.
+    /// Keys and the revisions that they must have.
     pub expected: Vec<(String, StoreRevision)>,
     /// Values to set.
     pub puts: Vec<Put>,
@@ -58,14 +60,18 @@
 }
 
 impl Transaction {
-    /// How many keys it names, each time counted.
-    pub fn len(&self) -> usize {
-        self.expected.len() + self.puts.len() + self.removes.len()
-    }
-
-    /// Whether it names none.
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
+    /// Sets a value if its key has a revision.
+    fn swap(key: &str, expected: StoreRevision, value: &[u8], lease: Option<LeaseId>) -> Self {
+        let put = Put {
+            key: key.to_owned(),
+            value: value.to_vec(),
+            lease,
+        };
+        Self {
+            expected: vec![(key.to_owned(), expected)],
+            puts: vec![put],
+            removes: Vec::new(),
+        }
     }
 
     /// Adds another's changes to this one's.
@@ -102,6 +108,18 @@
     Unknown,
 }
 
+impl From<TransactionOutcome> for WriteOutcome {
+    fn from(outcome: TransactionOutcome) -> Self {
+        match outcome {
+            TransactionOutcome::Done(_) => Self::Done,
+            TransactionOutcome::Conflict(found) => Self::Conflict(found.into_iter().next()),
+            // Nothing was written, and nothing stands in the way.
+            TransactionOutcome::LeaseGone => Self::Conflict(None),
+            TransactionOutcome::Refused | TransactionOutcome::Unknown => Self::Unknown,
+        }
+    }
+}
+
 /// A change seen by a watch.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WatchEvent {
@@ -133,13 +151,22 @@
         prefix: &str,
     ) -> impl Future<Output = Result<Vec<Versioned>, StoreUnavailable>> + Send;
 
+    /// Makes several changes together.
+    fn transact(
+        &self,
+        transaction: &Transaction,
+    ) -> impl Future<Output = TransactionOutcome> + Send;
+
     /// Sets a value if its key is absent.
     fn create(
         &self,
         key: &str,
         value: &[u8],
         lease: Option<LeaseId>,
-    ) -> impl Future<Output = WriteOutcome> + Send;
+    ) -> impl Future<Output = WriteOutcome> + Send {
+        let transaction = Transaction::swap(key, StoreRevision::ABSENT, value, lease);
+        async move { self.transact(&transaction).await.into() }
+    }
 
     /// Replaces a value if it still has the given revision.
     fn compare_and_swap(
@@ -147,16 +174,19 @@
         key: &str,
         expected: StoreRevision,
         value: &[u8],
-    ) -> impl Future<Output = WriteOutcome> + Send;
-
-    /// Makes several changes together.
-    fn transact(
-        &self,
-        transaction: &Transaction,
-    ) -> impl Future<Output = TransactionOutcome> + Send;
+    ) -> impl Future<Output = WriteOutcome> + Send {
+        let transaction = Transaction::swap(key, expected, value, None);
+        async move { self.transact(&transaction).await.into() }
+    }
 
     /// Removes a key.
-    fn delete(&self, key: &str) -> impl Future<Output = WriteOutcome> + Send;
+    fn delete(&self, key: &str) -> impl Future<Output = WriteOutcome> + Send {
+        let transaction = Transaction {
+            removes: vec![key.to_owned()],
+            ..Transaction::default()
+        };
+        async move { self.transact(&transaction).await.into() }
+    }
 
     /// Grants a lease.
     fn grant(
--- a/crates/lagoonhill_platform/src/wire.rs
+++ b/crates/lagoonhill_platform/src/wire.rs
@@ -101,18 +101,14 @@
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Compare {
-    /// `MOD` or `CREATE`.
+    /// `MOD`.
     pub target: String,
     /// `EQUAL`.
     pub result: String,
     /// Key.
     pub key: Base64,
-    /// Compared when the target is `MOD`.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub mod_revision: Option<Int64>,
-    /// Compared when the target is `CREATE`.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub create_revision: Option<Int64>,
+    /// What is compared; 0 for a key that is absent.
+    pub mod_revision: Int64,
 }
 
 /// `PutRequest`.
--- a/crates/lagoonhill_standin/src/platform.rs
+++ b/crates/lagoonhill_standin/src/platform.rs
@@ -265,12 +265,7 @@
 
     fn holds(&self, compare: &Compare) -> bool {
         let stored = self.values.get(&compare.key);
-        match compare.target.as_str() {
-            "CREATE" => {
-                stored.map_or(0, |s| s.created) == compare.create_revision.unwrap_or_default().0
-            }
-            _ => stored.map_or(0, |s| s.modified) == compare.mod_revision.unwrap_or_default().0,
-        }
+        stored.map_or(0, |stored| stored.modified) == compare.mod_revision.0
     }
 
     fn transact(&mut self, request: TxnRequest) -> TxnResponse {
@@ -424,13 +419,6 @@
             parse(body).map(|request| json(&state.transact(request))),
             true,
         ),
-        "/v3/kv/deleterange" => {
-            let response = parse(body).map(|DeleteRequest { key }| {
-                state.delete(&key);
-                json(&serde_json::json!({}))
-            });
-            (response, true)
-        }
         "/v3/lease/grant" => (
             parse(body).map(|lease: Lease| json(&state.grant(lease.ttl))),
             false,
