A session that an entry has given up is never opened again

What went to one agent had been held for two seconds. Their entry gave the session up; the agent, which had not read its welcome, repeated the same greeting, and the entry opened a session of the same name from number 1. The held frames of the first opening then arrived and took the numbers of later orders, which the agent dropped as repeated and acknowledged. The same could follow when an agent forgot an entry: it began to count its sessions at 1 again.

Ruled out: lost log lines (none counted), an outcome that was not acted on (each writes a line), an ended session (outcomes went both before and after).

Change: an entry remembers the last session of each worker that is over and answers a greeting for it with a reset; an agent takes that as "ask for another" also before its welcome; agents count sessions over all entries.

--- a/crates/lagoonhill_core/src/agent/link.rs
+++ b/crates/lagoonhill_core/src/agent/link.rs
@@ -16,7 +16,7 @@
     pub address: EntryAddress,
     /// The open session, if any.
     pub session: Option<Session>,
-    /// Sessions greeted for so far; the last one is open or being asked for.
+    /// Names the session that is open or being asked for.
     pub session_number: u32,
     /// When the next greeting is due, while no session is open.
     pub hello_due_ms: TimestampMs,
@@ -32,11 +32,11 @@
 
 impl EntryLink {
     /// A link to an entry not yet greeted.
-    pub fn new(address: EntryAddress, now: TimestampMs) -> Self {
+    pub fn new(address: EntryAddress, session_number: u32, now: TimestampMs) -> Self {
         Self {
             address,
             session: None,
-            session_number: 1,
+            session_number,
             hello_due_ms: now,
             unanswered: 0,
             last_heard_ms: now,
--- a/crates/lagoonhill_core/src/agent/machine.rs
+++ b/crates/lagoonhill_core/src/agent/machine.rs
@@ -55,6 +55,9 @@
     by_incarnation: HashMap<Incarnation, EntryKey>,
     /// Entries that said good-bye; others may go on naming them for a while.
     departed: HashSet<Incarnation>,
+    /// Sessions asked for so far, of all entries: a name is never used again,
+    /// not even for an entry that was forgotten meanwhile.
+    sessions: u32,
     tasks: SlotMap<TaskKey, HeldTask>,
     waiting: VecDeque<TaskKey>,
     running: u16,
@@ -81,6 +84,7 @@
             entries: SlotMap::with_key(),
             by_incarnation: HashMap::new(),
             departed: HashSet::new(),
+            sessions: 0,
             tasks: SlotMap::with_key(),
             waiting: VecDeque::new(),
             running: 0,
@@ -152,12 +156,18 @@
             if known || self.departed.contains(&address.incarnation) {
                 continue;
             }
-            let key = self.entries.insert(EntryLink::new(*address, now));
+            let number = self.next_session_number();
+            let key = self.entries.insert(EntryLink::new(*address, number, now));
             self.by_incarnation.insert(address.incarnation, key);
             self.greet(key, now);
         }
     }
 
+    fn next_session_number(&mut self) -> u32 {
+        self.sessions += 1;
+        self.sessions
+    }
+
     /// Installs rules read from elsewhere, if they are newer.
     pub fn install_rules(&mut self, rules: RuleSet) -> bool {
         self.rules.install(rules)
@@ -501,23 +511,30 @@
         };
         let link = &mut self.entries[key];
         link.last_heard_ms = now;
-        let current = link.session.as_ref().map(Session::id);
-        if current == Some(reset.session) {
+        let Reset { session } = reset;
+        if session.agent != self.config.incarnation || session.number != link.session_number {
+            return;
+        }
+        if link.session.is_some() {
             self.end_session(key, now);
-            if !self.leaving {
-                self.greet(key, now);
-            }
+        } else {
+            // The entry has opened it and given it up before its welcome came.
+            self.entries[key].session_number = self.next_session_number();
+        }
+        if !self.leaving {
+            self.greet(key, now);
         }
     }
 
     /// Ends a session: what has not started is dropped, what runs is stopped.
     /// The entry counts both as "may have run", so nobody waits for them.
     fn end_session(&mut self, key: EntryKey, now: TimestampMs) {
-        let link = &mut self.entries[key];
-        let Some(session) = link.session.take() else {
+        let Some(session) = self.entries[key].session.take() else {
             return;
         };
-        link.session_number += 1;
+        let number = self.next_session_number();
+        let link = &mut self.entries[key];
+        link.session_number = number;
         link.hello_due_ms = now;
         let id = session.id();
         let ended: Vec<TaskKey> = self
--- a/crates/lagoonhill_core/src/entry/fleet.rs
+++ b/crates/lagoonhill_core/src/entry/fleet.rs
@@ -15,6 +15,9 @@
     by_session: HashMap<SessionId, WorkerKey>,
     by_id: HashMap<WorkerId, WorkerKey>,
     by_service: HashMap<ServiceName, Vec<WorkerKey>>,
+    /// The last session of each worker that is over. One for each name that was
+    /// ever heard, which are as many as machines.
+    ended: HashMap<WorkerId, SessionId>,
 }
 
 impl Fleet {
@@ -33,7 +36,9 @@
     pub fn remove(&mut self, key: WorkerKey) -> Option<Worker> {
         self.unindex(key);
         let worker = self.workers.remove(key)?;
-        self.by_session.remove(&worker.session.id());
+        let session = worker.session.id();
+        self.by_session.remove(&session);
+        self.ended.insert(worker.id.clone(), session);
         if self.by_id.get(&worker.id) == Some(&key) {
             self.by_id.remove(&worker.id);
         }
@@ -112,6 +117,13 @@
         self.by_session.get(&session).copied()
     }
 
+    /// Whether a worker's session is over. Packets of it may be on their way
+    /// still, so its name must not be used again.
+    pub fn has_ended(&self, worker: &WorkerId, session: SessionId) -> bool {
+        let ended = self.ended.get(worker);
+        ended.is_some_and(|ended| ended.agent == session.agent && ended.number >= session.number)
+    }
+
     /// The worker of a name.
     pub fn find_id(&self, id: &WorkerId) -> Option<WorkerKey> {
         self.by_id.get(id).copied()
--- a/crates/lagoonhill_core/src/entry/machine/sessions.rs
+++ b/crates/lagoonhill_core/src/entry/machine/sessions.rs
@@ -47,8 +47,13 @@
             self.lose_worker(key, "its agent began a new session", now);
         }
         // The agent may have been restarted: a connection from before would
-        // swallow the welcome.
+        // swallow the answer.
         self.effects.push(EntryEffect::Redial { to });
+        if self.fleet.has_ended(&hello.worker, hello.session) {
+            let session = hello.session;
+            let packet = Packet::Reset(Reset { session });
+            return self.effects.push(EntryEffect::Send { to, packet });
+        }
         let heartbeat_ms = self.heartbeat();
         let mut session = Session::new(hello.session, self.config.timing, heartbeat_ms, now);
         session.heard(hello.sent_ms, hello.rules_revision, now);
--- a/crates/lagoonhill_protocol/src/hello.rs
+++ b/crates/lagoonhill_protocol/src/hello.rs
@@ -43,7 +43,7 @@
     pub entries: Vec<EntryAddress>,
 }
 
-/// An entry tells an agent that a session no longer exists.
+/// An entry tells an agent that a session is over: it will never open it again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Reset {
     /// The ended session.
--- a/crates/lagoonhill_protocol/src/session_id.rs
+++ b/crates/lagoonhill_protocol/src/session_id.rs
@@ -13,7 +13,7 @@
     pub entry: Incarnation,
     /// The agent's incarnation.
     pub agent: Incarnation,
-    /// Counts the agent's sessions with this entry.
+    /// Counts the sessions that this incarnation of the agent has asked for.
     pub number: u32,
 }
 
