--- a/crates/lagoonhill/src/cli.rs
+++ b/crates/lagoonhill/src/cli.rs
@@ -61,6 +61,9 @@
         display_fallback
     )]
     pub(crate) http: String,
+    /// The entry's availability zone: equal workers there go first
+    #[bpaf(env("LAGOONHILL_ZONE"), argument("NAME"), optional)]
+    pub(crate) zone: Option<String>,
     /// How long to go on serving after a shutdown was asked for
     #[bpaf(
         env("LAGOONHILL_DRAIN_DELAY"),
--- a/crates/lagoonhill/src/settings.rs
+++ b/crates/lagoonhill/src/settings.rs
@@ -91,6 +91,8 @@
     let advertise = check.optional_address("advertise", common.advertise.as_deref());
     let platform = check.optional_address("platform", common.platform.as_deref());
     let balancer = check.optional_address("balancer", common.balancer.as_deref());
+    let zone = options.zone.as_deref();
+    let zone = zone.map(|zone| check.read("zone", zone));
     let drain_delay_ms = check.read("drain-delay", &options.drain_delay);
     let drain_limit_ms = check.read("drain-limit", &common.drain_limit);
     let max_body_bytes = check.read("max-body", &options.max_body);
@@ -103,6 +105,10 @@
     let assemble = || {
         let settings = EntrySettings {
             http: http?,
+            zone: match zone {
+                Some(zone) => Some(zone?),
+                None => None,
+            },
             inbox: inbox?,
             advertise,
             platform,
--- a/crates/lagoonhill_agent/src/control.rs
+++ b/crates/lagoonhill_agent/src/control.rs
@@ -143,7 +143,7 @@
             self.describe_run(key),
             start.run,
             target.address,
-            start.expected_ms
+            self.agent.expected_run_time(&start)
         );
         if let Some((arrived_ms, _)) = self.agent.times(key) {
             self.metrics.started(now.since(arrived_ms));
--- /dev/null
+++ b/crates/lagoonhill_bench/src/bin/large.rs
@@ -0,0 +1,207 @@
+//! Plays a large fleet of unequal entries under the deterministic event loop,
+//! placement policies side by side. Prints CSV; seeds are fixed.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+use lagoonhill_bench::{Burst, LargeResult, LargeRun, LeastOutstanding, TwoChoices, run_large};
+use lagoonhill_core::Timing;
+use lagoonhill_core::entry::LeastExpectedFinish;
+use plotters::prelude::*;
+
+/// Plays a large fleet of unequal entries.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options)]
+struct Options {
+    /// Length of the arrivals in seconds
+    #[bpaf(argument("SECONDS"), fallback(34), display_fallback)]
+    seconds: u64,
+    /// Entries
+    #[bpaf(argument("COUNT"), fallback(35), display_fallback)]
+    entries: usize,
+    /// Targets
+    #[bpaf(argument("COUNT"), fallback(160), display_fallback)]
+    targets: usize,
+    /// First seed
+    #[bpaf(argument("SEED"), fallback(2_026), display_fallback)]
+    seed: u64,
+    /// Only rows whose names contain this
+    #[bpaf(argument("TEXT"), optional)]
+    only: Option<String>,
+    /// Draw the windows of each day as SVG into this folder
+    #[bpaf(argument("FOLDER"), optional)]
+    svg: Option<PathBuf>,
+}
+
+/// Traffic of a calm day relative to a full one's.
+const CALM_LOAD: f64 = 0.63;
+
+#[derive(Clone, Copy, Debug)]
+enum Policy {
+    Central,
+    LeastExpectedFinish,
+    LeastOutstanding,
+    TwoChoices,
+}
+
+const POLICIES: [Policy; 4] = [
+    Policy::Central,
+    Policy::LeastExpectedFinish,
+    Policy::LeastOutstanding,
+    Policy::TwoChoices,
+];
+
+impl Policy {
+    fn play(self, run: LargeRun) -> LargeResult {
+        let timing = Timing::SUB_SECOND;
+        let random = |entry: usize| fastrand::Rng::with_seed(run.seed + entry as u64);
+        match self {
+            Self::Central => {
+                let central = LargeRun {
+                    entries: 1,
+                    zones: 1,
+                    cross_zone_ms: 0,
+                    ..run
+                };
+                run_large(central, timing, |entry| {
+                    LeastExpectedFinish::with_seed(entry as u64)
+                })
+            }
+            Self::LeastExpectedFinish => run_large(run, timing, |entry| {
+                LeastExpectedFinish::with_seed(entry as u64)
+            }),
+            Self::LeastOutstanding => run_large(run, timing, |_| LeastOutstanding),
+            Self::TwoChoices => run_large(run, timing, |entry| TwoChoices(random(entry))),
+        }
+    }
+}
+
+fn days(base: LargeRun) -> [(&'static str, LargeRun); 4] {
+    let burst = Burst {
+        at_ms: base.length_ms / 3,
+        length_ms: 4_000,
+        factor: 1.8,
+    };
+    [
+        ("calm", base),
+        ("full", LargeRun { load: 1.0, ..base }),
+        (
+            "burst",
+            LargeRun {
+                load: 1.0,
+                burst: Some(burst),
+                ..base
+            },
+        ),
+        (
+            "straggler",
+            LargeRun {
+                straggler_factor: Some(8),
+                ..base
+            },
+        ),
+    ]
+}
+
+const COLUMNS: &str = "day,policy,entries,targets,jobs,earned,first_window,worst_window,p50,p99,\
+starts,handed_back,cross_zone,packets,refused,slowest_refusal_ms,failed,unanswered";
+
+fn csv(day: &str, policy: Policy, run: &LargeRun, result: &LargeResult) -> String {
+    format!(
+        "{day},{policy:?},{},{},{},{:.3},{:.3},{:.3},{:.2},{:.2},{},{},{},{},{},{},{},{}",
+        run.entries,
+        run.targets,
+        result.jobs,
+        result.earned,
+        result.windows.first().copied().unwrap_or(1.0),
+        result.worst_window(),
+        result.ratio(0.5),
+        result.ratio(0.99),
+        result.starts,
+        result.handed_back,
+        result.cross_zone_starts,
+        result.packets,
+        result.refused,
+        result.slowest_refusal_ms,
+        result.failed,
+        result.unanswered,
+    )
+}
+
+/// Draws the share earned in each window, a line for each policy.
+fn draw(
+    day: &str,
+    lines: &[(Policy, LargeResult)],
+    folder: &Path,
+) -> Result<(), Box<dyn std::error::Error>> {
+    let path = folder.join(format!("large-{day}.svg"));
+    let area = SVGBackend::new(&path, (900, 420)).into_drawing_area();
+    area.fill(&WHITE)?;
+    let windows = lines.iter().map(|(_, result)| result.windows.len()).max();
+    let mut chart = ChartBuilder::on(&area)
+        .caption(
+            format!("{day}: share earned in windows of two seconds"),
+            ("sans-serif", 18),
+        )
+        .margin(12)
+        .x_label_area_size(30)
+        .y_label_area_size(50)
+        .build_cartesian_2d(0..windows.unwrap_or(1), 0.0..1.0)?;
+    chart.configure_mesh().draw()?;
+    for (position, (policy, result)) in lines.iter().enumerate() {
+        let color = Palette99::pick(position).to_rgba();
+        let points = result.windows.iter().copied().enumerate();
+        chart
+            .draw_series(LineSeries::new(points, &color))?
+            .label(format!("{policy:?}"))
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 20, y)], color));
+    }
+    chart
+        .configure_series_labels()
+        .background_style(WHITE)
+        .draw()?;
+    area.present()?;
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    let options = options().run();
+    let base = LargeRun {
+        entries: options.entries,
+        targets: options.targets,
+        zones: 5,
+        load: CALM_LOAD,
+        burst: None,
+        straggler_factor: None,
+        cross_zone_ms: 1,
+        length_ms: options.seconds * 1_000,
+        seed: options.seed,
+    };
+    println!("{COLUMNS}");
+    for (day, run) in days(base) {
+        let mut lines = Vec::new();
+        for policy in POLICIES {
+            let name = format!("{day} {policy:?}");
+            if !options
+                .only
+                .as_deref()
+                .is_none_or(|only| name.contains(only))
+            {
+                continue;
+            }
+            eprintln!("playing {name}");
+            let result = policy.play(run);
+            println!("{}", csv(day, policy, &run, &result));
+            lines.push((policy, result));
+        }
+        if let Some(folder) = &options.svg
+            && !lines.is_empty()
+            && let Err(error) = draw(day, &lines, folder)
+        {
+            eprintln!("the plot of {day} could not be drawn: {error}; check the folder");
+            return ExitCode::FAILURE;
+        }
+    }
+    ExitCode::SUCCESS
+}
--- a/crates/lagoonhill_bench/src/bin/policy.rs
+++ b/crates/lagoonhill_bench/src/bin/policy.rs
@@ -68,7 +68,9 @@
             Self::RoundRobin => run_policy(run, seeds, |_| RoundRobin::default()),
             Self::TwoChoices => run_policy(run, seeds, |entry| TwoChoices(random(entry))),
             Self::LeastOutstanding => run_policy(run, seeds, |_| LeastOutstanding),
-            Self::LeastExpectedFinish => run_policy(run, seeds, |_| LeastExpectedFinish::default()),
+            Self::LeastExpectedFinish => run_policy(run, seeds, |entry| {
+                LeastExpectedFinish::with_seed(entry as u64)
+            }),
             Self::LeastWeightedLoad => run_policy(run, seeds, |_| LeastWeightedLoad),
         }
     }
--- a/crates/lagoonhill_bench/src/candidates.rs
+++ b/crates/lagoonhill_bench/src/candidates.rs
@@ -78,7 +78,7 @@
             .into_iter()
             .min_by_key(|index| {
                 let candidate = &candidates[*index];
-                let load = (u64::from(candidate.load) + 1) * u64::from(candidate.slowness_permille);
+                let load = (u64::from(candidate.load) + 1) * u64::from(candidate.slowness.permille);
                 load / u64::from(candidate.slots.max(1))
             })
     }
--- a/crates/lagoonhill_bench/src/lib.rs
+++ b/crates/lagoonhill_bench/src/lib.rs
@@ -8,12 +8,14 @@
 )]
 
 mod candidates;
+mod large_fleet;
 mod policy_run;
 mod proc_usage;
 mod scrape;
 mod workload;
 
 pub use candidates::{LeastOutstanding, LeastWeightedLoad, Random, RoundRobin, TwoChoices};
+pub use large_fleet::{Burst, LargeResult, LargeRun, run_large};
 pub use policy_run::{PolicyResult, PolicyRun, Trouble, run_policy};
 pub use proc_usage::{CpuTime, Usage, read_usage};
 pub use scrape::{Counters, scrape};
--- a/crates/lagoonhill_bench/src/policy_run.rs
+++ b/crates/lagoonhill_bench/src/policy_run.rs
@@ -211,11 +211,13 @@
     let config = WorldConfig {
         entries: run.entries,
         targets,
+        zones: 1,
         slots: SLOTS,
         service: "dispatch".parse().expect("the name is valid"),
         rules: RuleSet::new(Revision(1), lines),
         network: Network {
             delay_ms: run.delay_ms,
+            cross_zone_ms: 0,
             jitter_ms: 0,
             loss_permille: 0,
             repeat_permille: 0,
--- a/crates/lagoonhill_core/src/agent/machine.rs
+++ b/crates/lagoonhill_core/src/agent/machine.rs
@@ -3,14 +3,16 @@
 
 use lagoonhill_protocol::{
     EntryAddress, Frame, Hello, Load, Message, NotRunReason, Outcome, Packet, Reset, SessionId,
-    Start, Target, TaskResult, Welcome,
+    Speed, Start, Target, TaskResult, Welcome,
 };
 use lagoonhill_rules::RuleSet;
 use lagoonhill_types::prelude::*;
 use slotmap::SlotMap;
 
-use super::{AgentEffect, EntryKey, EntryLink, HeldTask, TaskKey, TaskPhase};
-use crate::{FrameHeader, Heartbeat, RulesSpread, Session, Timing, Verdict, overdue_after};
+use super::{AgentEffect, EntryKey, EntryLink, HeldTask, TargetSpeed, TaskKey, TaskPhase};
+use crate::{
+    FrameHeader, Heartbeat, RulesSpread, Session, Timing, Verdict, believed_slowness, overdue_after,
+};
 
 /// Longest pause between greetings of an entry that does not answer.
 const MAX_HELLO_INTERVAL_MS: DurationMs = DurationMs(10_000);
@@ -72,6 +74,8 @@
     last_tick_ms: TimestampMs,
     /// Jobs of which a task has failed since the last task that did not.
     failed_jobs: BTreeSet<JobId>,
+    /// How fast the target runs tasks, of whichever entry.
+    speed: TargetSpeed,
     effects: Vec<AgentEffect>,
 }
 
@@ -96,6 +100,7 @@
             drained_told: false,
             last_tick_ms: now,
             failed_jobs: BTreeSet::new(),
+            speed: TargetSpeed::default(),
             effects: Vec::new(),
         }
     }
@@ -179,6 +184,8 @@
             return;
         }
         self.target.clone_from(&target);
+        // A target that comes may be another than the one that went.
+        self.speed = TargetSpeed::default();
         self.broadcast(&Message::Target(target));
         if self.target.is_none() {
             self.withdraw_all_waiting(NotRunReason::NoTarget);
@@ -221,6 +228,10 @@
         self.running -= 1;
         self.used = self.used - task.start.needs;
         self.count_failure(&task, &result);
+        if matches!(result, TaskResult::Done(_)) && task.start.is_learned {
+            let run_ms = now.since(started_ms);
+            self.speed.observe(run_ms, task.start.usual_ms, now);
+        }
         let run_ms = match result {
             TaskResult::NotRun(_) => DurationMs::ZERO,
             _ => now.since(started_ms),
@@ -278,11 +289,21 @@
         }
     }
 
+    /// How fast the target has run tasks of all entries.
+    pub fn speed(&self) -> Speed {
+        self.speed.report()
+    }
+
+    /// How long a run is expected to take on this target.
+    pub fn expected_run_time(&self, start: &Start) -> DurationMs {
+        believed_slowness(self.speed.report()).stretch(start.usual_ms)
+    }
+
     /// Running tasks that take far longer than expected.
     fn overdue(&self, now: TimestampMs) -> u16 {
         let is_overdue = |task: &&HeldTask| match task.phase {
             TaskPhase::Running { started_ms } => {
-                now.since(started_ms) > overdue_after(task.start.expected_ms)
+                now.since(started_ms) > overdue_after(self.expected_run_time(&task.start))
             }
             TaskPhase::Waiting | TaskPhase::Stopping { .. } => false,
         };
@@ -302,6 +323,7 @@
             self.watch(key, now);
         }
         self.start_waiting(now);
+        self.speed.age(now);
         if self.leaving && !self.drained_told && self.is_drained() {
             self.drained_told = true;
             self.effects.push(AgentEffect::Drained);
@@ -316,6 +338,7 @@
         });
         let overdue = self.overdue(now);
         let failed_jobs = u16::try_from(self.failed_jobs.len()).unwrap_or(u16::MAX);
+        let speed = self.speed.report();
         for link in self.entries.values_mut() {
             let Some(session) = &mut link.session else {
                 continue;
@@ -330,6 +353,7 @@
                     your_processors: link.held_processors,
                     overdue,
                     failed_jobs,
+                    speed,
                 },
                 heartbeat: if link.held > 0 {
                     Heartbeat::WithinLease(
--- a/crates/lagoonhill_core/src/agent/mod.rs
+++ b/crates/lagoonhill_core/src/agent/mod.rs
@@ -4,8 +4,10 @@
 mod held_task;
 mod link;
 mod machine;
+mod target_speed;
 
 pub use effect::AgentEffect;
 pub use held_task::{HeldTask, TaskKey, TaskPhase};
 pub use link::{EntryKey, EntryLink};
 pub use machine::{Agent, AgentConfig};
+pub use target_speed::TargetSpeed;
--- a/crates/lagoonhill_core/src/entry/config.rs
+++ b/crates/lagoonhill_core/src/entry/config.rs
@@ -8,6 +8,9 @@
 pub struct EntryConfig {
     /// Where the entry is, and which run of it.
     pub address: EntryAddress,
+    /// Its availability zone, if it is known: nearer workers go before equal
+    /// ones elsewhere.
+    pub zone: Option<AvailabilityZone>,
     /// Session limits.
     pub timing: Timing,
     /// Tasks that an agent is given beyond its slots.
@@ -33,6 +36,7 @@
     pub fn new(address: EntryAddress) -> Self {
         Self {
             address,
+            zone: None,
             timing: Timing::default(),
             look_ahead: 1,
             shares_rules: true,
--- a/crates/lagoonhill_core/src/entry/fleet.rs
+++ b/crates/lagoonhill_core/src/entry/fleet.rs
@@ -5,8 +5,8 @@
 use lagoonhill_types::prelude::*;
 use slotmap::SlotMap;
 
-use super::worker::AVERAGE_SLOWNESS_PERMILLE;
-use super::{Candidate, Needs, Worker, WorkerKey, WorkerState};
+use super::{Candidate, Needs, OthersMean, Worker, WorkerKey, WorkerState};
+use crate::Slowness;
 
 /// The workers that an entry has sessions with.
 #[derive(Debug, Default)]
@@ -145,12 +145,20 @@
         service: &ServiceName,
         needs: &Needs,
         rules: &RuleSet,
+        own_zone: Option<&AvailabilityZone>,
         now: TimestampMs,
     ) -> Vec<Candidate> {
+        let mut mean = OthersMean::default();
+        let reports = self.serving(service);
+        for (reported, age_ms) in reports.filter_map(|worker| worker.reported_others(now)) {
+            mean.add(reported, age_ms);
+        }
         let candidate = |key: &WorkerKey| {
             let worker = self.workers.get(*key)?;
             let is_open = worker.fits(needs) && may_get_task(worker, rules, now);
-            is_open.then(|| worker.candidate(*key, needs)).flatten()
+            let (reported, age_ms) = worker.reported_others(now).filter(|_| is_open)?;
+            let others = mean.believe(reported, age_ms);
+            worker.candidate(*key, needs, others, own_zone)
         };
         self.of_service(service)
             .iter()
@@ -180,13 +188,13 @@
     }
 
     /// Run time on the fastest serving worker of a service relative to the
-    /// average, in thousandths.
-    pub fn least_slowness_permille(&self, service: &ServiceName) -> u32 {
+    /// average.
+    pub fn least_slowness(&self, service: &ServiceName) -> Slowness {
         self.serving(service)
             .filter(|worker| !worker.health.is_quarantined())
-            .map(Worker::slowness_permille)
+            .map(Worker::slowness)
             .min()
-            .unwrap_or(AVERAGE_SLOWNESS_PERMILLE)
+            .unwrap_or(Slowness::AVERAGE)
     }
 
     /// Processors of the service's serving workers together.
--- a/crates/lagoonhill_core/src/entry/machine/admission.rs
+++ b/crates/lagoonhill_core/src/entry/machine/admission.rs
@@ -213,10 +213,13 @@
     ) -> Option<Promise> {
         let order = submission.order.as_ref()?;
         let rule = self.rules().queue(&order.queue)?;
-        let promised_ms = DurationMs(run_time_ms.0 * u64::from(rule.slack_permille) / PERMILLE);
+        let work_ms = self
+            .run_times
+            .promised(&Self::work_kind(submission), run_time_ms);
+        let promised_ms = DurationMs(work_ms.0 * u64::from(rule.slack_permille) / PERMILLE);
         let promised_ms = promised_ms + rule.objective_ms;
-        let slowness = u64::from(self.fleet.least_slowness_permille(&submission.service));
-        let fastest_ms = run_time_ms * slowness / PERMILLE;
+        let slowness = self.fleet.least_slowness(&submission.service);
+        let fastest_ms = slowness.stretch(run_time_ms);
         let latest_start = |due_ms: TimestampMs| due_ms - fastest_ms;
         Some(Promise {
             due_ms: now + promised_ms,
--- a/crates/lagoonhill_core/src/entry/machine/dispatch.rs
+++ b/crates/lagoonhill_core/src/entry/machine/dispatch.rs
@@ -82,9 +82,8 @@
                 blocked.jobs.insert(key);
                 continue;
             }
-            let mut open = self
-                .fleet
-                .candidates(service, &needs, self.rules.rules(), now);
+            let (rules, zone) = (self.rules.rules(), self.config.zone.as_ref());
+            let mut open = self.fleet.candidates(service, &needs, rules, zone, now);
             let all = open.len();
             if let Some(most) = needs.max_per_worker {
                 let job = &self.jobs[key];
@@ -269,6 +268,7 @@
         now: TimestampMs,
     ) {
         let kind = self.kind_of(key);
+        let is_learned = self.run_times.is_learned(&kind);
         let job = &mut self.jobs[key];
         let declared_ms = job.next_estimate_ms();
         let Some(next) = job.send_next(chosen.key) else {
@@ -318,13 +318,15 @@
             recalled: false,
             kept: self.jobs[key].is_kept(),
         };
-        let expected_ms = worker.usual_run_time(expected_ms);
+        let usual_ms = expected_ms;
+        let expected_ms = worker.usual_run_time(usual_ms);
         worker.add_order(task, order);
         worker.session.push(Message::Start(Start {
             task,
             decided_ms: now,
             run_limit_ms,
-            expected_ms,
+            usual_ms,
+            is_learned,
             needs: next.needs,
             run: next.run,
             kept: self.jobs[key].is_kept(),
--- a/crates/lagoonhill_core/src/entry/machine/outcomes.rs
+++ b/crates/lagoonhill_core/src/entry/machine/outcomes.rs
@@ -195,19 +195,18 @@
         };
         match result {
             TaskResult::Done(_) => {
-                // A first run teaches what to expect, not how fast its worker is.
-                let learned_ms = self.run_times.learned(&order.kind, order.declared_ms);
-                let expected_ms = learned_ms.unwrap_or(run_ms);
-                if worker.health.is_quarantined()
-                    && run_ms > worker.usual_run_time(expected_ms) * SLOW_PROBE_FACTOR
+                // What is usual on a worker of average speed: the slow time that
+                // led to the quarantine must not excuse a slow probe.
+                if worker.health.is_quarantined() && run_ms > order.expected_ms * SLOW_PROBE_FACTOR
                 {
                     return worker.health.probe_failed(now);
                 }
-                worker.observe(run_ms, expected_ms);
+                // Otherwise the usual would change with where the work goes, and
+                // with it what the learned speeds mean.
+                let usual_ms = worker.slowness().to_usual(run_ms);
                 self.run_times
-                    .observe(&order.kind, run_ms, order.declared_ms);
+                    .observe(&order.kind, usual_ms, order.declared_ms);
                 if worker.health.succeeded() {
-                    worker.reset_speed();
                     let id = worker.id.clone();
                     self.decide(now, None, None, DecisionKind::Recovered { worker: id });
                 }
--- a/crates/lagoonhill_core/src/entry/mod.rs
+++ b/crates/lagoonhill_core/src/entry/mod.rs
@@ -12,6 +12,7 @@
 mod lanes;
 mod limits;
 mod machine;
+mod others;
 mod placement;
 mod records;
 mod run_times;
@@ -31,6 +32,7 @@
 pub use lanes::{Lane, Lanes, Place};
 pub use limits::{TeamUsage, TokenBucket};
 pub use machine::Entry;
+pub use others::{OthersMean, OthersShare};
 pub use placement::{Candidate, LeastExpectedFinish, Placement, Room, Situation};
 pub use records::{KeyBinding, Record, RecordKey, Records};
 pub use run_times::{RunTimes, WorkKind};
--- a/crates/lagoonhill_core/src/entry/placement.rs
+++ b/crates/lagoonhill_core/src/entry/placement.rs
@@ -1,6 +1,7 @@
 use lagoonhill_types::prelude::*;
 
 use super::WorkerKey;
+use crate::Slowness;
 
 /// A worker as placement sees it.
 #[derive(Clone, Copy, Debug)]
@@ -11,8 +12,10 @@
     pub slots: u16,
     /// Tasks estimated there.
     pub load: u16,
-    /// Its run time relative to the average, in thousandths.
-    pub slowness_permille: u32,
+    /// Its run time relative to the average.
+    pub slowness: Slowness,
+    /// Whether it is in the entry's own availability zone.
+    pub is_near: bool,
     /// Quarantined and due for a probe: gets the next task, and only that.
     pub is_probe: bool,
 }
@@ -26,9 +29,17 @@
         }
     }
 
+    /// Share of the slots that are taken, in thousandths, less the bonus of a
+    /// near worker.
+    fn fullness_permille(&self) -> u32 {
+        let permille = u32::from(self.load) * 1_000 / u32::from(self.slots.max(1));
+        let bonus = if self.is_near { NEAR_BONUS_PERMILLE } else { 0 };
+        permille + NEAR_BONUS_PERMILLE - bonus
+    }
+
     /// Expected time until a task sent now has finished, in microseconds.
     fn expected_finish_us(&self, run_time_ms: DurationMs) -> u64 {
-        let run_us = run_time_ms.0 * u64::from(self.slowness_permille);
+        let run_us = run_time_ms.0 * u64::from(self.slowness.permille);
         let ahead = u64::from((self.load + 1).saturating_sub(self.slots));
         run_us + run_us * ahead / u64::from(self.slots.max(1))
     }
@@ -64,52 +75,97 @@
     fn choose(&mut self, candidates: &[Candidate], situation: Situation) -> Option<usize>;
 }
 
-/// The worker with room that is expected to finish the task first, learned
-/// speeds included.
+/// The emptiest of the workers that end the task safely in time, or, when there
+/// is none or nothing is promised, the one that is expected to end it first.
+///
+/// Load pattern: many entries place at the same time, each with a belief of the
+/// loads that is a moment old. The fastest workers look best to all of them; if
+/// all choose these, tasks wait there beside free slower workers that would
+/// have been in time. The emptiest worker is the one least likely to have
+/// become full meanwhile.
 ///
-/// Expectations closer than an eighth of the run time count as equal; then the
-/// emptier worker is taken, and each in turn among equals, so that several
-/// entries do not all choose the same one.
-#[derive(Debug, Default)]
+/// A worker of the own zone counts as emptier than it is, and one at random is
+/// taken among equals, so that several entries do not all choose the same one.
+#[derive(Debug)]
 pub struct LeastExpectedFinish {
-    turn: usize,
+    random: fastrand::Rng,
+}
+
+impl LeastExpectedFinish {
+    /// A policy that breaks ties by a seed; each entry has its own.
+    pub fn with_seed(seed: u64) -> Self {
+        Self {
+            random: fastrand::Rng::with_seed(seed),
+        }
+    }
 }
 
 /// Steps into which a run time is divided when expectations are compared.
 const STEPS_PER_RUN: u64 = 8;
 
+/// Share of its slots by which a worker of the own zone may be fuller than one
+/// elsewhere and still go before it, in thousandths.
+const NEAR_BONUS_PERMILLE: u32 = 400;
+
+/// Differences of the share of slots taken below this count as none, in
+/// thousandths.
+const FULLNESS_STEP_PERMILLE: u32 = 50;
+
+/// How much longer than expected a task may take and still be safely in time,
+/// in thousandths of the expected time.
+const SAFE_PERMILLE: u64 = 1_300;
+
+/// What makes a worker better than another; less is better.
+type Cost = (bool, u64, u64);
+
+impl Candidate {
+    /// Workers that are safely in time go first, by their fullness; others by
+    /// their expected finish.
+    fn cost(&self, situation: Situation) -> Cost {
+        let step_us = (situation.run_time_ms.0 * 1_000 / STEPS_PER_RUN).max(1);
+        let finish_us = self.expected_finish_us(situation.run_time_ms);
+        let finish_steps = finish_us / step_us;
+        let fullness = u64::from(self.fullness_permille() / FULLNESS_STEP_PERMILLE);
+        let is_safe = situation
+            .within_ms
+            .is_some_and(|within_ms| finish_us * SAFE_PERMILLE / 1_000 <= within_ms.0 * 1_000);
+        if is_safe {
+            (false, fullness, finish_steps)
+        } else {
+            (true, finish_steps, fullness)
+        }
+    }
+
+    /// Whether the task is expected to end in time.
+    fn is_in_time(&self, situation: Situation) -> bool {
+        let finish_us = self.expected_finish_us(situation.run_time_ms);
+        situation
+            .within_ms
+            .is_none_or(|within_ms| finish_us <= within_ms.0 * 1_000)
+    }
+}
+
 impl Placement for LeastExpectedFinish {
     fn choose(&mut self, candidates: &[Candidate], situation: Situation) -> Option<usize> {
         let count = candidates.len();
-        let step_us = (situation.run_time_ms.0 * 1_000 / STEPS_PER_RUN).max(1);
-        self.turn = self.turn.wrapping_add(1);
-        let turn = self.turn;
-        let order = (0..count).map(|offset| (turn.wrapping_add(offset)) % count);
-        let in_time = |candidate: &Candidate| {
-            let finish_us = candidate.expected_finish_us(situation.run_time_ms);
-            situation
-                .within_ms
-                .is_none_or(|within_ms| finish_us <= within_ms.0 * 1_000)
-        };
-        let restricted = situation.within_ms.is_some()
-            && candidates.iter().any(|candidate| {
-                let empty = Candidate {
-                    load: 0,
-                    ..*candidate
-                };
-                in_time(&empty)
-            });
+        if count == 0 {
+            return None;
+        }
+        let first = self.random.usize(..count);
+        let order = (0..count).map(|offset| (first + offset) % count);
+        // If any could be in time when it is empty, the task waits for one.
+        let is_restricted = candidates.iter().any(|candidate| {
+            let empty = Candidate {
+                load: 0,
+                ..*candidate
+            };
+            empty.is_in_time(situation)
+        });
         let open = order.filter(|index| {
             let candidate = &candidates[*index];
-            candidate.has_room(situation.room) && (!restricted || in_time(candidate))
+            candidate.has_room(situation.room)
+                && (!is_restricted || candidate.is_in_time(situation))
         });
-        open.min_by_key(|index| {
-            let candidate = &candidates[*index];
-            let finish_us = candidate.expected_finish_us(situation.run_time_ms);
-            (
-                finish_us / step_us,
-                u32::from(candidate.load) * 1_000 / u32::from(candidate.slots.max(1)),
-            )
-        })
+        open.min_by_key(|index| candidates[*index].cost(situation))
     }
 }
--- a/crates/lagoonhill_core/src/entry/run_times.rs
+++ b/crates/lagoonhill_core/src/entry/run_times.rs
@@ -33,6 +33,10 @@
 /// it, is believed no further.
 const MAX_DECLARED_FACTOR: f64 = 4.0;
 
+/// A promise is made on this part of the learned run time at least, however
+/// short the declared one is.
+const MAX_PROMISE_DIVISOR: u64 = 2;
+
 impl RunTimes {
     /// The expected run time, or `prior_ms` when nothing is known.
     pub fn expected(&self, kind: &WorkKind, prior_ms: DurationMs) -> DurationMs {
@@ -56,8 +60,30 @@
         self.learned(kind, declared_ms).unwrap_or(prior_ms)
     }
 
+    /// The run time that a promise is made on, from the one that is expected.
+    ///
+    /// Runs take longer than their work where many of them are on slow workers.
+    /// Callers don't count that, so where the declared times of the same tasks
+    /// are shorter on average, they are taken, within limits.
+    pub fn promised(&self, kind: &WorkKind, expected_ms: DurationMs) -> DurationMs {
+        let Some(learned) = self.learned.get(kind) else {
+            return expected_ms;
+        };
+        let declared_micros = learned.declared_micros;
+        if declared_micros == 0 || declared_micros >= learned.run_micros {
+            return expected_ms;
+        }
+        let least_micros = learned.run_micros / MAX_PROMISE_DIVISOR;
+        expected_ms * declared_micros.max(least_micros) / learned.run_micros.max(1)
+    }
+
+    /// Whether any task of the kind has finished.
+    pub fn is_learned(&self, kind: &WorkKind) -> bool {
+        self.learned.contains_key(kind)
+    }
+
     /// As [`Self::expected_declared`], or `None` when nothing is known.
-    pub fn learned(&self, kind: &WorkKind, declared_ms: DurationMs) -> Option<DurationMs> {
+    fn learned(&self, kind: &WorkKind, declared_ms: DurationMs) -> Option<DurationMs> {
         let learned = self.learned.get(kind)?;
         if declared_ms == DurationMs::ZERO || learned.declared_micros == 0 {
             return Some(DurationMs(learned.run_micros.div_ceil(1_000)));
--- a/crates/lagoonhill_core/src/entry/worker.rs
+++ b/crates/lagoonhill_core/src/entry/worker.rs
@@ -6,8 +6,8 @@
 use lagoonhill_types::prelude::*;
 use slotmap::new_key_type;
 
-use super::{Candidate, Health, Needs, WorkKind};
-use crate::{Session, overdue_after};
+use super::{Candidate, Health, Needs, OthersShare, WorkKind};
+use crate::{Session, Slowness, believed_slowness, overdue_after};
 
 new_key_type! {
     /// Names one session's worker within an entry. A new session of the same
@@ -72,9 +72,6 @@
 /// Overdue tasks that make an agent's report suspicious.
 const MIN_OVERDUE: u16 = 2;
 
-/// The average speed, in thousandths.
-pub(super) const AVERAGE_SLOWNESS_PERMILLE: u32 = 1_000;
-
 /// An entry's view of one worker, for the length of one session.
 #[derive(Debug)]
 pub struct Worker {
@@ -99,9 +96,6 @@
     pub load: Load,
     /// The heartbeat interval it was told.
     pub told_heartbeat_ms: DurationMs,
-    slowness_permille: u32,
-    /// Run times observed, up to the weight of the past.
-    observed: u64,
 }
 
 impl Worker {
@@ -125,8 +119,6 @@
             health: Health::default(),
             load: Load::default(),
             told_heartbeat_ms: DurationMs::ZERO,
-            slowness_permille: AVERAGE_SLOWNESS_PERMILLE,
-            observed: 0,
         }
     }
 
@@ -140,9 +132,10 @@
         }
     }
 
-    /// Its run time relative to the average, in thousandths.
-    pub fn slowness_permille(&self) -> u32 {
-        self.slowness_permille
+    /// Its run time relative to the average, by the runs of all entries that
+    /// its agent has reported.
+    pub fn slowness(&self) -> Slowness {
+        believed_slowness(self.load.speed)
     }
 
     /// Whether it offers what is needed.
@@ -156,18 +149,23 @@
         })
     }
 
-    /// Resources taken there, as far as this entry knows.
-    fn estimated_use(&self) -> Resources {
-        let others = self
-            .load
-            .total_processors
-            .0
-            .saturating_sub(self.load.your_processors.0);
-        let others = Resources {
-            processors: MilliProcessors(others),
-            ..Resources::default()
-        };
-        others + self.ordered
+    /// What other entries had there by the agent's last report, as a share of
+    /// the target.
+    pub fn reported_others(&self, now: TimestampMs) -> Option<(OthersShare, DurationMs)> {
+        let target = self.target.as_ref()?;
+        let load = &self.load;
+        let share = OthersShare::new(
+            (load.total.saturating_sub(load.yours), target.slots),
+            (
+                MilliProcessors(
+                    load.total_processors
+                        .0
+                        .saturating_sub(load.your_processors.0),
+                ),
+                target.capacity.processors,
+            ),
+        );
+        Some((share, now.since(self.session.last_heard_ms())))
     }
 
     /// Orders without an outcome, by task.
@@ -203,13 +201,21 @@
     /// How many tasks of these needs the target runs at the same time, and how
     /// many of that are taken or waited for: by its slots or by its resources,
     /// whichever leaves less room.
-    fn slots_for(&self, needs: Resources) -> Option<(u16, u16)> {
+    fn slots_for(&self, needs: Resources, others: OthersShare) -> Option<(u16, u16)> {
         let target = self.target.as_ref()?;
-        let by_slots = (target.slots.0, self.estimated_load());
+        let own = u16::try_from(self.orders.len()).unwrap_or(u16::MAX);
+        let by_slots = (
+            target.slots.0,
+            own.saturating_add(others.slots_of(target.slots)),
+        );
         if needs == Resources::default() {
             return Some(by_slots);
         }
-        let used = self.estimated_use();
+        let others = Resources {
+            processors: others.processors_of(target.capacity.processors),
+            ..Resources::default()
+        };
+        let used = others + self.ordered;
         let slots = times(target.capacity, needs);
         let over = (used - target.capacity).processors.0;
         let waiting = over.checked_div(needs.processors.0).unwrap_or(0);
@@ -234,30 +240,38 @@
     }
 
     /// The worker as placement sees it.
-    pub fn candidate(&self, key: WorkerKey, needs: &Needs) -> Option<Candidate> {
-        let (slots, load) = self.slots_for(needs.resources)?;
+    ///
+    /// `others` is what other entries are believed to have there.
+    pub fn candidate(
+        &self,
+        key: WorkerKey,
+        needs: &Needs,
+        others: OthersShare,
+        own_zone: Option<&AvailabilityZone>,
+    ) -> Option<Candidate> {
+        let (slots, load) = self.slots_for(needs.resources, others)?;
         let target = self.target.as_ref()?;
         let is_far = needs
             .near
             .as_ref()
             .is_some_and(|label| !target.labels.contains(label));
-        let slowness_permille = if is_far {
-            self.slowness_permille + self.slowness_permille / 2
-        } else {
-            self.slowness_permille
-        };
+        let mut slowness = self.slowness();
+        if is_far {
+            slowness.permille += slowness.permille / 2;
+        }
         Some(Candidate {
             key,
             slots,
             load,
-            slowness_permille,
+            slowness,
+            is_near: own_zone == Some(&self.zone),
             is_probe: self.health.is_quarantined(),
         })
     }
 
     /// The run time to expect here, from the one on a worker of average speed.
     pub fn usual_run_time(&self, expected_ms: DurationMs) -> DurationMs {
-        expected_ms * u64::from(self.slowness_permille) / u64::from(AVERAGE_SLOWNESS_PERMILLE)
+        self.slowness().stretch(expected_ms)
     }
 
     /// Whether it is full and at least half of our orders take far longer than
@@ -275,7 +289,8 @@
             .map(|order| order.needs)
             .min_by_key(|needs| needs.processors);
         let full = least
-            .and_then(|needs| self.slots_for(needs))
+            .zip(self.reported_others(now))
+            .and_then(|(needs, (others, _))| self.slots_for(needs, others))
             .is_some_and(|(slots, load)| load >= slots);
         full && late_orders >= MIN_STUCK_ORDERS && late_orders * 2 >= self.orders.len()
     }
@@ -297,22 +312,6 @@
             .map(|(task, _)| *task)
             .collect()
     }
-
-    /// Forgets what was learned of its speed while it was slow.
-    pub fn reset_speed(&mut self) {
-        self.slowness_permille = AVERAGE_SLOWNESS_PERMILLE;
-        self.observed = 0;
-    }
-
-    /// Learns the worker's speed from a finished task.
-    pub fn observe(&mut self, run_ms: DurationMs, expected_ms: DurationMs) {
-        const MAX_WEIGHT: u64 = 64;
-        let ratio = (run_ms.0.max(1) * 1_000 / expected_ms.0.max(1)).clamp(50, 20_000);
-        self.observed = (self.observed + 1).min(MAX_WEIGHT);
-        let past = u64::from(self.slowness_permille) * (self.observed - 1);
-        let mean = (past + ratio) / self.observed;
-        self.slowness_permille = u32::try_from(mean).unwrap_or(AVERAGE_SLOWNESS_PERMILLE);
-    }
 }
 
 /// How often `needs` fit into `room`.
--- a/crates/lagoonhill_core/src/lib.rs
+++ b/crates/lagoonhill_core/src/lib.rs
@@ -9,8 +9,10 @@
 pub mod leased;
 mod rules_spread;
 mod session;
+mod slowness;
 mod timing;
 
 pub use rules_spread::RulesSpread;
 pub use session::{FrameHeader, Heartbeat, Session, Verdict};
+pub use slowness::{Slowness, believed_slowness};
 pub use timing::{Timing, on_slow_clock, overdue_after};
--- a/crates/lagoonhill_core/src/timing.rs
+++ b/crates/lagoonhill_core/src/timing.rs
@@ -50,6 +50,36 @@
     span_ms + span_ms / SLOW_CLOCK_DIVISOR
 }
 
+impl Timing {
+    /// Session limits for tasks of 50 ms to a second whose callers wait for two.
+    /// An entry's tasks must have ended when a caller sends its job again, 1,300 ms
+    /// after its connection broke: run lease and hold stay below that together.
+    pub const SUB_SECOND: Self = Self {
+        // Longer than most tasks, so that outcomes carry acknowledgements.
+        ack_delay_ms: DurationMs(300),
+        // The delay above and half of it.
+        retransmit_ms: DurationMs(450),
+        // Three questions before a session has failed; the second on a new
+        // connection.
+        ping_interval_ms: DurationMs(250),
+        session_timeout_ms: DurationMs(750),
+        // Half of the shortest promise of a task of 200 ms.
+        start_lease_ms: DurationMs(400),
+        // With the hold, 300 ms less than a caller waits before it sends again.
+        run_lease_ms: DurationMs(600),
+        // Four looks at a target, each of 100 ms.
+        hold_ms: DurationMs(400),
+        // Lets an idle session be found dead within two seconds.
+        min_heartbeat_ms: DurationMs(500),
+        // Far above the 20 ms of a tick on a busy machine, below the leases.
+        freeze_gap_ms: DurationMs(250),
+        // A restarted agent is back within a few of them.
+        hello_interval_ms: DurationMs(200),
+        // A replaced entry does not come back.
+        forget_entry_ms: DurationMs::from_secs(60),
+    };
+}
+
 impl Default for Timing {
     fn default() -> Self {
         Self {
--- a/crates/lagoonhill_core/tests/agent.rs
+++ b/crates/lagoonhill_core/tests/agent.rs
@@ -156,7 +156,7 @@
     a_target_announced_while_its_agent_greets_gets_work => {
         let mut config = config(1, 1, 10);
         config.network.jitter_ms = 0;
-        let mut world = World::new(&config, |_| LeastExpectedFinish::default());
+        let mut world = World::new(&config, |_| LeastExpectedFinish::with_seed(1));
         let target = world.agent(0).and_then(|agent| agent.target().cloned());
         world.cut(AGENT, ENTRY);
         world.with_agent(0, |agent, now| agent.set_target(None, now));
@@ -291,7 +291,8 @@
         task: TaskId::default(),
         decided_ms: now,
         run_limit_ms: DurationMs(10_000),
-        expected_ms: DurationMs(100),
+        usual_ms: DurationMs(100),
+        is_learned: true,
         needs: Resources::default(),
         run: RunNumber(1),
         kept: false,
--- a/crates/lagoonhill_core/tests/entry.rs
+++ b/crates/lagoonhill_core/tests/entry.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use lagoonhill_core::Slowness;
 use lagoonhill_core::entry::{
     Candidate, Health, JobQueue, LeastExpectedFinish, Placement, Room, Situation, TokenBucket,
     WorkerKey,
@@ -32,7 +33,10 @@
         key,
         slots: 8,
         load,
-        slowness_permille,
+        slowness: Slowness {
+            permille: slowness_permille,
+        },
+        is_near: false,
         is_probe: false,
     }
 }
@@ -48,22 +52,22 @@
 cases! {
     prefers_the_faster_of_two_free_workers => {
         let candidates = [candidate(0, 2_000), candidate(0, 500)];
-        assert_eq!(LeastExpectedFinish::default().choose(&candidates, situation()), Some(1));
+        assert_eq!(LeastExpectedFinish::with_seed(1).choose(&candidates, situation()), Some(1));
     }
 
     uses_a_slow_worker_rather_than_leave_it_idle => {
         let candidates = [candidate(0, 2_000), candidate(9, 1_000)];
-        assert_eq!(LeastExpectedFinish::default().choose(&candidates, situation()), Some(0));
+        assert_eq!(LeastExpectedFinish::with_seed(1).choose(&candidates, situation()), Some(0));
     }
 
     counts_the_tasks_ahead_on_a_busy_worker => {
         let candidates = [candidate(8, 1_000), candidate(0, 1_100)];
-        assert_eq!(LeastExpectedFinish::default().choose(&candidates, situation()), Some(1));
+        assert_eq!(LeastExpectedFinish::with_seed(1).choose(&candidates, situation()), Some(1));
     }
 
     never_chooses_a_worker_without_room => {
         let candidates = [candidate(9, 1_000), candidate(9, 500)];
-        assert_eq!(LeastExpectedFinish::default().choose(&candidates, situation()), None);
+        assert_eq!(LeastExpectedFinish::with_seed(1).choose(&candidates, situation()), None);
     }
 
     a_service_or_team_that_operators_did_not_create_is_refused => {
@@ -313,7 +317,10 @@
 
     a_drained_zone_gets_no_work => {
         let text = format!("{SERVICE}team parents  # tests\nzone zone-0 state=drain  # tests\n");
-        let mut world = with_rules(&text);
+        let mut config = config(1, 2, 1);
+        config.zones = 2;
+        config.rules = RuleSet::new(Revision(1), parse_rules(&text).expect("the rules are valid"));
+        let mut world = world(&config);
         for number in 0..10 {
             world.submit(0, job(&format!("job{number}"), 4, 10));
             world.run_for(100);
--- a/crates/lagoonhill_core/tests/greetings.rs
+++ b/crates/lagoonhill_core/tests/greetings.rs
@@ -33,7 +33,7 @@
             inbox: SocketAddr::from(([127, 0, 0, 1], 1)),
             http: SocketAddr::from(([127, 0, 0, 1], 2)),
         };
-        let placement = LeastExpectedFinish::default();
+        let placement = LeastExpectedFinish::with_seed(1);
         let entry = Entry::new(EntryConfig::new(address), placement, BEGAN);
         let config = AgentConfig {
             incarnation: Incarnation(2),
--- /dev/null
+++ b/crates/lagoonhill_core/tests/large_fleet.rs
@@ -0,0 +1,288 @@
+//! Load patterns of a large fleet: many entries of which each sees a small part
+//! of what happens at each target.
+
+mod support;
+
+use lagoonhill_core::agent::TargetSpeed;
+use lagoonhill_core::entry::{
+    Candidate, LeastExpectedFinish, Needs, OthersMean, OthersShare, Placement, QueueOrder, Room,
+    Situation, Step, Submission, WorkerKey,
+};
+use lagoonhill_core::{Slowness, believed_slowness};
+use lagoonhill_protocol::Speed;
+use lagoonhill_rules::{RuleSet, parse_rules};
+use lagoonhill_standin::{NodeId, TargetModel};
+use lagoonhill_types::prelude::*;
+use support::{TestWorld, average_target, config, is_complete, service, world};
+
+/// Defines one test for each named case.
+macro_rules! cases {
+    ($($name:ident => $body:block)+) => {
+        $(#[test] fn $name() $body)+
+    };
+}
+
+const RULES: &str = "\
+service dispatch deadline=20s run-time=100ms run-limit=20s  # tests
+queue short service=dispatch attempts=4 objective=60ms slack-permille=1600  # tests
+";
+
+/// Tasks that a target of the fleet runs at the same time.
+const ROOM: u32 = 10;
+
+fn fleet(entries: usize, targets: usize, seed: u64) -> TestWorld {
+    let mut config = config(entries, targets, seed);
+    config.slots = 10;
+    config.zones = 5;
+    config.rules = RuleSet::new(
+        Revision(1),
+        parse_rules(RULES).expect("the rules are valid"),
+    );
+    world(&config)
+}
+
+fn job(name: &str, count: u16, run_ms: u64) -> Submission {
+    let payload = |index| Payload::from(format!("{run_ms} {name} {index}").into_bytes());
+    let step = Step {
+        count,
+        after: Vec::new(),
+        needs: Needs::of(Resources {
+            processors: MilliProcessors(6_000),
+            ..Resources::default()
+        }),
+        estimate_ms: DurationMs(run_ms),
+    };
+    Submission {
+        service: service(),
+        team: "short".parse().expect("the name is valid"),
+        deadline_ms: Some(DurationMs(6_000)),
+        run_time_ms: Some(DurationMs(run_ms)),
+        needs: Needs::default(),
+        tasks: (0..count).map(payload).collect(),
+        kept: false,
+        order: Some(QueueOrder {
+            queue: "short".parse().expect("the name is valid"),
+            name: name.parse().expect("the name is valid"),
+            steps: vec![step],
+        }),
+    }
+}
+
+fn candidate(load: u16, permille: u32) -> Candidate {
+    Candidate {
+        key: WorkerKey::default(),
+        slots: 6,
+        load,
+        slowness: Slowness { permille },
+        is_near: false,
+        is_probe: false,
+    }
+}
+
+fn within(within_ms: u64) -> Situation {
+    Situation {
+        run_time_ms: DurationMs(100),
+        room: Room::LookAhead(1),
+        within_ms: Some(DurationMs(within_ms)),
+    }
+}
+
+fn choose(candidates: &[Candidate], situation: Situation) -> Option<usize> {
+    LeastExpectedFinish::with_seed(1).choose(candidates, situation)
+}
+
+fn share(tasks: u16) -> OthersShare {
+    OthersShare::new(
+        (tasks, SlotCount(8)),
+        (
+            MilliProcessors(u32::from(tasks) * 6_000),
+            MilliProcessors(64_000),
+        ),
+    )
+}
+
+fn slowness_after(runs_ms: &[u64]) -> u32 {
+    let mut speed = TargetSpeed::default();
+    for run_ms in runs_ms {
+        speed.observe(DurationMs(*run_ms), DurationMs(100), TimestampMs(0));
+    }
+    believed_slowness(speed.report()).permille
+}
+
+cases! {
+    // Load pattern: a fleet that has just started. All entries know the same of
+    // all targets, which is nothing.
+    entries_that_know_nothing_do_not_all_choose_the_same_targets => {
+        for seed in 0..5 {
+            let mut world = fleet(20, 40, seed);
+            for entry in 0..20 {
+                world.submit(entry, job(&format!("first{entry}"), 4, 100));
+            }
+            world.run_for(1_000);
+            let most = world.starts_at.iter().max().copied().unwrap_or(0);
+            assert!(most <= ROOM, "seed {seed}: {most} of 80 tasks went to one of 40 targets");
+        }
+    }
+
+    // All power lost: agents and entries come back together, with new names.
+    a_fleet_that_begins_again_does_not_herd_either => {
+        let mut config = config(20, 40, 7);
+        config.slots = 10;
+        config.zones = 5;
+        config.rules = RuleSet::new(Revision(1), parse_rules(RULES).expect("the rules are valid"));
+        let mut world = world(&config);
+        for entry in 0..20 {
+            world.submit(entry, job(&format!("before{entry}"), 4, 50));
+        }
+        world.run_for(1_000);
+        for agent in 0..40 {
+            world.restart_agent(agent, &config);
+        }
+        world.run_for(1_000);
+        let before = world.starts_at.clone();
+        for entry in 0..20 {
+            world.submit(entry, job(&format!("after{entry}"), 4, 100));
+        }
+        world.run_for(1_000);
+        let most = world.starts_at.iter().zip(&before).map(|(now, before)| now - before).max();
+        assert!(most.unwrap_or(0) <= ROOM, "{most:?} of 80 tasks went to one of 40 targets");
+    }
+
+    a_free_worker_that_is_in_time_goes_before_a_nearly_full_faster_one => {
+        let candidates = [candidate(5, 700), candidate(0, 1_700)];
+        assert_eq!(choose(&candidates, within(300)), Some(1));
+    }
+
+    a_slower_worker_that_would_be_late_is_left_alone => {
+        let candidates = [candidate(5, 700), candidate(0, 1_700)];
+        assert_eq!(choose(&candidates, within(150)), Some(0));
+    }
+
+    without_a_promise_the_sooner_end_decides => {
+        let candidates = [candidate(5, 700), candidate(0, 1_700)];
+        let situation = Situation { within_ms: None, ..within(0) };
+        assert_eq!(choose(&candidates, situation), Some(0));
+    }
+
+    the_own_zone_goes_first_until_it_is_much_fuller => {
+        let near = |load| Candidate { is_near: true, ..candidate(load, 1_000) };
+        assert_eq!(choose(&[candidate(1, 1_000), near(2)], within(300)), Some(1));
+        assert_eq!(choose(&[candidate(1, 1_000), near(5)], within(300)), Some(0));
+    }
+
+    work_stays_in_its_zone_on_a_calm_day => {
+        let mut world = fleet(10, 30, 3);
+        for number in 0..300 {
+            world.submit(number % 10, job(&format!("calm{number}"), 2, 100));
+            world.run_for(10);
+        }
+        world.run_for(1_000);
+        let starts = u64::from(world.starts_at.iter().sum::<u32>());
+        assert!(world.cross_zone_starts * 20 < starts, "{} of {starts}", world.cross_zone_starts);
+    }
+
+    a_zone_that_is_full_spills_over => {
+        let mut world = fleet(5, 10, 4);
+        for number in 0..10 {
+            world.submit(0, job(&format!("spill{number}"), 4, 400));
+        }
+        world.run_for(150);
+        let started: u32 = world.starts_at.iter().sum();
+        assert_eq!(started, 40, "tasks wait for their own zone's targets beside free ones");
+    }
+
+    // Load pattern: reports that are old. A target that was full a second ago
+    // is as full as any.
+    an_old_report_counts_for_little => {
+        let mut mean = OthersMean::default();
+        for _ in 0..9 {
+            mean.add(share(2), DurationMs(20));
+        }
+        mean.add(share(8), DurationMs(5_000));
+        let slots = SlotCount(8);
+        let old = mean.believe(share(8), DurationMs(5_000)).slots_of(slots);
+        let fresh = mean.believe(share(8), DurationMs(0)).slots_of(slots);
+        assert!(old <= 3, "{old} of 8 slots");
+        assert_eq!(fresh, 8);
+    }
+
+    no_report_at_all_is_believed_to_be_empty => {
+        assert_eq!(OthersMean::default().believe(share(0), DurationMs(0)), share(0));
+    }
+
+    one_lucky_run_does_not_make_a_target_fast => {
+        assert!(slowness_after(&[30]) > 700);
+        assert!(slowness_after(&[30, 150, 90, 110]) > 850);
+    }
+
+    many_runs_show_a_targets_speed => {
+        let slow = slowness_after(&[170; 40]);
+        assert!((1_550..=1_700).contains(&slow), "{slow}");
+    }
+
+    a_report_that_makes_no_sense_is_bounded => {
+        let absurd = Speed { slowness_permille: 0, runs: u16::MAX };
+        assert!(believed_slowness(absurd).permille > 0);
+        let absurd = Speed { slowness_permille: u32::MAX, runs: u16::MAX };
+        assert!(believed_slowness(absurd).permille >= 1_000);
+        assert_eq!(believed_slowness(Speed::default()), Slowness::AVERAGE);
+    }
+
+    a_target_that_was_sick_is_tried_again_when_time_has_passed => {
+        let mut speed = TargetSpeed::default();
+        for _ in 0..40 {
+            speed.observe(DurationMs(800), DurationMs(100), TimestampMs(0));
+        }
+        let sick = believed_slowness(speed.report());
+        for second in 1..=30 {
+            speed.age(TimestampMs(second * 1_000));
+        }
+        let later = believed_slowness(speed.report());
+        assert!(sick.permille > 6_000 && later.permille < 3_000, "{sick:?} {later:?}");
+    }
+
+    // Load pattern: a straggler seen by many. Each entry orders a run there now
+    // and then; none alone could tell.
+    an_entry_that_ordered_nothing_there_knows_a_slow_target => {
+        let slow = TargetModel { slowness_permille: 2_500, ..average_target() };
+        let mut config = config(6, 4, 5);
+        config.targets[0] = slow;
+        config.slots = 10;
+        config.rules = RuleSet::new(Revision(1), parse_rules(RULES).expect("the rules are valid"));
+        let mut world = world(&config);
+        for number in 0..200 {
+            world.submit(number % 5, job(&format!("learn{number}"), 4, 100));
+            world.run_for(15);
+        }
+        world.run_for(3_000);
+        let before = world.starts_at[0];
+        for number in 0..5 {
+            world.submit(5, job(&format!("informed{number}"), 2, 100));
+            world.run_for(300);
+        }
+        assert_eq!(world.starts_at[0], before, "the sixth entry had to find out by itself");
+    }
+
+    // A target's new life may be of another kind.
+    a_new_target_is_not_judged_by_the_old_one => {
+        let mut world = fleet(1, 1, 6);
+        world.set_target(0, TargetModel { slowness_permille: 2_000, ..average_target() });
+        for number in 0..10 {
+            world.submit(0, job(&format!("old{number}"), 1, 50));
+            world.run_for(150);
+        }
+        let target = world.agent(0).and_then(|agent| agent.target().cloned());
+        world.with_agent(0, |agent, now| agent.set_target(None, now));
+        world.with_agent(0, |agent, now| agent.set_target(target, now));
+        let start = world.agent(0).map(|agent| agent.speed());
+        assert_eq!(start, Some(Speed::default()));
+    }
+
+    an_entry_is_never_without_a_target_because_its_zone_has_none => {
+        let mut world = fleet(5, 2, 8);
+        let caller = world.submit(4, job("far", 2, 50));
+        world.run_for(500);
+        assert_eq!(world.zone_of(NodeId::Entry(4)), 4);
+        assert!(is_complete(&world, caller));
+    }
+}
--- a/crates/lagoonhill_core/tests/support/mod.rs
+++ b/crates/lagoonhill_core/tests/support/mod.rs
@@ -43,11 +43,13 @@
     WorldConfig {
         entries,
         targets: vec![average_target(); workers],
+        zones: 1,
         slots: 2,
         service: service(),
         rules: rules(),
         network: Network {
             delay_ms: 1,
+            cross_zone_ms: 0,
             jitter_ms: 1,
             loss_permille: 0,
             repeat_permille: 0,
@@ -60,7 +62,7 @@
 
 /// A world whose agents have all joined.
 pub(crate) fn world(config: &WorldConfig) -> TestWorld {
-    let mut world = World::new(config, |_| LeastExpectedFinish::default());
+    let mut world = World::new(config, |entry| LeastExpectedFinish::with_seed(entry as u64));
     world.run_for(500);
     world
 }
--- a/crates/lagoonhill_entry/src/daemon.rs
+++ b/crates/lagoonhill_entry/src/daemon.rs
@@ -69,19 +69,18 @@
             inbox: settings.advertise.unwrap_or_else(|| inbox.address()),
             http,
         };
-        let config = EntryConfig {
-            look_ahead: settings.look_ahead,
-            shares_rules: settings.shares_rules,
-            timing: settings.timing,
-            ..EntryConfig::new(address)
-        };
+        let config = settings.config(address);
         let ticket_life_ms = config.ticket_life_ms;
         let metrics = Metrics::new();
         let (events, event_queue) = std::sync::mpsc::channel();
         let control = ControlHandle::new(events);
         let (keys_to_bind, key_queue) = mpsc::unbounded_channel();
         let (orders_to_keep, order_queue) = mpsc::unbounded_channel();
-        let entry = Entry::new(config, LeastExpectedFinish::default(), clock.now());
+        let entry = Entry::new(
+            config,
+            LeastExpectedFinish::with_seed(address.incarnation.0),
+            clock.now(),
+        );
         let (rules_sender, rules) = watch::channel(Arc::default());
         let state = Control::new(
             entry,
--- a/crates/lagoonhill_entry/src/settings.rs
+++ b/crates/lagoonhill_entry/src/settings.rs
@@ -1,6 +1,8 @@
 use std::net::SocketAddr;
 
 use lagoonhill_core::Timing;
+use lagoonhill_core::entry::EntryConfig;
+use lagoonhill_protocol::EntryAddress;
 use lagoonhill_types::prelude::*;
 
 /// Settings of an entry.
@@ -8,6 +10,8 @@
 pub struct EntrySettings {
     /// Where callers and other entries send requests.
     pub http: SocketAddr,
+    /// Its availability zone, if it is known.
+    pub zone: Option<AvailabilityZone>,
     /// Where agents send packets.
     pub inbox: SocketAddr,
     /// Where others reach the inbox, if not at its own address.
@@ -33,11 +37,25 @@
     pub timing: Timing,
 }
 
+impl EntrySettings {
+    /// What the decisions are configured with, for an entry at an address.
+    pub(crate) fn config(&self, address: EntryAddress) -> EntryConfig {
+        EntryConfig {
+            zone: self.zone.clone(),
+            look_ahead: self.look_ahead,
+            shares_rules: self.shares_rules,
+            timing: self.timing,
+            ..EntryConfig::new(address)
+        }
+    }
+}
+
 impl Default for EntrySettings {
     fn default() -> Self {
         let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
         Self {
             http: any_port,
+            zone: None,
             inbox: any_port,
             advertise: None,
             platform: None,
--- a/crates/lagoonhill_protocol/src/frame.rs
+++ b/crates/lagoonhill_protocol/src/frame.rs
@@ -3,7 +3,7 @@
 use lagoonhill_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use crate::{Message, SessionId};
+use crate::{Message, SessionId, Speed};
 
 /// The number of a message within one direction of a session, from 1.
 #[derive(
@@ -34,6 +34,8 @@
     pub overdue: u16,
     /// Jobs of which a task has failed since the last task that did not.
     pub failed_jobs: u16,
+    /// How fast the target has run tasks of all entries.
+    pub speed: Speed,
 }
 
 /// One unit of a session: new or repeated messages, with an acknowledgement
--- a/crates/lagoonhill_protocol/src/lib.rs
+++ b/crates/lagoonhill_protocol/src/lib.rs
@@ -12,6 +12,7 @@
 mod outcome;
 mod peers;
 mod session_id;
+mod speed;
 mod start;
 mod target;
 
@@ -23,5 +24,6 @@
 pub use outcome::{NotRunReason, Outcome, TaskResult};
 pub use peers::{PeersAnswer, PeersRequest, RulesDocument};
 pub use session_id::SessionId;
+pub use speed::Speed;
 pub use start::Start;
 pub use target::Target;
--- a/crates/lagoonhill_protocol/src/start.rs
+++ b/crates/lagoonhill_protocol/src/start.rs
@@ -13,8 +13,10 @@
     pub decided_ms: TimestampMs,
     /// How long the target may take.
     pub run_limit_ms: DurationMs,
-    /// How long the run is expected to take on this target.
-    pub expected_ms: DurationMs,
+    /// How long the run is expected to take on a target of average speed.
+    pub usual_ms: DurationMs,
+    /// Whether that is learned from other runs, not only declared.
+    pub is_learned: bool,
     /// What the run takes of the target.
     pub needs: Resources,
     /// Which run of the task this is.
@@ -27,7 +29,7 @@
     pub payload: Payload,
 }
 
-const FIELDS: usize = 9;
+const FIELDS: usize = 10;
 
 impl Serialize for Start {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
@@ -35,7 +37,8 @@
         tuple.serialize_element(&self.task)?;
         tuple.serialize_element(&self.decided_ms)?;
         tuple.serialize_element(&self.run_limit_ms)?;
-        tuple.serialize_element(&self.expected_ms)?;
+        tuple.serialize_element(&self.usual_ms)?;
+        tuple.serialize_element(&self.is_learned)?;
         tuple.serialize_element(&self.needs)?;
         tuple.serialize_element(&self.run)?;
         tuple.serialize_element(&self.kept)?;
@@ -52,22 +55,24 @@
 
     fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(
-            "a start: task, time, run limit, expected run time, needs, run, kept, name, payload",
+            "a start: task, time, run limit, usual run time, whether that is learned, needs, run, \
+             kept, name, payload",
         )
     }
 
     fn visit_seq<A: de::SeqAccess<'de>>(self, mut seq: A) -> Result<Start, A::Error> {
-        let missing = |index| de::Error::invalid_length(index, &"a start of nine fields");
+        let missing = |index| de::Error::invalid_length(index, &"a start of ten fields");
         Ok(Start {
             task: seq.next_element()?.ok_or_else(|| missing(0))?,
             decided_ms: seq.next_element()?.ok_or_else(|| missing(1))?,
             run_limit_ms: seq.next_element()?.ok_or_else(|| missing(2))?,
-            expected_ms: seq.next_element()?.ok_or_else(|| missing(3))?,
-            needs: seq.next_element()?.ok_or_else(|| missing(4))?,
-            run: seq.next_element()?.ok_or_else(|| missing(5))?,
-            kept: seq.next_element()?.ok_or_else(|| missing(6))?,
-            name: seq.next_element()?.ok_or_else(|| missing(7))?,
-            payload: seq.next_element()?.ok_or_else(|| missing(8))?,
+            usual_ms: seq.next_element()?.ok_or_else(|| missing(3))?,
+            is_learned: seq.next_element()?.ok_or_else(|| missing(4))?,
+            needs: seq.next_element()?.ok_or_else(|| missing(5))?,
+            run: seq.next_element()?.ok_or_else(|| missing(6))?,
+            kept: seq.next_element()?.ok_or_else(|| missing(7))?,
+            name: seq.next_element()?.ok_or_else(|| missing(8))?,
+            payload: seq.next_element()?.ok_or_else(|| missing(9))?,
         })
     }
 }
--- a/crates/lagoonhill_protocol/tests/codec.rs
+++ b/crates/lagoonhill_protocol/tests/codec.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use lagoonhill_protocol::{
-    DecodeError, Frame, Load, Message, NotRunReason, Outcome, Packet, Sequence, SessionId, Start,
-    TaskResult, decode, encode,
+    DecodeError, Frame, Load, Message, NotRunReason, Outcome, Packet, Sequence, SessionId, Speed,
+    Start, TaskResult, decode, encode,
 };
 use lagoonhill_types::prelude::*;
 use quickcheck::{Gen, QuickCheck};
@@ -41,6 +41,10 @@
             your_processors: MilliProcessors(8),
             overdue: 9,
             failed_jobs: 10,
+            speed: Speed {
+                slowness_permille: 700,
+                runs: 64,
+            },
         },
         ping: 7,
         messages,
@@ -54,7 +58,8 @@
             task: task(number, index),
             decided_ms: TimestampMs(number),
             run_limit_ms: DurationMs(number),
-            expected_ms: DurationMs(number),
+            usual_ms: DurationMs(number),
+            is_learned: number.is_multiple_of(2),
             needs: Resources {
                 processors: MilliProcessors(u32::from(index)),
                 memory_bytes: ByteCount(number),
--- a/crates/lagoonhill_standin/src/world.rs
+++ b/crates/lagoonhill_standin/src/world.rs
@@ -52,6 +52,8 @@
 pub struct Network {
     /// Shortest one-way time.
     pub delay_ms: u64,
+    /// Added to it between availability zones.
+    pub cross_zone_ms: u64,
     /// Further time, at random; reorders packets.
     pub jitter_ms: u64,
     /// Packets lost, in thousandths.
@@ -190,6 +192,7 @@
     random: fastrand::Rng,
     /// How packets travel.
     pub network: Network,
+    zones: usize,
     entries: Vec<Node<Entry<P>>>,
     agents: Vec<Node<Agent>>,
     targets: Vec<(Target, TargetModel)>,
@@ -225,6 +228,8 @@
     pub started_ms: HashMap<Payload, TimestampMs>,
     /// Starts at each agent's target.
     pub starts_at: Vec<u32>,
+    /// Orders that were started in another zone than their entry's.
+    pub cross_zone_starts: u64,
     /// What callers got.
     pub received: HashMap<CallerId, Vec<Received>>,
     /// Every decision, if kept.
@@ -242,6 +247,8 @@
     pub entries: usize,
     /// Workers' targets, one each.
     pub targets: Vec<TargetModel>,
+    /// Availability zones; entries and agents are dealt over them in turn.
+    pub zones: usize,
     /// Slots of each.
     pub slots: u16,
     /// The service that all of them run.
@@ -266,6 +273,10 @@
     SocketAddr::from(([10, 0, 1, 1], 1_000 + u16::try_from(index).unwrap_or(0)))
 }
 
+fn zone_name(number: usize) -> AvailabilityZone {
+    format!("zone-{number}").parse().expect("the name is valid")
+}
+
 /// What a modelled target answers to a payload.
 pub fn result_of(payload: &Payload) -> Payload {
     let mut result = b"done:".to_vec();
@@ -331,6 +342,7 @@
             queue: BinaryHeap::new(),
             random: fastrand::Rng::with_seed(config.seed),
             network: config.network,
+            zones: config.zones,
             entries: Vec::new(),
             agents: Vec::new(),
             targets: Vec::new(),
@@ -355,6 +367,7 @@
             starts: HashMap::new(),
             started_ms: HashMap::new(),
             starts_at: vec![0; config.targets.len()],
+            cross_zone_starts: 0,
             received: HashMap::new(),
             decisions: Vec::new(),
             keep_decisions: false,
@@ -378,7 +391,7 @@
             http: inbox,
         };
         let skew_ms = self.random.u64(0..50_000);
-        let machine = self.entry_machine(address, config, placement, skew_ms);
+        let machine = self.entry_machine(index, address, config, placement, skew_ms);
         self.entry_addresses.push(address);
         self.addresses.insert(inbox, NodeId::Entry(index));
         self.entries.push(Node::new(machine, skew_ms));
@@ -388,6 +401,7 @@
 
     fn entry_machine(
         &self,
+        index: usize,
         address: EntryAddress,
         config: &WorldConfig,
         placement: P,
@@ -396,6 +410,7 @@
         let mut settings = EntryConfig::new(address);
         settings.look_ahead = config.look_ahead;
         settings.timing = config.timing;
+        settings.zone = Some(zone_name(index % self.zones));
         let now = self.now + DurationMs(skew_ms);
         let mut machine = Entry::new(settings, placement, now);
         machine.install_rules(config.rules.clone(), now);
@@ -436,9 +451,7 @@
             worker: format!("worker-{index}")
                 .parse()
                 .expect("the name is valid"),
-            zone: format!("zone-{}", index % 3)
-                .parse()
-                .expect("the name is valid"),
+            zone: zone_name(index % self.zones),
             inbox: agent_inbox(index),
             overcommit: 8,
             timing: config.timing,
@@ -868,7 +881,7 @@
             return;
         }
         if self.random.u32(0..1_000) < self.network.repeat_permille {
-            let delay_ms = self.delay();
+            let delay_ms = self.delay(from, node);
             self.schedule(
                 delay_ms,
                 Event::Deliver {
@@ -877,12 +890,25 @@
                 },
             );
         }
-        let delay_ms = self.delay();
+        let delay_ms = self.delay(from, node);
         self.schedule(delay_ms, Event::Deliver { to, packet });
     }
 
-    fn delay(&mut self) -> u64 {
-        self.network.delay_ms + self.random.u64(0..=self.network.jitter_ms)
+    /// The availability zone of a process, by position.
+    pub fn zone_of(&self, node: NodeId) -> usize {
+        match node {
+            NodeId::Entry(index) | NodeId::Agent(index) => index % self.zones,
+        }
+    }
+
+    fn delay(&mut self, from: NodeId, to: NodeId) -> u64 {
+        let is_cross = self.zone_of(from) != self.zone_of(to);
+        let zones_ms = if is_cross {
+            self.network.cross_zone_ms
+        } else {
+            0
+        };
+        zones_ms + self.network.delay_ms + self.random.u64(0..=self.network.jitter_ms)
     }
 
     fn count(&mut self, packet: &Packet) {
@@ -921,7 +947,17 @@
                     *self.void.entry(payload).or_default() += 1;
                 }
             }
-            AgentEffect::Run { key, start, .. } => self.run_task(index, key, &start.payload),
+            AgentEffect::Run { key, start, .. } => {
+                let entry = self
+                    .entry_addresses
+                    .iter()
+                    .position(|address| address.incarnation == start.task.job.entry);
+                let is_cross = entry.is_some_and(|entry| {
+                    self.zone_of(NodeId::Entry(entry)) != self.zone_of(NodeId::Agent(index))
+                });
+                self.cross_zone_starts += u64::from(is_cross);
+                self.run_task(index, key, &start.payload);
+            }
             AgentEffect::Stop { key } => {
                 let why = "it was stopped".to_owned();
                 let result = match self.stopped {
