A job that can't be in time behind those that wait is refused when it comes

Cause: an entry divided the fleet's processors by the number of entries, and found out that a job was hopeless only when its time had passed.

Change: an entry measures, for each class, the work that its waiting jobs have been getting, and refuses what would wait for longer than its promise allows. What is admitted keeps its place. Retry-After covers what waits and differs from caller to caller.

--- a/crates/lagoonhill_core/src/entry/job_queue.rs
+++ b/crates/lagoonhill_core/src/entry/job_queue.rs
@@ -55,6 +55,12 @@
         self.classes.values().all(ClassQueue::is_empty)
     }
 
+    /// Whether a job of a class waits.
+    pub fn has_class(&self, class: Class) -> bool {
+        let queue = self.classes.get(&class);
+        queue.is_some_and(|queue| !queue.is_empty())
+    }
+
     /// Adds a job. One that is already there stays.
     pub fn insert(&mut self, class: Class, team: &TeamName, rank_ms: u64, job: JobKey) {
         let queue = self.classes.entry(class).or_default();
--- a/crates/lagoonhill_core/src/entry/lanes.rs
+++ b/crates/lagoonhill_core/src/entry/lanes.rs
@@ -44,6 +44,12 @@
         self.lanes.values().all(JobQueue::is_empty)
     }
 
+    /// Whether a job of a class waits that can be in time.
+    pub fn waits_in_time(&self, class: Class) -> bool {
+        let in_time = self.lanes.get(&Lane::InTime);
+        in_time.is_some_and(|queue| queue.has_class(class))
+    }
+
     /// Adds a job. One that is already there stays.
     pub fn insert(&mut self, lane: Lane, place: &Place) {
         let queue = self.lanes.entry(lane).or_default();
--- a/crates/lagoonhill_core/src/entry/machine/admission.rs
+++ b/crates/lagoonhill_core/src/entry/machine/admission.rs
@@ -81,11 +81,13 @@
     ) {
         let checked = self.check(&submission).and_then(|()| {
             let appraisal = self.appraise(&submission);
+            let promise = self.promise(&submission, appraisal.run_time_ms, now);
+            self.check_promise(&submission, appraisal.class, promise, now)?;
             self.check_load(&submission, &appraisal, now)?;
-            Ok(appraisal)
+            Ok((appraisal, promise))
         });
-        let appraisal = match checked {
-            Ok(appraisal) => appraisal,
+        let (appraisal, promise) = match checked {
+            Ok(checked) => checked,
             Err(failure) => {
                 let key = || record.as_ref().and_then(RecordKey::request);
                 let request = submission.name().or_else(key);
@@ -101,7 +103,6 @@
         } = &submission;
         let (service, team, count) = (service.clone(), team.clone(), tasks.len());
         let run_time_ms = appraisal.run_time_ms;
-        let promise = self.promise(&submission, run_time_ms, now);
         let rank_ms = match promise {
             Some(promise) => promise.latest_start_ms.0,
             None => self.rank(&submission, run_time_ms, now),
--- a/crates/lagoonhill_core/src/entry/machine/dispatch.rs
+++ b/crates/lagoonhill_core/src/entry/machine/dispatch.rs
@@ -1,6 +1,6 @@
 //! Which ready task goes to which worker.
 
-use std::collections::{BTreeSet, HashSet};
+use std::collections::HashSet;
 
 use lagoonhill_protocol::{Message, Start};
 use lagoonhill_rules::Class;
@@ -9,7 +9,7 @@
 use super::{DEFAULT_RUN_TIME_MS, Entry};
 use crate::entry::{
     Candidate, Cause, Charge, DecisionKind, JobKey, Lane, Needs, Order, Placement, Room, Situation,
-    WorkKind,
+    Work, WorkKind,
 };
 
 /// How long a slot of each worker stays free after a job of the rush.
@@ -19,9 +19,6 @@
 /// waits for the next outcome.
 const MAX_BLOCKED_LOOKS: usize = 64;
 
-/// Shortest pause proposed to a caller whose job came too late.
-const MIN_RETRY_MS: DurationMs = DurationMs(200);
-
 /// What found no worker in the present round.
 #[derive(Debug, Default)]
 struct Blocked {
@@ -64,6 +61,10 @@
         for service in services {
             self.dispatch(&service, now);
         }
+        for ((service, class), throughput) in &mut self.throughput {
+            let queue = self.queues.get(service);
+            throughput.set_waiting(queue.is_some_and(|queue| queue.waits_in_time(*class)), now);
+        }
     }
 
     /// Places ready tasks of a service while workers have room.
@@ -122,63 +123,38 @@
         }
     }
 
-    /// Moves jobs that can't keep their promise any more behind those that
-    /// can, and refuses those that have not begun and would be of no use.
+    /// Refuses waiting jobs of which even a late answer would be of no use, and
+    /// moves those that have begun behind all others.
+    ///
+    /// A job that was admitted to be in time keeps its place when it is not: it
+    /// is the next, and admission keeps the queue short enough for it.
     fn triage(&mut self, service: &ServiceName, now: TimestampMs) {
         let Some(lanes) = self.queues.get_mut(service) else {
             return;
         };
-        let mut demoted = Vec::new();
+        let mut useless = lanes.passed(Lane::Late, now);
         for key in lanes.passed(Lane::InTime, now) {
             let job = &mut self.jobs[key];
-            let Some(promise) = job.promise else {
+            let Some(promise) = job.promise.filter(|promise| promise.useless_start_ms < now) else {
                 continue;
             };
             lanes.remove(Lane::InTime, &job.place(key));
             job.lane = Lane::Late;
             job.rank_ms = promise.useless_start_ms.0;
             lanes.insert(Lane::Late, &job.place(key));
-            demoted.push(key);
+            useless.push(key);
         }
-        let overdue = lanes.passed(Lane::Late, now);
-        if demoted.is_empty() && overdue.is_empty() {
+        useless.retain(|key| !self.jobs[*key].has_started() && !self.jobs[*key].is_kept());
+        if useless.is_empty() {
             return;
         }
-        // All that waits is served before a job that has just become late.
-        let wait_ms = self.backlog(service);
-        let hopeless = demoted
-            .into_iter()
-            .filter(|key| now.0 + wait_ms.0 > self.jobs[*key].rank_ms);
-        let refused: BTreeSet<JobKey> = hopeless
-            .chain(overdue)
-            .filter(|key| !self.jobs[*key].has_started() && !self.jobs[*key].is_kept())
-            .collect();
-        for key in refused {
-            let retry_ms = wait_ms.max(MIN_RETRY_MS);
+        for key in useless {
+            let wait_ms = now.since(self.jobs[key].plan.accepted_ms);
+            let retry_ms = self.retry_after(wait_ms);
             self.fail_job_for_now(key, Cause::Backlog { wait_ms }, retry_ms, now);
         }
     }
 
-    /// How long this entry's share of the service needs for all that waits.
-    fn backlog(&self, service: &ServiceName) -> DurationMs {
-        let waiting = self
-            .jobs
-            .iter()
-            .filter(|(_, job)| job.plan.service == *service && job.ready_count() > 0);
-        let work: u64 = waiting
-            .map(|(key, job)| {
-                let needs = job
-                    .next_needs()
-                    .map_or(0, |needs| needs.resources.processors.0);
-                let run_ms = self.next_run_time(key).0;
-                job.ready_count() as u64 * run_ms * u64::from(needs)
-            })
-            .sum();
-        let entries = self.entries.len().max(1) as u64;
-        let share = self.fleet.processors(service) / entries;
-        DurationMs(work.checked_div(share).unwrap_or(0))
-    }
-
     fn next_job(
         &self,
         service: &ServiceName,
@@ -226,7 +202,7 @@
 
     /// Expected run time of a job's next ready task on a worker of average
     /// speed.
-    fn next_run_time(&self, key: JobKey) -> DurationMs {
+    pub(super) fn next_run_time(&self, key: JobKey) -> DurationMs {
         let kind = self.kind_of(key);
         let prior_ms = self.prior_run_time(&kind.service);
         let declared_ms = self.jobs[key].next_estimate_ms();
@@ -319,6 +295,11 @@
             kept: self.jobs[key].is_kept(),
         };
         let usual_ms = expected_ms;
+        let work = Work::of(1, usual_ms, next.needs.processors);
+        self.throughput
+            .entry((service.clone(), class))
+            .or_default()
+            .placed(work, now);
         let expected_ms = worker.usual_run_time(usual_ms);
         worker.add_order(task, order);
         worker.session.push(Message::Start(Start {
--- a/crates/lagoonhill_core/src/entry/machine/mod.rs
+++ b/crates/lagoonhill_core/src/entry/machine/mod.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod dispatch;
 mod endings;
+mod forecast;
 mod keeping;
 mod outcomes;
 mod sessions;
@@ -19,7 +20,7 @@
 
 use super::{
     CallerId, Decision, DecisionKind, EntryConfig, EntryEffect, EntryStatus, Fleet, Job, JobKey,
-    Lanes, Placement, Records, RunTimes, TeamUsage, Worker, WorkerKey, WorkerStatus,
+    Lanes, Placement, Records, RunTimes, TeamUsage, Throughput, Worker, WorkerKey, WorkerStatus,
 };
 use crate::{FrameHeader, Heartbeat, RulesSpread, Verdict};
 
@@ -59,6 +60,7 @@
     /// When each service last got a job of the most urgent class.
     last_rush_ms: HashMap<ServiceName, TimestampMs>,
     run_times: RunTimes,
+    throughput: HashMap<(ServiceName, Class), Throughput>,
     records: Records,
     entries: BTreeSet<EntryAddress>,
     next_number: u64,
@@ -92,6 +94,7 @@
             usage: HashMap::new(),
             last_rush_ms: HashMap::new(),
             run_times: RunTimes::default(),
+            throughput: HashMap::new(),
             records: Records::default(),
             entries,
             next_number: 1,
--- a/crates/lagoonhill_core/src/entry/mod.rs
+++ b/crates/lagoonhill_core/src/entry/mod.rs
@@ -18,6 +18,8 @@
 mod run_times;
 mod status;
 mod submission;
+mod throughput;
+mod work;
 mod worker;
 
 pub use answer::{Answer, Cause, JobFailure, RunCertainty};
@@ -38,4 +40,6 @@
 pub use run_times::{RunTimes, WorkKind};
 pub use status::{EntryStatus, WorkerStatus};
 pub use submission::{CallerId, Needs, QueueOrder, Step, Submission};
+pub use throughput::Throughput;
+pub use work::Work;
 pub use worker::{Order, Worker, WorkerKey, WorkerState};
--- /dev/null
+++ b/crates/lagoonhill_core/src/entry/work.rs
@@ -0,0 +1,42 @@
+use std::iter::Sum;
+use std::ops::Add;
+
+use lagoonhill_types::prelude::*;
+
+const MS_PER_S: u64 = 1_000;
+
+/// Processor time, in thousandths of a processor for a millisecond.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Work(pub u64);
+
+impl Work {
+    /// Tasks that take as long and as many processors each.
+    pub fn of(tasks: usize, run_ms: DurationMs, processors: MilliProcessors) -> Self {
+        Self(tasks as u64 * run_ms.0 * u64::from(processors.0))
+    }
+
+    /// The work of a second, at the rate of this work in a span.
+    #[must_use]
+    pub fn per_s(self, span_ms: DurationMs) -> Self {
+        Self(self.0 * MS_PER_S / span_ms.0.max(1))
+    }
+
+    /// How long it takes at a rate; `None` when nothing is done at all.
+    pub fn time_at(self, per_s: Self) -> Option<DurationMs> {
+        (self.0 * MS_PER_S).checked_div(per_s.0).map(DurationMs)
+    }
+}
+
+impl Add for Work {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+}
+
+impl Sum for Work {
+    fn sum<I: Iterator<Item = Self>>(works: I) -> Self {
+        works.fold(Self::default(), Add::add)
+    }
+}
--- /dev/null
+++ b/crates/lagoonhill_core/tests/floods.rs
@@ -0,0 +1,247 @@
+//! Load patterns of floods: who is refused, when, and what the others get.
+
+mod support;
+
+use lagoonhill_core::entry::{
+    CallerId, Needs, QueueOrder, RunCertainty, Step, Submission, Throughput, Work,
+};
+use lagoonhill_rules::{RuleSet, parse_rules};
+use lagoonhill_standin::NodeId;
+use lagoonhill_types::prelude::*;
+use support::{TestWorld, config, service, world};
+
+/// Defines one test for each named case.
+macro_rules! cases {
+    ($($name:ident => $body:block)+) => {
+        $(#[test] fn $name() $body)+
+    };
+}
+
+const RULES: &str = "\
+service dispatch deadline=20s run-time=100ms run-limit=20s  # tests
+queue short service=dispatch class=rush attempts=4 objective=60ms slack-permille=1600  # tests
+queue middle service=dispatch class=standard attempts=4 objective=60ms slack-permille=1600  # tests
+queue long service=dispatch class=office attempts=4 objective=60ms slack-permille=1600  # tests
+";
+
+/// A refusal that takes longer has kept its caller waiting.
+const MAX_REFUSAL_MS: u64 = 100;
+
+fn fleet(entries: usize, targets: usize, seed: u64) -> TestWorld {
+    let mut config = config(entries, targets, seed);
+    config.slots = 10;
+    config.rules = RuleSet::new(
+        Revision(1),
+        parse_rules(RULES).expect("the rules are valid"),
+    );
+    world(&config)
+}
+
+fn job(queue: &str, name: &str, run_ms: u64) -> Submission {
+    wide_job(queue, name, 1, run_ms)
+}
+
+fn wide_job(queue: &str, name: &str, count: u16, run_ms: u64) -> Submission {
+    let payload = |index| Payload::from(format!("{run_ms} {name} {index}").into_bytes());
+    let step = Step {
+        count,
+        after: Vec::new(),
+        needs: Needs::of(Resources {
+            processors: MilliProcessors(6_400),
+            ..Resources::default()
+        }),
+        estimate_ms: DurationMs(run_ms),
+    };
+    Submission {
+        service: service(),
+        team: queue.parse().expect("the name is valid"),
+        deadline_ms: Some(DurationMs(6_000)),
+        run_time_ms: Some(DurationMs(run_ms)),
+        needs: Needs::default(),
+        tasks: (0..count).map(payload).collect(),
+        kept: false,
+        order: Some(QueueOrder {
+            queue: queue.parse().expect("the name is valid"),
+            name: name.parse().expect("the name is valid"),
+            steps: vec![step],
+        }),
+    }
+}
+
+/// What became of the callers of a flood.
+#[derive(Debug, Default)]
+struct Tally {
+    asked: usize,
+    in_time: usize,
+    answered: usize,
+    refused: usize,
+    slowest_refusal_ms: u64,
+    retries_ms: Vec<u64>,
+}
+
+fn tally(world: &TestWorld, callers: &[(CallerId, TimestampMs)], limit_ms: u64) -> Tally {
+    let mut tally = Tally {
+        asked: callers.len(),
+        ..Tally::default()
+    };
+    for (caller, asked_ms) in callers {
+        let Some(received) = world.received.get(caller).and_then(|all| all.first()) else {
+            continue;
+        };
+        let taken_ms = received.at_ms.since(*asked_ms).0;
+        match &received.answer.outcome {
+            Ok(_) => {
+                tally.answered += 1;
+                tally.in_time += usize::from(taken_ms <= limit_ms);
+            }
+            Err(failure) => {
+                assert_eq!(failure.run, RunCertainty::NotRun, "{failure:?}");
+                tally.refused += 1;
+                tally.slowest_refusal_ms = tally.slowest_refusal_ms.max(taken_ms);
+                tally
+                    .retries_ms
+                    .extend(failure.retry_after_ms.map(|retry_ms| retry_ms.0));
+            }
+        }
+    }
+    tally
+}
+
+/// Lets an entry learn what its jobs are like.
+fn warm_up(world: &mut TestWorld, entries: usize, queue: &str, run_ms: u64) {
+    for number in 0..20 {
+        world.submit(
+            number % entries,
+            job(queue, &format!("{queue}-warm{number}"), run_ms),
+        );
+        world.run_for(run_ms / 2);
+    }
+    world.run_for(run_ms * 4);
+}
+
+fn second(text: u64) -> TimestampMs {
+    TimestampMs(text * 1_000)
+}
+
+cases! {
+    // Load pattern: twice the capacity for two seconds.
+    a_flood_is_refused_when_it_comes_and_the_rest_is_in_time => {
+        let mut world = fleet(2, 2, 1);
+        warm_up(&mut world, 2, "short", 100);
+        let mut callers = Vec::new();
+        for number in 0..800 {
+            let asked_ms = world.now();
+            let caller = world.submit(number % 2, job("short", &format!("flood{number}"), 100));
+            callers.push((caller, asked_ms));
+            world.run_for(if number % 2 == 0 { 2 } else { 3 });
+        }
+        world.run_for(2_000);
+        let tally = tally(&world, &callers, 220);
+        assert!(tally.slowest_refusal_ms <= MAX_REFUSAL_MS, "{tally:?}");
+        // Half of the flood fits.
+        assert!(tally.in_time * 100 >= tally.asked * 45, "{tally:?}");
+        assert!(tally.in_time * 100 >= tally.answered * 95, "{tally:?}");
+    }
+
+    // Load pattern: callers that keep their connections, most of them to one
+    // entry. It needs more than an even share, and the fleet has it.
+    an_entry_with_most_of_the_callers_gets_most_of_the_fleet => {
+        let mut world = fleet(5, 4, 2);
+        warm_up(&mut world, 5, "short", 100);
+        let mut callers = Vec::new();
+        for number in 0..1_200 {
+            let entry = if number % 10 < 8 { 0 } else { 1 + number % 4 };
+            let asked_ms = world.now();
+            let caller = world.submit(entry, job("short", &format!("skewed{number}"), 100));
+            callers.push((caller, asked_ms));
+            world.run_for(3);
+        }
+        world.run_for(2_000);
+        let tally = tally(&world, &callers, 220);
+        assert_eq!(tally.refused, 0, "{tally:?}");
+        assert!(tally.in_time * 100 >= tally.asked * 98, "{tally:?}");
+    }
+
+    // Load pattern: a flood of jobs of which some are several times as wide.
+    wide_jobs_are_served_at_least_half_as_often_as_all => {
+        let mut world = fleet(2, 4, 3);
+        warm_up(&mut world, 2, "short", 100);
+        let (mut all, mut wide) = (Vec::new(), Vec::new());
+        for number in 0..1_000 {
+            let is_wide = number % 10 == 0;
+            let width = if is_wide { 6 } else { 1 };
+            let asked_ms = world.now();
+            let name = format!("mixed{number}");
+            let caller = world.submit(number % 2, wide_job("short", &name, width, 100));
+            all.push((caller, asked_ms));
+            if is_wide {
+                wide.push((caller, asked_ms));
+            }
+            world.run_for(2);
+        }
+        world.run_for(3_000);
+        let (all, wide) = (tally(&world, &all, 220), tally(&world, &wide, 220));
+        assert!(all.refused > 100, "no flood: {all:?}");
+        let share = |tally: &Tally| tally.answered as f64 / tally.asked as f64;
+        assert!(share(&wide) >= share(&all) / 2.0, "{} {}", share(&wide), share(&all));
+    }
+
+    // A caller's pause covers what waits, and not all come back together.
+    refused_callers_are_asked_to_come_back_at_different_times => {
+        let mut world = fleet(1, 1, 4);
+        warm_up(&mut world, 1, "short", 100);
+        let mut callers = Vec::new();
+        for number in 0..300 {
+            let asked_ms = world.now();
+            callers.push((world.submit(0, job("short", &format!("back{number}"), 100)), asked_ms));
+            world.run_for(3);
+        }
+        world.run_for(2_000);
+        let mut tally = tally(&world, &callers, 220);
+        assert!(tally.retries_ms.len() > 50, "{tally:?}");
+        tally.retries_ms.sort_unstable();
+        tally.retries_ms.dedup();
+        assert!(tally.retries_ms.len() >= 10, "{:?}", tally.retries_ms);
+    }
+
+    // An entry that is cut off from every target can't serve anybody.
+    an_entry_without_a_reachable_target_refuses_at_once => {
+        let mut world = fleet(2, 3, 5);
+        warm_up(&mut world, 2, "short", 100);
+        for agent in 0..3 {
+            world.cut(NodeId::Entry(0), NodeId::Agent(agent));
+        }
+        world.run_for(20_000);
+        let mut callers = Vec::new();
+        for number in 0..20 {
+            let asked_ms = world.now();
+            callers.push((world.submit(0, job("short", &format!("cut{number}"), 100)), asked_ms));
+            world.run_for(20);
+        }
+        world.run_for(1_000);
+        let tally = tally(&world, &callers, 220);
+        assert_eq!(tally.refused, tally.asked, "{tally:?}");
+        assert!(tally.slowest_refusal_ms <= MAX_REFUSAL_MS, "{tally:?}");
+    }
+
+    a_rate_is_known_only_after_jobs_have_waited => {
+        let mut throughput = Throughput::default();
+        throughput.placed(Work(1_000), second(1));
+        assert_eq!(throughput.placed_per_s(second(1)), None);
+        throughput.set_waiting(true, second(1));
+        assert_eq!(throughput.placed_per_s(second(1) + DurationMs(20)), None);
+        let after = second(1) + DurationMs(100);
+        throughput.placed(Work(1_000), after);
+        assert_eq!(throughput.placed_per_s(after), Some(Work(20_000)));
+        throughput.set_waiting(false, after);
+        assert_eq!(throughput.placed_per_s(after), None);
+    }
+
+    a_rate_forgets_what_is_long_past => {
+        let mut throughput = Throughput::default();
+        throughput.set_waiting(true, second(1));
+        throughput.placed(Work(1_000_000), second(1));
+        throughput.placed(Work(500), second(9));
+        assert_eq!(throughput.placed_per_s(second(9)), Some(Work(1_000)));
+    }
+}
