Entries gossip heartbeats with a few others a round

Cause: each entry asked every other in turn every 2 s, up to 1 s for each that was silent; with six of 35 cut off a round took 8 s of the 15 s after which a live entry counts as gone, and the bytes of an entry grew with the square of their number.

Change: three random live peers and one silent one are asked in parallel; a message tells of at most 16 others, one in five rounds of all. A heartbeat that rises shows a live entry by whichever way it came; good-byes are remembered.

Found by its tests first: a dead entry came back when one that had forgotten it was told of it again; with 200 entries a few pairs never heard of each other.

--- a/crates/lagoonhill_agent/src/discovery.rs
+++ b/crates/lagoonhill_agent/src/discovery.rs
@@ -92,7 +92,8 @@
 
 async fn ask_balancer(http: &HttpClient, balancer: SocketAddr) -> Option<PeersAnswer> {
     let request = PeersRequest {
-        entry: None,
+        beats: Vec::new(),
+        wants_all: false,
         revision: Revision(0),
     };
     let body = serde_json::to_vec(&request).ok()?;
--- a/crates/lagoonhill_core/src/entry/machine/forecast.rs
+++ b/crates/lagoonhill_core/src/entry/machine/forecast.rs
@@ -17,6 +17,9 @@
 /// hundredths: a job that was admitted should not be refused later.
 const SAFE_PERCENT: u64 = 125;
 
+/// A worker with so many free slots by a belief that is a moment old is free.
+const SURELY_FREE_SLOTS: u16 = 2;
+
 /// Shortest and longest pause proposed to a caller.
 const MIN_RETRY_MS: DurationMs = DurationMs(200);
 const MAX_RETRY_MS: DurationMs = DurationMs(5_000);
@@ -39,7 +42,7 @@
         };
         let service = &submission.service;
         let waiting = self.class_waiting(service, class);
-        if waiting == Work::default() {
+        if waiting == Work::default() || self.has_free_worker(submission, now) {
             return Ok(());
         }
         let own = Self::first_work(submission);
@@ -55,6 +58,23 @@
         ))
     }
 
+    /// Whether a worker is believed to be free for a task of the submission. Jobs
+    /// may wait beside it for one that is fast enough for them.
+    fn has_free_worker(&self, submission: &Submission, now: TimestampMs) -> bool {
+        let steps = submission.steps();
+        let Some(step) = steps.first() else {
+            return false;
+        };
+        let (rules, zone) = (self.rules.rules(), self.config.zone.as_ref());
+        let service = &submission.service;
+        let candidates = self
+            .fleet
+            .candidates(service, &step.needs, rules, zone, now);
+        candidates
+            .iter()
+            .any(|candidate| candidate.load + SURELY_FREE_SLOTS <= candidate.slots)
+    }
+
     /// When a refused caller may come back: when what waits now has been
     /// served, each caller a little later than the one before.
     pub(super) fn retry_after(&self, wait_ms: DurationMs) -> DurationMs {
--- a/crates/lagoonhill_core/src/lib.rs
+++ b/crates/lagoonhill_core/src/lib.rs
@@ -7,11 +7,13 @@
 pub mod agent;
 pub mod entry;
 pub mod leased;
+mod membership;
 mod rules_spread;
 mod session;
 mod slowness;
 mod timing;
 
+pub use membership::{Exchange, Membership};
 pub use rules_spread::RulesSpread;
 pub use session::{FrameHeader, Heartbeat, Session, Verdict};
 pub use slowness::{Slowness, believed_slowness};
--- a/crates/lagoonhill_core/tests/large_fleet.rs
+++ b/crates/lagoonhill_core/tests/large_fleet.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use lagoonhill_core::agent::TargetSpeed;
+use lagoonhill_core::agent::{Agent, TargetSpeed};
 use lagoonhill_core::entry::{
     Candidate, LeastExpectedFinish, Needs, OthersMean, OthersShare, Placement, QueueOrder, Room,
     Situation, Step, Submission, WorkerKey,
@@ -274,8 +274,8 @@
         let target = world.agent(0).and_then(|agent| agent.target().cloned());
         world.with_agent(0, |agent, now| agent.set_target(None, now));
         world.with_agent(0, |agent, now| agent.set_target(target, now));
-        let start = world.agent(0).map(|agent| agent.speed());
-        assert_eq!(start, Some(Speed::default()));
+        let speed = world.agent(0).map(Agent::speed);
+        assert_eq!(speed, Some(Speed::default()));
     }
 
     an_entry_is_never_without_a_target_because_its_zone_has_none => {
--- a/crates/lagoonhill_entry/src/api.rs
+++ b/crates/lagoonhill_entry/src/api.rs
@@ -419,8 +419,9 @@
 async fn post_peers(state: &ApiState, request: Request<Incoming>) -> Result<Reply, Problem> {
     let body = read_body(request.into_body(), state.max_body_bytes.0).await?;
     let asked: PeersRequest = parse_body(&body)?;
-    if let Some(entry) = asked.entry {
-        state.peers.heard(entry);
+    let is_entry = !asked.beats.is_empty();
+    if is_entry {
+        state.peers.learn(&asked.beats);
         state
             .control
             .tell(ControlEvent::Entries(state.peers.live()));
@@ -428,8 +429,14 @@
     let rules = state.control.ask(ControlEvent::CurrentRules).await;
     let rules = rules.map_err(|error| stopped(&error))?;
     let newer = rules.revision > asked.revision;
+    let (entries, beats) = if is_entry {
+        (Vec::new(), state.peers.digest(asked.wants_all))
+    } else {
+        (state.peers.live(), Vec::new())
+    };
     Ok(json(&PeersAnswer {
-        entries: state.peers.live(),
+        entries,
+        beats,
         rules: newer.then(|| RulesDocument::new(&rules)),
     }))
 }
--- a/crates/lagoonhill_entry/src/daemon.rs
+++ b/crates/lagoonhill_entry/src/daemon.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use lagoonhill_core::entry::{Entry, EntryConfig, LeastExpectedFinish};
+use lagoonhill_core::entry::{Entry, LeastExpectedFinish};
 use lagoonhill_daemon::{StartError, listen, spawn_control};
 use lagoonhill_http::{HttpClient, serve};
 use lagoonhill_link::{Inbox, InboxHandle, TcpLink};
@@ -203,6 +203,7 @@
                 self.settings.drain_limit_ms
             );
         }
+        self.state.peers.leave();
         self.keeping.requests.leave().await;
         self.control.tell(ControlEvent::Depart);
         sleep(GOODBYE).await;
--- a/crates/lagoonhill_entry/src/peers.rs
+++ b/crates/lagoonhill_entry/src/peers.rs
@@ -1,13 +1,14 @@
-use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use hyper::Method;
+use lagoonhill_core::{Exchange, Membership};
 use lagoonhill_http::HttpClient;
 use lagoonhill_platform::Store;
-use lagoonhill_protocol::{EntryAddress, PeersAnswer, PeersRequest};
+use lagoonhill_protocol::{EntryAddress, MemberBeat, PeersAnswer, PeersRequest};
 use lagoonhill_types::prelude::*;
 use log::debug;
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 use crate::announcement::Announcement;
@@ -17,39 +18,32 @@
 /// Time between two exchanges with the other entries.
 const EXCHANGE: Duration = Duration::from_secs(2);
 
-/// Silence after which another entry no longer counts as live.
-const DEAD_AFTER: DurationMs = DurationMs::from_secs(15);
-
 const CALL_LIMIT: Duration = Duration::from_secs(1);
 
-/// The other entries, by what they last answered.
+/// The other entries, shared between the exchange and the answers to others.
 ///
 /// The platform and the balancer only make entries known; whether one is live
-/// is what it answers, so a lapsed lease or an outage removes nobody.
+/// is what it says of itself, so a lapsed lease or an outage removes nobody.
 #[derive(Clone, Debug)]
 pub(crate) struct Peers {
-    address: EntryAddress,
     clock: Clock,
-    known: Arc<Mutex<HashMap<Incarnation, Known>>>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Known {
     address: EntryAddress,
-    heard_ms: TimestampMs,
+    membership: Arc<Mutex<Membership>>,
 }
 
 impl Peers {
     pub(crate) fn new(address: EntryAddress, clock: Clock) -> Self {
         Self {
-            address,
             clock,
-            known: Arc::default(),
+            address,
+            membership: Arc::new(Mutex::new(Membership::new(address, clock.now()))),
         }
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<Incarnation, Known>> {
-        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> std::sync::MutexGuard<'_, Membership> {
+        self.membership
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     pub(crate) fn now(&self) -> TimestampMs {
@@ -61,46 +55,33 @@
         self.address
     }
 
-    /// An entry introduced itself, or answered.
-    pub(crate) fn heard(&self, address: EntryAddress) {
-        if address.incarnation != self.address.incarnation {
-            let known = Known {
-                address,
-                heard_ms: self.clock.now(),
-            };
-            self.lock().insert(address.incarnation, known);
-        }
+    /// The platform or the balancer named an entry.
+    pub(crate) fn named(&self, address: EntryAddress) {
+        self.lock().name(address, self.clock.now());
     }
 
-    /// Others named an entry; it gets the benefit of the doubt once.
-    pub(crate) fn named(&self, address: EntryAddress) {
-        if address.incarnation != self.address.incarnation {
-            let known = Known {
-                address,
-                heard_ms: self.clock.now(),
-            };
-            self.lock().entry(address.incarnation).or_insert(known);
-        }
+    /// Another entry told what it knows.
+    pub(crate) fn learn(&self, beats: &[MemberBeat]) {
+        self.lock().learn(beats, self.clock.now());
+    }
+
+    /// What to tell another entry.
+    pub(crate) fn digest(&self, is_full: bool) -> Vec<MemberBeat> {
+        self.lock().digest(is_full, self.clock.now())
     }
 
     /// Every live entry, this one included.
     pub(crate) fn live(&self) -> Vec<EntryAddress> {
-        let now = self.clock.now();
-        let fresh = |known: &&Known| now.since(known.heard_ms) < DEAD_AFTER;
-        let others: Vec<EntryAddress> = self
-            .lock()
-            .values()
-            .filter(fresh)
-            .map(|known| known.address)
-            .collect();
-        others.into_iter().chain([self.address]).collect()
+        self.lock().live(self.clock.now())
     }
 
-    fn known(&self) -> Vec<EntryAddress> {
-        let now = self.clock.now();
-        let mut known = self.lock();
-        known.retain(|_, entry| now.since(entry.heard_ms) < DEAD_AFTER * 4);
-        known.values().map(|entry| entry.address).collect()
+    fn begin_round(&self) -> Vec<Exchange> {
+        self.lock().begin_round(self.clock.now())
+    }
+
+    /// Says in all further messages that this entry leaves.
+    pub(crate) fn leave(&self) {
+        self.lock().leave();
     }
 }
 
@@ -117,15 +98,17 @@
         if let Some(store) = &store {
             announcement.refresh(store, &peers).await;
         }
-        let others: Vec<std::net::SocketAddr> = peers
-            .known()
-            .iter()
-            .map(|entry| entry.http)
+        let others = peers.begin_round();
+        let others = others.iter().map(|other| (other.with.http, other.is_full));
+        let balancer = balancer.map(|address| (address, false));
+        let mut asked: JoinSet<()> = others
             .chain(balancer)
+            .map(|(address, is_full)| {
+                let (http, peers, control) = (http.clone(), peers.clone(), control.clone());
+                async move { ask(&http, address, is_full, &peers, &control).await }
+            })
             .collect();
-        for address in others {
-            ask(&http, address, &peers, &control).await;
-        }
+        while asked.join_next().await.is_some() {}
         control.tell(ControlEvent::Entries(peers.live()));
         sleep(EXCHANGE).await;
     }
@@ -134,6 +117,7 @@
 async fn ask(
     http: &HttpClient,
     address: std::net::SocketAddr,
+    is_full: bool,
     peers: &Peers,
     control: &ControlHandle,
 ) {
@@ -141,7 +125,8 @@
         return;
     };
     let request = PeersRequest {
-        entry: Some(peers.address),
+        beats: peers.digest(is_full),
+        wants_all: is_full,
         revision: rules.revision,
     };
     let body = serde_json::to_vec(&request).expect("a request always serializes");
@@ -164,13 +149,7 @@
     let Some(answer) = answer else {
         return;
     };
-    for entry in &answer.entries {
-        if entry.http == address {
-            peers.heard(*entry);
-        } else {
-            peers.named(*entry);
-        }
-    }
+    peers.learn(&answer.beats);
     if let Some(rules) = answer.rules.and_then(|document| document.to_rules()) {
         control.tell(ControlEvent::Rules(rules));
     }
--- a/crates/lagoonhill_operator/src/fleet_status.rs
+++ b/crates/lagoonhill_operator/src/fleet_status.rs
@@ -167,7 +167,8 @@
 /// The rules in force at an entry.
 pub async fn rules_in_force(http: &HttpClient, address: SocketAddr) -> Result<RuleSet, QueryError> {
     let request = PeersRequest {
-        entry: None,
+        beats: Vec::new(),
+        wants_all: false,
         revision: Revision(0),
     };
     let body = serde_json::to_vec(&request).expect("a request always serializes");
--- a/crates/lagoonhill_protocol/src/codec.rs
+++ b/crates/lagoonhill_protocol/src/codec.rs
@@ -1,7 +1,7 @@
 use crate::Packet;
 
 /// Leads every packet; a peer with another format is refused by it.
-const FORMAT_VERSION: u8 = 1;
+const FORMAT_VERSION: u8 = 2;
 
 /// A packet that can't be read.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
--- a/crates/lagoonhill_protocol/src/peers.rs
+++ b/crates/lagoonhill_protocol/src/peers.rs
@@ -29,11 +29,27 @@
     }
 }
 
+/// An entry's heartbeat, as others pass it on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberBeat {
+    /// The entry.
+    pub address: EntryAddress,
+    /// Counted up by the entry itself.
+    pub beat: u64,
+    /// Whether it has said that it leaves.
+    pub leaving: bool,
+}
+
 /// `POST /v1/peers`: a process introduces itself, or only asks.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct PeersRequest {
-    /// The asking entry; absent for an agent.
-    pub entry: Option<EntryAddress>,
+    /// What an asking entry knows of the others, itself included; empty for an
+    /// agent.
+    #[serde(default)]
+    pub beats: Vec<MemberBeat>,
+    /// Whether the asker wants to hear of all members.
+    #[serde(default)]
+    pub wants_all: bool,
     /// The revision that the asker has.
     pub revision: Revision,
 }
@@ -41,8 +57,12 @@
 /// The answer to `POST /v1/peers`.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct PeersAnswer {
-    /// Live entries, the answering one included.
+    /// Live entries, the answering one included, for an agent.
     pub entries: Vec<EntryAddress>,
+    /// What the answering entry knows of the others, itself included, for an
+    /// entry.
+    #[serde(default)]
+    pub beats: Vec<MemberBeat>,
     /// The answering entry's rules, if the asker is behind.
     pub rules: Option<RulesDocument>,
 }
