--- a/crates/lagoonhill_core/src/entry/job.rs
+++ b/crates/lagoonhill_core/src/entry/job.rs
@@ -112,7 +112,7 @@
     pub rank_ms: u64,
     /// What its queue promises, if it has one.
     pub promise: Option<Promise>,
-    /// Whether the promise can still be kept.
+    /// Which jobs it waits among.
     pub lane: Lane,
     tasks: Vec<Task>,
     steps: Vec<StepProgress>,
--- a/crates/lagoonhill_core/src/entry/lanes.rs
+++ b/crates/lagoonhill_core/src/entry/lanes.rs
@@ -1,6 +1,7 @@
-//! Load pattern: a flood over the capacity for some seconds. Served in order of
-//! their due times alone, all jobs end up just late. So a job that can no
-//! longer keep its promise stands behind every job that can.
+//! Load pattern: capacity that is lost while jobs wait for it. Served in order of
+//! their due times alone, jobs whose answers are of no use any more would go
+//! before those that still matter. So a job that has begun and is useless stands
+//! behind all others; one that has not begun is refused.
 
 use std::collections::BTreeMap;
 
@@ -12,9 +13,9 @@
 /// Which jobs a job waits among.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Lane {
-    /// Its promise can still be kept.
+    /// Its answer is of use.
     InTime,
-    /// It will be late.
+    /// It has begun, and its answer comes too late to be of use.
     Late,
 }
 
@@ -31,8 +32,8 @@
     pub job: JobKey,
 }
 
-/// The jobs of one service that have ready tasks, those that can be in time
-/// before those that can't.
+/// The jobs of one service that have ready tasks, those of use before those that
+/// are not.
 #[derive(Debug, Default)]
 pub struct Lanes {
     lanes: BTreeMap<Lane, JobQueue>,
@@ -44,7 +45,7 @@
         self.lanes.values().all(JobQueue::is_empty)
     }
 
-    /// Whether a job of a class waits that can be in time.
+    /// Whether a job of a class waits whose answer is of use.
     pub fn waits_in_time(&self, class: Class) -> bool {
         let in_time = self.lanes.get(&Lane::InTime);
         in_time.is_some_and(|queue| queue.has_class(class))
