--- a/crates/lagoonhill_core/src/entry/machine/forecast.rs
+++ b/crates/lagoonhill_core/src/entry/machine/forecast.rs
@@ -42,13 +42,14 @@
         };
         let service = &submission.service;
         let waiting = self.class_waiting(service, class);
-        if waiting == Work::default() || self.has_free_worker(submission, now) {
+        if waiting == Work::default() {
             return Ok(());
         }
         let own = Self::first_work(submission);
         let wait_ms = (waiting + own).time_at(self.class_rate(service, class, now));
         let safe_ms = wait_ms.map(|wait_ms| wait_ms * SAFE_PERCENT / 100);
-        if safe_ms.is_some_and(|safe_ms| now + safe_ms <= promise.latest_start_ms) {
+        let is_in_time = safe_ms.is_some_and(|safe_ms| now + safe_ms <= promise.latest_start_ms);
+        if is_in_time || self.has_free_worker(submission, now) {
             return Ok(());
         }
         let wait_ms = wait_ms.unwrap_or(DEFAULT_RETRY_MS);
--- a/crates/lagoonhill_core/tests/floods.rs
+++ b/crates/lagoonhill_core/tests/floods.rs
@@ -2,13 +2,11 @@
 
 mod support;
 
-use lagoonhill_core::entry::{
-    CallerId, Needs, QueueOrder, RunCertainty, Step, Submission, Throughput, Work,
-};
+use lagoonhill_core::entry::{CallerId, RunCertainty, Submission, Throughput, Work};
 use lagoonhill_rules::{RuleSet, parse_rules};
 use lagoonhill_standin::NodeId;
 use lagoonhill_types::prelude::*;
-use support::{TestWorld, config, service, world};
+use support::{TestWorld, config, queue_job, world};
 
 /// Defines one test for each named case.
 macro_rules! cases {
@@ -24,6 +22,9 @@
 queue long service=dispatch class=office attempts=4 objective=60ms slack-permille=1600  # tests
 ";
 
+/// Ten such tasks fill a target.
+const TASK_PROCESSORS: MilliProcessors = MilliProcessors(6_400);
+
 /// A refusal that takes longer has kept its caller waiting.
 const MAX_REFUSAL_MS: u64 = 100;
 
@@ -42,30 +43,7 @@
 }
 
 fn wide_job(queue: &str, name: &str, count: u16, run_ms: u64) -> Submission {
-    let payload = |index| Payload::from(format!("{run_ms} {name} {index}").into_bytes());
-    let step = Step {
-        count,
-        after: Vec::new(),
-        needs: Needs::of(Resources {
-            processors: MilliProcessors(6_400),
-            ..Resources::default()
-        }),
-        estimate_ms: DurationMs(run_ms),
-    };
-    Submission {
-        service: service(),
-        team: queue.parse().expect("the name is valid"),
-        deadline_ms: Some(DurationMs(6_000)),
-        run_time_ms: Some(DurationMs(run_ms)),
-        needs: Needs::default(),
-        tasks: (0..count).map(payload).collect(),
-        kept: false,
-        order: Some(QueueOrder {
-            queue: queue.parse().expect("the name is valid"),
-            name: name.parse().expect("the name is valid"),
-            steps: vec![step],
-        }),
-    }
+    queue_job(queue, name, count, TASK_PROCESSORS, run_ms)
 }
 
 /// What became of the callers of a flood.
--- a/crates/lagoonhill_core/tests/large_fleet.rs
+++ b/crates/lagoonhill_core/tests/large_fleet.rs
@@ -5,15 +5,15 @@
 
 use lagoonhill_core::agent::{Agent, TargetSpeed};
 use lagoonhill_core::entry::{
-    Candidate, LeastExpectedFinish, Needs, OthersMean, OthersShare, Placement, QueueOrder, Room,
-    Situation, Step, Submission, WorkerKey,
+    Candidate, LeastExpectedFinish, OthersMean, OthersShare, Placement, Room, Situation,
+    Submission, WorkerKey,
 };
 use lagoonhill_core::{Slowness, believed_slowness};
 use lagoonhill_protocol::Speed;
 use lagoonhill_rules::{RuleSet, parse_rules};
 use lagoonhill_standin::{NodeId, TargetModel};
 use lagoonhill_types::prelude::*;
-use support::{TestWorld, average_target, config, is_complete, service, world};
+use support::{TestWorld, average_target, config, is_complete, queue_job, world};
 
 /// Defines one test for each named case.
 macro_rules! cases {
@@ -42,30 +42,7 @@
 }
 
 fn job(name: &str, count: u16, run_ms: u64) -> Submission {
-    let payload = |index| Payload::from(format!("{run_ms} {name} {index}").into_bytes());
-    let step = Step {
-        count,
-        after: Vec::new(),
-        needs: Needs::of(Resources {
-            processors: MilliProcessors(6_000),
-            ..Resources::default()
-        }),
-        estimate_ms: DurationMs(run_ms),
-    };
-    Submission {
-        service: service(),
-        team: "short".parse().expect("the name is valid"),
-        deadline_ms: Some(DurationMs(6_000)),
-        run_time_ms: Some(DurationMs(run_ms)),
-        needs: Needs::default(),
-        tasks: (0..count).map(payload).collect(),
-        kept: false,
-        order: Some(QueueOrder {
-            queue: "short".parse().expect("the name is valid"),
-            name: name.parse().expect("the name is valid"),
-            steps: vec![step],
-        }),
-    }
+    queue_job("short", name, count, MilliProcessors(6_000), run_ms)
 }
 
 fn candidate(load: u16, permille: u32) -> Candidate {
--- a/crates/lagoonhill_core/tests/support/mod.rs
+++ b/crates/lagoonhill_core/tests/support/mod.rs
@@ -5,7 +5,9 @@
 use std::collections::HashMap;
 
 use lagoonhill_core::Timing;
-use lagoonhill_core::entry::{CallerId, LeastExpectedFinish, Needs, RunCertainty, Submission};
+use lagoonhill_core::entry::{
+    CallerId, LeastExpectedFinish, Needs, QueueOrder, RunCertainty, Step, Submission,
+};
 use lagoonhill_rules::{RuleSet, parse_rules};
 use lagoonhill_standin::{Network, TargetModel, World, WorldConfig, result_of};
 use lagoonhill_types::prelude::*;
@@ -82,6 +84,40 @@
     }
 }
 
+/// A job of one step, submitted to a queue.
+pub(crate) fn queue_job(
+    queue: &str,
+    name: &str,
+    count: u16,
+    processors: MilliProcessors,
+    run_ms: u64,
+) -> Submission {
+    let payload = |index| Payload::from(format!("{run_ms} {name} {index}").into_bytes());
+    let step = Step {
+        count,
+        after: Vec::new(),
+        needs: Needs::of(Resources {
+            processors,
+            ..Resources::default()
+        }),
+        estimate_ms: DurationMs(run_ms),
+    };
+    Submission {
+        service: service(),
+        team: queue.parse().expect("the name is valid"),
+        deadline_ms: Some(DurationMs(6_000)),
+        run_time_ms: Some(DurationMs(run_ms)),
+        needs: Needs::default(),
+        tasks: (0..count).map(payload).collect(),
+        kept: false,
+        order: Some(QueueOrder {
+            queue: queue.parse().expect("the name is valid"),
+            name: name.parse().expect("the name is valid"),
+            steps: vec![step],
+        }),
+    }
+}
+
 /// Submitted jobs, to be judged at the end of a run.
 #[derive(Debug, Default)]
 pub(crate) struct Judge {
