Agents look for entries and greet them sooner when everything has just started

They had found entries that no longer lived at addresses where nobody listened yet; the next search came after 250 to 375 ms, the next greeting after 200 ms.

Change: first pause between searches 50 ms (250), four greetings at a fifth of the interval.

--- a/crates/lagoonhill_agent/src/discovery.rs
+++ b/crates/lagoonhill_agent/src/discovery.rs
@@ -16,6 +16,10 @@
 /// Time between two looks at whether any entry is connected.
 const LOOK: Duration = Duration::from_millis(500);
 
+/// First pause between two searches for entries: when everything has just
+/// started, the first of them are on the list a moment later.
+const FIRST_PAUSE_MS: u64 = 50;
+
 /// Longest pause between two searches for entries.
 const MAX_PAUSE_MS: u64 = 10_000;
 
@@ -28,13 +32,13 @@
     control: Sender<ControlEvent<E>>,
 ) {
     let http = HttpClient::new();
-    let mut pause_ms = 250;
+    let mut pause_ms = FIRST_PAUSE_MS;
     loop {
         let Some(status) = ask_status(&control).await else {
             return;
         };
         if status.sessions > 0 {
-            pause_ms = 250;
+            pause_ms = FIRST_PAUSE_MS;
             sleep(LOOK).await;
             continue;
         }
--- a/crates/lagoonhill_core/src/agent/machine.rs
+++ b/crates/lagoonhill_core/src/agent/machine.rs
@@ -17,6 +17,13 @@
 /// Longest pause between greetings of an entry that does not answer.
 const MAX_HELLO_INTERVAL_MS: DurationMs = DurationMs(10_000);
 
+/// Greetings that follow each other quickly: an entry that is starting answers
+/// a moment later.
+const QUICK_GREETINGS: u32 = 4;
+
+/// How much shorter the pause is between those.
+const QUICK_GREETING_DIVISOR: u64 = 5;
+
 /// Failed jobs that are counted at most.
 const MAX_FAILED_JOBS: usize = 16;
 
@@ -393,8 +400,7 @@
 
     fn greet(&mut self, key: EntryKey, now: TimestampMs) {
         let link = &mut self.entries[key];
-        let pause_ms = self.config.timing.hello_interval_ms * u64::from(link.unanswered + 1);
-        link.hello_due_ms = now + pause_ms.min(MAX_HELLO_INTERVAL_MS);
+        link.hello_due_ms = now + hello_pause(self.config.timing, link.unanswered);
         link.unanswered += 1;
         let to = link.address.inbox;
         // The first greeting may be to a process that has taken another's
@@ -849,6 +855,17 @@
     }
 }
 
+/// Time until an entry is greeted again that has left so many greetings
+/// unanswered.
+fn hello_pause(timing: Timing, unanswered: u32) -> DurationMs {
+    let interval_ms = timing.hello_interval_ms;
+    let pause_ms = match unanswered.checked_sub(QUICK_GREETINGS) {
+        None => interval_ms / QUICK_GREETING_DIVISOR,
+        Some(later) => interval_ms * u64::from(later + 1),
+    };
+    pause_ms.min(MAX_HELLO_INTERVAL_MS)
+}
+
 /// The end of a run that its entry has not stored yet.
 #[derive(Clone, Copy, Debug)]
 struct Unnoted {
--- a/crates/lagoonhill_core/tests/greetings.rs
+++ b/crates/lagoonhill_core/tests/greetings.rs
@@ -119,6 +119,18 @@
         assert_eq!(welcomed(&pair.greet(next.clone())), Some(next.session));
     }
 
+    // Load pattern: everything has just started, agents before their entries.
+    an_entry_that_starts_after_its_agent_is_greeted_soon => {
+        let mut pair = Pair::new();
+        let mut greetings = 0;
+        let began = pair.now;
+        while pair.now.since(began) < Timing::default().hello_interval_ms {
+            greetings += pair.greetings().len();
+            pair.now = pair.now + DurationMs(20);
+        }
+        assert!(greetings >= 4, "{greetings} greetings in one interval");
+    }
+
     an_agent_that_forgot_its_entry_does_not_ask_for_an_old_session => {
         let mut pair = Pair::new();
         let first = pair.greetings().remove(0);
