Callers of a new entry wait for its first rules and its first workers

Entries are up at 36.0 s, the store is back at 36.7 s, rules are known at 36.84 to 36.87 s, the first agent joins at 36.89 s, the last at 37.07 s; 227 callers get a 503, 157 for want of rules, 70 for want of workers that come 50 ms later.

Ruled out: waiting for rules alone (503s 227 to 226: the workers come later still).

--- a/crates/lagoonhill_agent/src/discovery.rs
+++ b/crates/lagoonhill_agent/src/discovery.rs
@@ -51,7 +51,7 @@
             pause_ms + fastrand::u64(0..=pause_ms / 2),
         ))
         .await;
-        pause_ms = (pause_ms * 2).min(MAX_PAUSE_MS);
+        pause_ms = (pause_ms * 3 / 2).min(MAX_PAUSE_MS);
     }
 }
 
--- a/crates/lagoonhill_core/src/entry/decision.rs
+++ b/crates/lagoonhill_core/src/entry/decision.rs
@@ -85,6 +85,15 @@
         /// Which.
         worker: WorkerId,
     },
+    /// The fleet that this entry found when it started is taken as whole.
+    Formed {
+        /// Its workers.
+        workers: usize,
+        /// Time since the entry started.
+        took_ms: DurationMs,
+        /// Jobs that wait for them.
+        waiting: usize,
+    },
     /// A worker gets no new work any more.
     Left {
         /// Which.
@@ -193,6 +202,14 @@
                 took_ms,
             } => write!(f, "failed run={run} took={took_ms} why={}", Quoted(cause)),
             DecisionKind::Joined { worker } => write!(f, "joined worker={worker}"),
+            DecisionKind::Formed {
+                workers,
+                took_ms,
+                waiting,
+            } => write!(
+                f,
+                "formed workers={workers} took={took_ms} waiting={waiting}"
+            ),
             DecisionKind::Left { worker, why } => {
                 write!(f, "left worker={worker} why={}", Quoted(why))
             }
--- a/crates/lagoonhill_core/src/entry/job.rs
+++ b/crates/lagoonhill_core/src/entry/job.rs
@@ -358,6 +358,11 @@
         Some(&self.steps[usize::from(task.step)].step.needs)
     }
 
+    /// What each step asks of a worker.
+    pub fn needs(&self) -> impl Iterator<Item = &Needs> {
+        self.steps.iter().map(|progress| &progress.step.needs)
+    }
+
     /// Declared run time of the next ready task; zero when unknown.
     pub fn next_estimate_ms(&self) -> DurationMs {
         let step = self
--- a/crates/lagoonhill_core/src/entry/machine/admission.rs
+++ b/crates/lagoonhill_core/src/entry/machine/admission.rs
@@ -5,8 +5,8 @@
 
 use super::{DEFAULT_RETRY_MS, Entry};
 use crate::entry::{
-    CallerId, Cause, DecisionKind, Job, JobFailure, JobKey, JobPlan, Keeping, Placement, Promise,
-    QueuedAs, Record, RecordKey, Step, Submission, WorkKind,
+    CallerId, Cause, DecisionKind, Job, JobFailure, JobKey, JobPlan, Keeping, Needs, Placement,
+    Promise, QueuedAs, Record, RecordKey, Step, Submission, WorkKind,
 };
 
 /// An answer after this many times the promised time is of no use.
@@ -365,15 +365,14 @@
             tasks,
             ..
         } = submission;
-        if self.fleet.of_service(service).is_empty() {
-            let cause = Cause::NoWorkers(service.clone());
-            return Err(JobFailure::refused_for_now(cause, DEFAULT_RETRY_MS));
-        }
-        let fits_none = |step: &Step| !self.fleet.any_fits(service, &step.needs);
-        if let Some(step) = appraisal.steps.iter().find(|step| fits_none(step)) {
-            return Err(JobFailure::refused(Cause::NeverFits(
-                step.needs.to_string(),
-            )));
+        if !self.may_await_workers(submission.kept) {
+            let needs = appraisal.steps.iter().map(|step| &step.needs);
+            if let Some(cause) = self.unservable(service, needs) {
+                return Err(match cause {
+                    Cause::NoWorkers(_) => JobFailure::refused_for_now(cause, DEFAULT_RETRY_MS),
+                    _ => JobFailure::refused(cause),
+                });
+            }
         }
         self.check_queue(submission, appraisal)?;
         let rate = self.rules().team(team).and_then(|rule| rule.rate);
@@ -388,6 +387,48 @@
         })
     }
 
+    /// Why no worker that has joined can serve a job of these needs.
+    fn unservable<'a>(
+        &self,
+        service: &ServiceName,
+        mut needs: impl Iterator<Item = &'a Needs>,
+    ) -> Option<Cause> {
+        if self.fleet.of_service(service).is_empty() {
+            return Some(Cause::NoWorkers(service.clone()));
+        }
+        let unmet = needs.find(|needs| !self.fleet.any_fits(service, needs))?;
+        Some(Cause::NeverFits(unmet.to_string()))
+    }
+
+    /// Whether a job may wait for workers that have not joined yet.
+    fn may_await_workers(&self, is_kept: bool) -> bool {
+        self.forming.is_on() && !is_kept
+    }
+
+    /// Takes the fleet as whole when it is time, and refuses what waited for a
+    /// worker that did not come.
+    pub(super) fn end_forming(&mut self, now: TimestampMs) {
+        if !self.forming.end_when_due(now) {
+            return;
+        }
+        let formed = DecisionKind::Formed {
+            workers: self.fleet.len(),
+            took_ms: self.forming.lasted_ms(now),
+            waiting: self.jobs.len(),
+        };
+        self.decide(now, None, None, formed);
+        let waiting = self.jobs.iter().filter(|(_, job)| !job.has_started());
+        let refused: Vec<(JobKey, Cause)> = waiting
+            .filter_map(|(key, job)| {
+                let cause = self.unservable(&job.plan.service, job.needs())?;
+                (!job.is_kept()).then_some((key, cause))
+            })
+            .collect();
+        for (key, cause) in refused {
+            self.fail_job(key, cause, now);
+        }
+    }
+
     pub(super) fn live_entries(&self) -> f64 {
         f64::from(u32::try_from(self.entries.len().max(1)).unwrap_or(u32::MAX))
     }
@@ -431,7 +472,8 @@
                 retry_ms,
             ));
         }
-        if wait_ms + own_ms <= deadline_ms || ahead == 0 {
+        let is_in_time = wait_ms + own_ms <= deadline_ms || ahead == 0;
+        if is_in_time || self.may_await_workers(submission.kept) {
             return Ok(());
         }
         let over_ms = DurationMs((wait_ms + own_ms).0 - deadline_ms.0);
--- a/crates/lagoonhill_core/src/entry/machine/forecast.rs
+++ b/crates/lagoonhill_core/src/entry/machine/forecast.rs
@@ -40,6 +40,9 @@
         let Some(promise) = promise.filter(|_| !submission.kept) else {
             return Ok(());
         };
+        if self.forming.is_on() {
+            return Ok(());
+        }
         let service = &submission.service;
         let waiting = self.class_waiting(service, class);
         if waiting == Work::default() {
--- a/crates/lagoonhill_core/src/entry/machine/mod.rs
+++ b/crates/lagoonhill_core/src/entry/machine/mod.rs
@@ -19,8 +19,9 @@
 use slotmap::SlotMap;
 
 use super::{
-    CallerId, Decision, DecisionKind, EntryConfig, EntryEffect, EntryStatus, Fleet, Job, JobKey,
-    Lanes, Placement, Records, RunTimes, TeamUsage, Throughput, Worker, WorkerKey, WorkerStatus,
+    CallerId, Decision, DecisionKind, EntryConfig, EntryEffect, EntryStatus, Fleet, Forming, Job,
+    JobKey, Lanes, Placement, Records, RunTimes, TeamUsage, Throughput, Worker, WorkerKey,
+    WorkerStatus,
 };
 use crate::{FrameHeader, Heartbeat, RulesSpread, Verdict};
 
@@ -63,6 +64,7 @@
     throughput: HashMap<(ServiceName, Class), Throughput>,
     records: Records,
     entries: BTreeSet<EntryAddress>,
+    forming: Forming,
     next_number: u64,
     leaving: bool,
     last_tick_ms: TimestampMs,
@@ -97,6 +99,7 @@
             throughput: HashMap::new(),
             records: Records::default(),
             entries,
+            forming: Forming::begin(now),
             next_number: 1,
             leaving: false,
             last_tick_ms: now,
@@ -188,9 +191,13 @@
 
     /// Installs rules read from the platform or a peer, if they are newer.
     pub fn install_rules(&mut self, rules: RuleSet, now: TimestampMs) -> bool {
+        let is_first = self.rules.revision() == Revision(0);
         if !self.rules.install(rules) {
             return false;
         }
+        if is_first {
+            self.forming.rules_known(now);
+        }
         self.spread_rules(now);
         true
     }
@@ -269,6 +276,7 @@
         self.save_progress(now);
         self.records.expire(now);
         self.settle(now);
+        self.end_forming(now);
         self.dispatch_all(now);
     }
 
--- a/crates/lagoonhill_core/src/entry/machine/sessions.rs
+++ b/crates/lagoonhill_core/src/entry/machine/sessions.rs
@@ -64,6 +64,7 @@
         worker.leaving = hello.leaving;
         let id = worker.id.clone();
         let key = self.fleet.insert(worker);
+        self.forming.joined(now);
         self.decide(now, None, None, DecisionKind::Joined { worker: id });
         self.welcome(key, now);
         self.dirty.insert(key);
--- a/crates/lagoonhill_entry/src/client.rs
+++ b/crates/lagoonhill_entry/src/client.rs
@@ -11,6 +11,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::control::{CallerReply, ControlEvent, SubmissionKind};
+use crate::first_rules::FirstRules;
 use crate::handle::{ControlHandle, Stopped};
 use crate::keeping::Keeping;
 
@@ -46,16 +47,12 @@
 #[derive(Clone, Debug)]
 pub struct EntryClient {
     control: ControlHandle,
-    rules: watch::Receiver<Arc<RuleSet>>,
+    rules: FirstRules,
     keeping: Keeping,
 }
 
 impl EntryClient {
-    pub(crate) fn new(
-        control: ControlHandle,
-        rules: watch::Receiver<Arc<RuleSet>>,
-        keeping: Keeping,
-    ) -> Self {
+    pub(crate) fn new(control: ControlHandle, rules: FirstRules, keeping: Keeping) -> Self {
         Self {
             control,
             rules,
@@ -158,6 +155,12 @@
 
     /// The rules in force; marked as changed whenever newer ones are.
     pub fn rules(&self) -> watch::Receiver<Arc<RuleSet>> {
-        self.rules.clone()
+        self.rules.watch()
+    }
+
+    /// The rules in force; a new entry without any waits a moment for its
+    /// first. `None` if it has none.
+    pub async fn first_rules(&self) -> Option<Arc<RuleSet>> {
+        self.rules.get().await
     }
 }
--- a/crates/lagoonhill_entry/src/daemon.rs
+++ b/crates/lagoonhill_entry/src/daemon.rs
@@ -9,7 +9,6 @@
 use lagoonhill_link::{Inbox, InboxHandle, TcpLink};
 use lagoonhill_platform::{EtcdStore, Store};
 use lagoonhill_protocol::EntryAddress;
-use lagoonhill_rules::RuleSet;
 use lagoonhill_types::prelude::*;
 use log::{info, warn};
 use tokio::sync::{mpsc, watch};
@@ -20,6 +19,7 @@
 use crate::api::{Api, ApiState};
 use crate::client::EntryClient;
 use crate::control::{Control, ControlEvent};
+use crate::first_rules::FirstRules;
 use crate::handle::ControlHandle;
 use crate::keeping::Keeping;
 use crate::key_binder::KeyBinder;
@@ -40,7 +40,7 @@
     settings: EntrySettings,
     state: Arc<ApiState>,
     control: ControlHandle,
-    rules: watch::Receiver<Arc<RuleSet>>,
+    rules: FirstRules,
     keeping: Keeping,
     shutdown: watch::Sender<bool>,
     server: JoinHandle<()>,
@@ -82,6 +82,7 @@
             clock.now(),
         );
         let (rules_sender, rules) = watch::channel(Arc::default());
+        let rules = FirstRules::new(rules);
         let state = Control::new(
             entry,
             TcpLink::new(),
--- a/crates/lagoonhill_entry/src/lib.rs
+++ b/crates/lagoonhill_entry/src/lib.rs
@@ -7,6 +7,7 @@
 mod client;
 mod control;
 mod daemon;
+mod first_rules;
 mod handle;
 mod keeper;
 mod keeping;
@@ -22,6 +23,7 @@
 
 pub use client::{EntryClient, JobStanding};
 pub use daemon::EntryDaemon;
+pub use first_rules::FirstRules;
 pub use handle::Stopped;
 pub use lagoonhill_daemon::StartError;
 pub use rules_watch::RulesSource;
--- a/crates/lagoonhill_entry/src/metrics.rs
+++ b/crates/lagoonhill_entry/src/metrics.rs
@@ -125,6 +125,7 @@
             DecisionKind::GivenUp { .. } => return self.count_change("given_up"),
             DecisionKind::Unsettled { .. }
             | DecisionKind::Joined { .. }
+            | DecisionKind::Formed { .. }
             | DecisionKind::Left { .. }
             | DecisionKind::Quarantined { .. }
             | DecisionKind::Recovered { .. }
