A task takes a fair chance to be in time, by the learned spread of runs

Cause: a task waited for a worker that was expected to be in time while others stood free, also where runs are off what is expected by a quarter on average: under overload middle and long tasks left the slow third of the fleet idle and lost their promise waiting.

Change: the mean distance of runs from what was expected is learned for each kind of work (bounded at a half); a worker that would be late by less than that is open too. Where runs are exact nothing changes.

--- a/crates/lagoonhill_core/src/entry/machine/dispatch.rs
+++ b/crates/lagoonhill_core/src/entry/machine/dispatch.rs
@@ -185,6 +185,7 @@
         Situation {
             run_time_ms: self.next_run_time(key),
             within_ms: self.time_left(key, now),
+            spread_permille: self.run_times.spread_permille(&self.kind_of(key)),
             room: if keeps_reserve {
                 Room::KeepReserve
             } else {
--- a/crates/lagoonhill_core/src/entry/machine/outcomes.rs
+++ b/crates/lagoonhill_core/src/entry/machine/outcomes.rs
@@ -204,8 +204,9 @@
                 // Otherwise the usual would change with where the work goes, and
                 // with it what the learned speeds mean.
                 let usual_ms = worker.slowness().to_usual(run_ms);
+                let declared_ms = order.declared_ms;
                 self.run_times
-                    .observe(&order.kind, usual_ms, order.declared_ms);
+                    .observe(&order.kind, usual_ms, declared_ms, order.expected_ms);
                 if worker.health.succeeded() {
                     let id = worker.id.clone();
                     self.decide(now, None, None, DecisionKind::Recovered { worker: id });
--- a/crates/lagoonhill_core/src/entry/placement.rs
+++ b/crates/lagoonhill_core/src/entry/placement.rs
@@ -67,6 +67,9 @@
     /// Time left in which the task must end to keep its job's promise; absent
     /// when there is none to keep.
     pub within_ms: Option<DurationMs>,
+    /// How far runs of its kind are off what was expected, on average, in
+    /// thousandths of what was expected.
+    pub spread_permille: u64,
 }
 
 /// Chooses the worker for the next task, or none when all are full.
@@ -115,6 +118,8 @@
 /// in thousandths of the expected time.
 const SAFE_PERMILLE: u64 = 1_300;
 
+const PERMILLE: u64 = 1_000;
+
 /// What makes a worker better than another; less is better.
 type Cost = (bool, u64, u64);
 
@@ -138,10 +143,21 @@
 
     /// Whether the task is expected to end in time.
     fn is_in_time(&self, situation: Situation) -> bool {
+        self.is_within(situation, PERMILLE)
+    }
+
+    /// Whether the task has a fair chance to end in time.
+    fn may_be_in_time(&self, situation: Situation) -> bool {
+        self.is_within(situation, PERMILLE + situation.spread_permille)
+    }
+
+    /// Whether the task is expected to end within so many thousandths of the
+    /// time left.
+    fn is_within(&self, situation: Situation, part_permille: u64) -> bool {
         let finish_us = self.expected_finish_us(situation.run_time_ms);
         situation
             .within_ms
-            .is_none_or(|within_ms| finish_us <= within_ms.0 * 1_000)
+            .is_none_or(|within_ms| finish_us * PERMILLE <= within_ms.0 * 1_000 * part_permille)
     }
 }
 
@@ -153,7 +169,8 @@
         }
         let first = self.random.usize(..count);
         let order = (0..count).map(|offset| (first + offset) % count);
-        // If any could be in time when it is empty, the task waits for one.
+        // If any could be in time when it is empty, the task waits for one that
+        // has a fair chance to be.
         let is_restricted = candidates.iter().any(|candidate| {
             let empty = Candidate {
                 load: 0,
@@ -164,7 +181,7 @@
         let open = order.filter(|index| {
             let candidate = &candidates[*index];
             candidate.has_room(situation.room)
-                && (!is_restricted || candidate.is_in_time(situation))
+                && (!is_restricted || candidate.may_be_in_time(situation))
         });
         open.min_by_key(|index| candidates[*index].cost(situation))
     }
--- a/crates/lagoonhill_core/src/entry/run_times.rs
+++ b/crates/lagoonhill_core/src/entry/run_times.rs
@@ -22,6 +22,8 @@
     run_micros: u64,
     /// Declared run times of the same tasks; zero when none is declared.
     declared_micros: u64,
+    /// Mean distance of runs from what was expected, in thousandths of that.
+    spread_permille: u64,
     /// Observations, up to the weight of the past.
     observed: u64,
 }
@@ -37,6 +39,11 @@
 /// short the declared one is.
 const MAX_PROMISE_DIVISOR: u64 = 2;
 
+const PERMILLE: u64 = 1_000;
+
+/// Runs further off than this have met a sick target, not a hard task.
+const MAX_SPREAD_PERMILLE: u64 = 500;
+
 impl RunTimes {
     /// The expected run time, or `prior_ms` when nothing is known.
     pub fn expected(&self, kind: &WorkKind, prior_ms: DurationMs) -> DurationMs {
@@ -101,12 +108,28 @@
         Some(DurationMs(micros.div_ceil(1_000)))
     }
 
-    /// Learns from a finished task.
-    pub fn observe(&mut self, kind: &WorkKind, run_ms: DurationMs, declared_ms: DurationMs) {
+    /// How far runs are off what was expected, on average, in thousandths of
+    /// what was expected; zero when nothing is known.
+    pub fn spread_permille(&self, kind: &WorkKind) -> u64 {
+        let learned = self.learned.get(kind);
+        learned.map_or(0, |learned| learned.spread_permille)
+    }
+
+    /// Learns from a finished task that was expected to run for `expected_ms`.
+    pub fn observe(
+        &mut self,
+        kind: &WorkKind,
+        run_ms: DurationMs,
+        declared_ms: DurationMs,
+        expected_ms: DurationMs,
+    ) {
+        let off_ms = run_ms.0.abs_diff(expected_ms.0);
+        let off_permille = off_ms.saturating_mul(PERMILLE) / expected_ms.0.max(1);
         let (run_micros, declared_micros) = (run_ms.0 * 1_000, declared_ms.0 * 1_000);
         let learned = self.learned.entry(kind.clone()).or_insert(Learned {
             run_micros,
             declared_micros,
+            spread_permille: 0,
             observed: 0,
         });
         // The first few count alike, so that the very first has no special say.
@@ -114,6 +137,10 @@
         let blend = |mean: u64, new: u64| (mean * past + new) / (past + 1);
         learned.run_micros = blend(learned.run_micros, run_micros);
         learned.declared_micros = blend(learned.declared_micros, declared_micros);
+        learned.spread_permille = blend(
+            learned.spread_permille,
+            off_permille.min(MAX_SPREAD_PERMILLE),
+        );
         learned.observed = (past + 1).min(MEMORY);
     }
 }
--- a/crates/lagoonhill_core/tests/entry.rs
+++ b/crates/lagoonhill_core/tests/entry.rs
@@ -43,6 +43,7 @@
 
 fn situation() -> Situation {
     Situation {
+        spread_permille: 0,
         within_ms: None,
         run_time_ms: DurationMs(200),
         room: Room::LookAhead(1),
--- a/crates/lagoonhill_core/tests/large_fleet.rs
+++ b/crates/lagoonhill_core/tests/large_fleet.rs
@@ -5,8 +5,8 @@
 
 use lagoonhill_core::agent::{Agent, TargetSpeed};
 use lagoonhill_core::entry::{
-    Candidate, LeastExpectedFinish, OthersMean, OthersShare, Placement, Room, Situation,
-    Submission, WorkerKey,
+    Candidate, LeastExpectedFinish, OthersMean, OthersShare, Placement, Room, RunTimes, Situation,
+    Submission, WorkKind, WorkerKey,
 };
 use lagoonhill_core::{Slowness, believed_slowness};
 use lagoonhill_protocol::Speed;
@@ -58,6 +58,7 @@
 
 fn within(within_ms: u64) -> Situation {
     Situation {
+        spread_permille: 0,
         run_time_ms: DurationMs(100),
         room: Room::LookAhead(1),
         within_ms: Some(DurationMs(within_ms)),
@@ -135,6 +136,35 @@
         assert_eq!(choose(&candidates, within(150)), Some(0));
     }
 
+    // Load pattern: a fleet that is nearly full, and runs that spread around what
+    // is expected of them. A task that waits for a worker that is surely fast
+    // enough loses more often than one that takes a fair chance.
+    a_fair_chance_now_is_taken_where_runs_spread => {
+        let candidates = [candidate(7, 700), candidate(0, 1_700)];
+        let spread = |spread_permille| Situation { spread_permille, ..within(150) };
+        assert_eq!(choose(&candidates, spread(0)), None, "exact runs: it would be late");
+        assert_eq!(choose(&candidates, spread(200)), Some(1));
+        assert_eq!(choose(&candidates, spread(100)), None, "there is no chance");
+    }
+
+    how_far_runs_are_off_is_learned => {
+        let kind = WorkKind {
+            service: "dispatch".parse().expect("the name is valid"),
+            queue: None,
+        };
+        let expected_ms = DurationMs(100);
+        let spread = |runs_ms: [u64; 2]| {
+            let mut run_times = RunTimes::default();
+            for run_ms in runs_ms.into_iter().cycle().take(100) {
+                run_times.observe(&kind, DurationMs(run_ms), DurationMs::ZERO, expected_ms);
+            }
+            run_times.spread_permille(&kind)
+        };
+        assert_eq!(spread([100, 100]), 0);
+        assert!((280..=320).contains(&spread([70, 130])), "{}", spread([70, 130]));
+        assert!(spread([100, 900_000]) <= 500, "a sick target counts as a spread");
+    }
+
     without_a_promise_the_sooner_end_decides => {
         let candidates = [candidate(5, 700), candidate(0, 1_700)];
         let situation = Situation { within_ms: None, ..within(0) };
