Nothing is ordered ahead of a full target

Change: look-ahead 0 (1), for the product; the setting stays.

Test what_waits_is_bound_to_no_target fails with a look-ahead of 1.

--- a/crates/lagoonhill/src/cli.rs
+++ b/crates/lagoonhill/src/cli.rs
@@ -1,4 +1,5 @@
 use bpaf::Bpaf;
+use lagoonhill_core::entry::DEFAULT_LOOK_AHEAD;
 
 /// Options of every daemon. Values are checked together, so that one start
 /// names every mistake.
@@ -84,7 +85,7 @@
     #[bpaf(
         env("LAGOONHILL_LOOK_AHEAD"),
         argument("COUNT"),
-        fallback("1".to_owned()),
+        fallback(DEFAULT_LOOK_AHEAD.to_string()),
         display_fallback
     )]
     pub(crate) look_ahead: String,
--- a/crates/lagoonhill_bench/src/large_fleet.rs
+++ b/crates/lagoonhill_bench/src/large_fleet.rs
@@ -6,7 +6,7 @@
 use hdrhistogram::Histogram;
 use lagoonhill_core::Timing;
 use lagoonhill_core::entry::{
-    CallerId, Needs, Placement, QueueOrder, RunCertainty, Step, Submission,
+    CallerId, DEFAULT_LOOK_AHEAD, Needs, Placement, QueueOrder, RunCertainty, Step, Submission,
 };
 use lagoonhill_rules::{RuleSet, parse_rules};
 use lagoonhill_standin::{Network, TargetModel, World, WorldConfig};
@@ -316,7 +316,7 @@
             loss_permille: 0,
             repeat_permille: 0,
         },
-        look_ahead: 1,
+        look_ahead: DEFAULT_LOOK_AHEAD,
         timing,
         seed: run.seed,
     };
--- a/crates/lagoonhill_core/src/entry/config.rs
+++ b/crates/lagoonhill_core/src/entry/config.rs
@@ -3,6 +3,11 @@
 
 use crate::Timing;
 
+/// Tasks that an agent is given beyond its slots. None: what lies at an agent is
+/// bound to it, whatever becomes free elsewhere, and outcomes come back within
+/// milliseconds.
+pub const DEFAULT_LOOK_AHEAD: u16 = 0;
+
 /// Settings of an entry that do not change while it runs.
 #[derive(Clone, Debug)]
 pub struct EntryConfig {
@@ -38,7 +43,7 @@
             address,
             zone: None,
             timing: Timing::default(),
-            look_ahead: 1,
+            look_ahead: DEFAULT_LOOK_AHEAD,
             shares_rules: true,
             max_queued_tasks: 50_000,
             max_deadline_ms: DurationMs::from_secs(120),
--- a/crates/lagoonhill_core/src/entry/mod.rs
+++ b/crates/lagoonhill_core/src/entry/mod.rs
@@ -24,7 +24,7 @@
 mod worker;
 
 pub use answer::{Answer, Cause, JobFailure, RunCertainty};
-pub use config::EntryConfig;
+pub use config::{DEFAULT_LOOK_AHEAD, EntryConfig};
 pub use decision::{Decision, DecisionKind};
 pub use effect::EntryEffect;
 pub use fleet::Fleet;
--- a/crates/lagoonhill_core/tests/large_fleet.rs
+++ b/crates/lagoonhill_core/tests/large_fleet.rs
@@ -5,15 +5,15 @@
 
 use lagoonhill_core::agent::{Agent, TargetSpeed};
 use lagoonhill_core::entry::{
-    Candidate, LeastExpectedFinish, OthersMean, OthersShare, Placement, Room, RunTimes, Situation,
-    Submission, WorkKind, WorkerKey,
+    Candidate, DEFAULT_LOOK_AHEAD, LeastExpectedFinish, OthersMean, OthersShare, Placement, Room,
+    RunTimes, Situation, Submission, WorkKind, WorkerKey,
 };
 use lagoonhill_core::{Slowness, believed_slowness};
 use lagoonhill_protocol::Speed;
 use lagoonhill_rules::{RuleSet, parse_rules};
 use lagoonhill_standin::{NodeId, TargetModel};
 use lagoonhill_types::prelude::*;
-use support::{TestWorld, average_target, config, is_complete, queue_job, world};
+use support::{TestWorld, average_target, config, is_complete, job as plain_job, queue_job, world};
 
 /// Defines one test for each named case.
 macro_rules! cases {
@@ -147,6 +147,24 @@
         assert_eq!(choose(&candidates, spread(100)), None, "there is no chance");
     }
 
+    // Load pattern: all targets are full, and one of them for longer than the
+    // rest.
+    what_waits_is_bound_to_no_target => {
+        for seed in 0..10 {
+            let mut config = config(1, 2, seed);
+            config.slots = 1;
+            config.look_ahead = DEFAULT_LOOK_AHEAD;
+            let mut world = world(&config);
+            for (name, run_ms) in [("long", 2_000), ("short", 100)] {
+                world.submit(0, plain_job(name, 1, run_ms));
+            }
+            let waiting = ["first", "second"].map(|name| world.submit(0, plain_job(name, 1, 100)));
+            world.run_for(500);
+            let done = waiting.iter().all(|caller| is_complete(&world, *caller));
+            assert!(done, "seed {seed}: a task waits at the target that is full for longer");
+        }
+    }
+
     how_far_runs_are_off_is_learned => {
         let kind = WorkKind {
             service: "dispatch".parse().expect("the name is valid"),
--- a/crates/lagoonhill_entry/src/settings.rs
+++ b/crates/lagoonhill_entry/src/settings.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 
 use lagoonhill_core::Timing;
-use lagoonhill_core::entry::EntryConfig;
+use lagoonhill_core::entry::{DEFAULT_LOOK_AHEAD, EntryConfig};
 use lagoonhill_protocol::EntryAddress;
 use lagoonhill_types::prelude::*;
 
@@ -63,7 +63,7 @@
             drain_delay_ms: DurationMs(2_000),
             drain_limit_ms: DurationMs::from_secs(60),
             max_body_bytes: ByteCount(4 << 20),
-            look_ahead: 1,
+            look_ahead: DEFAULT_LOOK_AHEAD,
             key_rate: PerSecond(50),
             shares_rules: true,
             timing: Timing::default(),
