--- a/crates/lagoonhill_bench/src/bin/large.rs
+++ b/crates/lagoonhill_bench/src/bin/large.rs
@@ -23,6 +23,9 @@
     /// Targets
     #[bpaf(argument("COUNT"), fallback(160), display_fallback)]
     targets: usize,
+    /// Availability zones
+    #[bpaf(argument("COUNT"), fallback(5), display_fallback)]
+    zones: usize,
     /// First seed
     #[bpaf(argument("SEED"), fallback(2_026), display_fallback)]
     seed: u64,
@@ -77,7 +80,13 @@
     }
 }
 
-fn days(base: LargeRun) -> [(&'static str, LargeRun); 4] {
+/// Loads of a lossy, a nearly full and an overloaded day relative to a full one's,
+/// which leaves a third of the targets' capacity free.
+const LOST_LOAD: f64 = 1.2;
+const NEAR_LOAD: f64 = 1.3;
+const OVER_LOAD: f64 = 1.6;
+
+fn days(base: LargeRun) -> [(&'static str, LargeRun); 7] {
     let burst = Burst {
         at_ms: base.length_ms / 3,
         length_ms: 4_000,
@@ -101,6 +110,28 @@
                 ..base
             },
         ),
+        (
+            "lost",
+            LargeRun {
+                load: LOST_LOAD,
+                lost_divisor: Some(11),
+                ..base
+            },
+        ),
+        (
+            "near",
+            LargeRun {
+                load: NEAR_LOAD,
+                ..base
+            },
+        ),
+        (
+            "over",
+            LargeRun {
+                load: OVER_LOAD,
+                ..base
+            },
+        ),
     ]
 }
 
@@ -170,10 +201,11 @@
     let base = LargeRun {
         entries: options.entries,
         targets: options.targets,
-        zones: 5,
+        zones: options.zones,
         load: CALM_LOAD,
         burst: None,
         straggler_factor: None,
+        lost_divisor: None,
         cross_zone_ms: 1,
         length_ms: options.seconds * 1_000,
         seed: options.seed,
--- a/crates/lagoonhill_bench/src/large_fleet.rs
+++ b/crates/lagoonhill_bench/src/large_fleet.rs
@@ -9,7 +9,7 @@
     CallerId, DEFAULT_LOOK_AHEAD, Needs, Placement, QueueOrder, RunCertainty, Step, Submission,
 };
 use lagoonhill_rules::{RuleSet, parse_rules};
-use lagoonhill_standin::{Network, TargetModel, World, WorldConfig};
+use lagoonhill_standin::{Network, NodeId, TargetModel, World, WorldConfig};
 use lagoonhill_types::prelude::*;
 
 const RULES: &str = "\
@@ -121,6 +121,8 @@
     pub burst: Option<Burst>,
     /// One target turns this many times slower when a third of the run is over.
     pub straggler_factor: Option<u64>,
+    /// One target in this many is lost for good when a third of the run is over.
+    pub lost_divisor: Option<usize>,
     /// One-way time between zones.
     pub cross_zone_ms: u64,
     /// Length of the arrivals.
@@ -327,6 +329,7 @@
     let jobs = plan(&run);
     let mut callers: Vec<CallerId> = Vec::with_capacity(jobs.len());
     let mut straggler_due_ms = run.straggler_factor.map(|_| run.length_ms / 3);
+    let mut lost_due_ms = run.lost_divisor.map(|_| run.length_ms / 3);
     for job in &jobs {
         let due = started + DurationMs(job.at_ms);
         world.run_for(due.since(world.now()).0);
@@ -343,6 +346,12 @@
                 },
             );
         }
+        if lost_due_ms.is_some_and(|due_ms| due_ms <= job.at_ms) {
+            lost_due_ms = None;
+            for target in (0..run.targets).step_by(run.lost_divisor.unwrap_or(1)) {
+                world.kill(NodeId::Agent(target));
+            }
+        }
         callers.push(world.submit(job.entry, job.submission.clone()));
     }
     world.run_for(SETTLE_MS);
