Tests of load patterns after a start; one constant for thousandths

The aggregate that counts the fleet as forming had none of its own: callers before the first worker, a crowd beside the first of eight workers, an entry whose workers do not come, a job that fits nobody.

No change of behaviour: four constants of the same name are one; two tests share rules.

--- a/crates/lagoonhill_core/src/entry/machine/admission.rs
+++ b/crates/lagoonhill_core/src/entry/machine/admission.rs
@@ -5,16 +5,13 @@
 
 use super::{DEFAULT_RETRY_MS, Entry};
 use crate::entry::{
-    CallerId, Cause, DecisionKind, Job, JobFailure, JobKey, JobPlan, Keeping, Needs, Placement,
-    Promise, QueuedAs, Record, RecordKey, Step, Submission, WorkKind,
+    CallerId, Cause, DecisionKind, Job, JobFailure, JobKey, JobPlan, Keeping, Needs, PERMILLE,
+    Placement, Promise, QueuedAs, Record, RecordKey, Step, Submission, WorkKind,
 };
 
 /// An answer after this many times the promised time is of no use.
 const USELESS_FACTOR: u64 = 3;
 
-/// One, in thousandths.
-const PERMILLE: u64 = 1_000;
-
 /// What is worked out about a submission, once.
 #[derive(Debug)]
 struct Appraisal {
--- a/crates/lagoonhill_core/src/entry/mod.rs
+++ b/crates/lagoonhill_core/src/entry/mod.rs
@@ -23,6 +23,9 @@
 mod work;
 mod worker;
 
+/// One, in thousandths.
+const PERMILLE: u64 = 1_000;
+
 pub use answer::{Answer, Cause, JobFailure, RunCertainty};
 pub use config::{DEFAULT_LOOK_AHEAD, EntryConfig};
 pub use decision::{Decision, DecisionKind};
--- a/crates/lagoonhill_core/src/entry/others.rs
+++ b/crates/lagoonhill_core/src/entry/others.rs
@@ -6,11 +6,11 @@
 
 use lagoonhill_types::prelude::*;
 
+use super::PERMILLE;
+
 /// Age at which a report counts half: most tasks that it counted have ended.
 const REPORT_HALF_LIFE_MS: u64 = 150;
 
-const PERMILLE: u64 = 1_000;
-
 /// What other entries have at a target, as a share of it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct OthersShare {
--- a/crates/lagoonhill_core/src/entry/placement.rs
+++ b/crates/lagoonhill_core/src/entry/placement.rs
@@ -1,6 +1,6 @@
 use lagoonhill_types::prelude::*;
 
-use super::WorkerKey;
+use super::{PERMILLE, WorkerKey};
 use crate::Slowness;
 
 /// A worker as placement sees it.
@@ -118,8 +118,6 @@
 /// in thousandths of the expected time.
 const SAFE_PERMILLE: u64 = 1_300;
 
-const PERMILLE: u64 = 1_000;
-
 /// What makes a worker better than another; less is better.
 type Cost = (bool, u64, u64);
 
--- a/crates/lagoonhill_core/src/entry/run_times.rs
+++ b/crates/lagoonhill_core/src/entry/run_times.rs
@@ -2,6 +2,8 @@
 
 use lagoonhill_types::prelude::*;
 
+use super::PERMILLE;
+
 /// Tasks whose run times are alike: of one service, or of one of its queues.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct WorkKind {
@@ -39,8 +41,6 @@
 /// short the declared one is.
 const MAX_PROMISE_DIVISOR: u64 = 2;
 
-const PERMILLE: u64 = 1_000;
-
 /// Runs further off than this have met a sick target, not a hard task.
 const MAX_SPREAD_PERMILLE: u64 = 500;
 
--- a/crates/lagoonhill_core/tests/large_fleet.rs
+++ b/crates/lagoonhill_core/tests/large_fleet.rs
@@ -10,10 +10,11 @@
 };
 use lagoonhill_core::{Slowness, believed_slowness};
 use lagoonhill_protocol::Speed;
-use lagoonhill_rules::{RuleSet, parse_rules};
 use lagoonhill_standin::{NodeId, TargetModel};
 use lagoonhill_types::prelude::*;
-use support::{TestWorld, average_target, config, is_complete, job as plain_job, queue_job, world};
+use support::{
+    TestWorld, average_target, config, is_complete, job as plain_job, queue_job, queue_rules, world,
+};
 
 /// Defines one test for each named case.
 macro_rules! cases {
@@ -22,11 +23,6 @@
     };
 }
 
-const RULES: &str = "\
-service dispatch deadline=20s run-time=100ms run-limit=20s  # tests
-queue short service=dispatch attempts=4 objective=60ms slack-permille=1600  # tests
-";
-
 /// Tasks that a target of the fleet runs at the same time.
 const ROOM: u32 = 10;
 
@@ -34,10 +30,7 @@
     let mut config = config(entries, targets, seed);
     config.slots = 10;
     config.zones = 5;
-    config.rules = RuleSet::new(
-        Revision(1),
-        parse_rules(RULES).expect("the rules are valid"),
-    );
+    config.rules = queue_rules();
     world(&config)
 }
 
@@ -107,7 +100,7 @@
         let mut config = config(20, 40, 7);
         config.slots = 10;
         config.zones = 5;
-        config.rules = RuleSet::new(Revision(1), parse_rules(RULES).expect("the rules are valid"));
+        config.rules = queue_rules();
         let mut world = world(&config);
         for entry in 0..20 {
             world.submit(entry, job(&format!("before{entry}"), 4, 50));
@@ -273,7 +266,7 @@
         let mut config = config(6, 4, 5);
         config.targets[0] = slow;
         config.slots = 10;
-        config.rules = RuleSet::new(Revision(1), parse_rules(RULES).expect("the rules are valid"));
+        config.rules = queue_rules();
         let mut world = world(&config);
         for number in 0..200 {
             world.submit(number % 5, job(&format!("learn{number}"), 4, 100));
--- /dev/null
+++ b/crates/lagoonhill_core/tests/restarts.rs
@@ -0,0 +1,120 @@
+//! Load patterns after everything has just started: callers come before workers
+//! have joined.
+
+mod support;
+
+use lagoonhill_core::entry::{CallerId, Cause, LeastExpectedFinish, RunCertainty};
+use lagoonhill_standin::{NodeId, World};
+use lagoonhill_types::prelude::*;
+use support::{TestWorld, config, is_complete, job, queue_job, queue_rules};
+
+/// Defines one test for each named case.
+macro_rules! cases {
+    ($($name:ident => $body:block)+) => {
+        $(#[test] fn $name() $body)+
+    };
+}
+
+/// Longest wait for the first worker of a fleet, and a margin.
+const FORMING_MS: u64 = 700;
+
+/// Agents that start so much later than the entries.
+const LATE_MS: u64 = 200;
+
+/// Ten such tasks fill a target.
+const TASK_PROCESSORS: MilliProcessors = MilliProcessors(6_400);
+
+/// A world in which nobody has joined yet.
+fn dark(entries: usize, workers: usize) -> TestWorld {
+    let config = config(entries, workers, 1);
+    World::new(&config, |entry| {
+        LeastExpectedFinish::with_seed(entry as u64)
+    })
+}
+
+/// The same, with agents that nobody reaches until [`LATE_MS`] have passed.
+fn cut_off(entries: usize, workers: usize) -> TestWorld {
+    let mut world = dark(entries, workers);
+    for_all_pairs(entries, workers, |entry, agent| world.cut(entry, agent));
+    world
+}
+
+fn for_all_pairs(entries: usize, workers: usize, mut act: impl FnMut(NodeId, NodeId)) {
+    for entry in 0..entries {
+        for agent in 0..workers {
+            act(NodeId::Entry(entry), NodeId::Agent(agent));
+        }
+    }
+}
+
+fn refusal(world: &TestWorld, caller: CallerId) -> Option<(Cause, RunCertainty, TimestampMs)> {
+    let received = world.received.get(&caller)?.first()?;
+    let failure = received.answer.outcome.as_ref().err()?;
+    Some((failure.cause.clone(), failure.run, received.at_ms))
+}
+
+cases! {
+    // All power lost: callers that waited in the dark come before any agent.
+    callers_that_come_before_the_first_worker_are_served => {
+        let mut world = cut_off(2, 4);
+        let early: Vec<CallerId> = (0..8)
+            .map(|number| world.submit(number % 2, job(&format!("early{number}"), 2, 50)))
+            .collect();
+        world.run_for(LATE_MS);
+        for_all_pairs(2, 4, |entry, agent| world.heal(entry, agent));
+        world.run_for(2_000);
+        for caller in early {
+            assert!(is_complete(&world, caller), "{:?}", refusal(&world, caller));
+        }
+    }
+
+    // One of the agents is there, the others are coming.
+    a_crowd_is_not_judged_by_the_first_worker_alone => {
+        let mut config = config(1, 8, 1);
+        config.rules = queue_rules();
+        config.slots = 10;
+        let mut world: TestWorld = World::new(&config, |_| LeastExpectedFinish::with_seed(1));
+        for agent in 1..8 {
+            world.cut(NodeId::Entry(0), NodeId::Agent(agent));
+        }
+        world.run_for(60);
+        let wide = |number| queue_job("short", &format!("crowd{number}"), 4, TASK_PROCESSORS, 300);
+        let crowd: Vec<CallerId> = (0..16).map(|number| world.submit(0, wide(number))).collect();
+        for agent in 1..8 {
+            world.heal(NodeId::Entry(0), NodeId::Agent(agent));
+        }
+        world.run_for(3_000);
+        let refused = crowd.iter().filter(|caller| refusal(&world, **caller).is_some());
+        assert_eq!(refused.count(), 0);
+    }
+
+    an_entry_whose_workers_do_not_come_says_so_soon_and_then_at_once => {
+        let mut world = cut_off(1, 2);
+        let asked_ms = world.now();
+        let early = world.submit(0, job("early", 1, 50));
+        world.run_for(FORMING_MS);
+        let (cause, run, at_ms) = refusal(&world, early).expect("the caller is told");
+        assert!(matches!(cause, Cause::NoWorkers(_)), "{cause}");
+        assert_eq!(run, RunCertainty::NotRun);
+        assert!(at_ms.since(asked_ms) <= DurationMs(FORMING_MS));
+        let asked_ms = world.now();
+        let later = world.submit(0, job("later", 1, 50));
+        let (_, _, at_ms) = refusal(&world, later).expect("the caller is told at once");
+        assert_eq!(at_ms, asked_ms);
+    }
+
+    // Whether a job fits nobody is known when the fleet is whole.
+    a_job_that_fits_no_worker_is_refused_when_the_fleet_is_whole => {
+        let mut config = config(1, 2, 1);
+        config.rules = queue_rules();
+        let mut world: TestWorld = World::new(&config, |_| LeastExpectedFinish::with_seed(1));
+        let huge = MilliProcessors(1_000_000);
+        let early = world.submit(0, queue_job("short", "early", 1, huge, 50));
+        assert!(refusal(&world, early).is_none(), "refused before any worker could join");
+        world.run_for(FORMING_MS);
+        let (cause, ..) = refusal(&world, early).expect("the caller is told");
+        assert!(matches!(cause, Cause::NeverFits(_)), "{cause}");
+        let later = world.submit(0, queue_job("short", "later", 1, huge, 50));
+        assert!(refusal(&world, later).is_some(), "the caller is told at once");
+    }
+}
--- a/crates/lagoonhill_core/tests/support/mod.rs
+++ b/crates/lagoonhill_core/tests/support/mod.rs
@@ -30,6 +30,18 @@
     )
 }
 
+/// Rules with a queue of short tasks.
+pub(crate) fn queue_rules() -> RuleSet {
+    const QUEUE_RULES: &str = "\
+service dispatch deadline=20s run-time=100ms run-limit=20s  # tests
+queue short service=dispatch attempts=4 objective=60ms slack-permille=1600  # tests
+";
+    RuleSet::new(
+        Revision(1),
+        parse_rules(QUEUE_RULES).expect("the rules are valid"),
+    )
+}
+
 pub(crate) fn service() -> ServiceName {
     "dispatch".parse().expect("the name is valid")
 }
