--- a/crates/lagoonhill_bench/src/large_fleet.rs
+++ b/crates/lagoonhill_bench/src/large_fleet.rs
@@ -328,29 +328,13 @@
     let started = world.now();
     let jobs = plan(&run);
     let mut callers: Vec<CallerId> = Vec::with_capacity(jobs.len());
-    let mut straggler_due_ms = run.straggler_factor.map(|_| run.length_ms / 3);
-    let mut lost_due_ms = run.lost_divisor.map(|_| run.length_ms / 3);
+    let mut fault_due_ms = Some(run.length_ms / 3);
     for job in &jobs {
         let due = started + DurationMs(job.at_ms);
         world.run_for(due.since(world.now()).0);
-        if straggler_due_ms.is_some_and(|due_ms| due_ms <= job.at_ms) {
-            straggler_due_ms = None;
-            let factor = run.straggler_factor.unwrap_or(1);
-            let slowness_permille = targets[0].slowness_permille * factor;
-            let fails_all = false;
-            world.set_target(
-                0,
-                TargetModel {
-                    slowness_permille,
-                    fails_all,
-                },
-            );
-        }
-        if lost_due_ms.is_some_and(|due_ms| due_ms <= job.at_ms) {
-            lost_due_ms = None;
-            for target in (0..run.targets).step_by(run.lost_divisor.unwrap_or(1)) {
-                world.kill(NodeId::Agent(target));
-            }
+        if fault_due_ms.is_some_and(|due_ms| due_ms <= job.at_ms) {
+            fault_due_ms = None;
+            inject_faults(&mut world, &run, targets[0]);
         }
         callers.push(world.submit(job.entry, job.submission.clone()));
     }
@@ -364,6 +348,25 @@
     result
 }
 
+/// Slows the first target down and loses others, as the run asks for.
+fn inject_faults<P: Placement>(world: &mut World<P>, run: &LargeRun, first: TargetModel) {
+    if let Some(factor) = run.straggler_factor {
+        let slowness_permille = first.slowness_permille * factor;
+        world.set_target(
+            0,
+            TargetModel {
+                slowness_permille,
+                ..first
+            },
+        );
+    }
+    if let Some(divisor) = run.lost_divisor {
+        for target in (0..run.targets).step_by(divisor) {
+            world.kill(NodeId::Agent(target));
+        }
+    }
+}
+
 fn judge<P: Placement>(
     world: &World<P>,
     jobs: &[PlannedJob],
--- a/crates/lagoonhill_core/src/entry/decision.rs
+++ b/crates/lagoonhill_core/src/entry/decision.rs
@@ -89,7 +89,7 @@
     Formed {
         /// Its workers.
         workers: usize,
-        /// Time since the entry started.
+        /// Time since the entry started or learned its first rules.
         took_ms: DurationMs,
         /// Jobs that wait for them.
         waiting: usize,
--- a/crates/lagoonhill_core/src/entry/machine/admission.rs
+++ b/crates/lagoonhill_core/src/entry/machine/admission.rs
@@ -398,7 +398,7 @@
     }
 
     /// Whether a job may wait for workers that have not joined yet.
-    fn may_await_workers(&self, is_kept: bool) -> bool {
+    pub(super) fn may_await_workers(&self, is_kept: bool) -> bool {
         self.forming.is_on() && !is_kept
     }
 
@@ -414,13 +414,13 @@
             waiting: self.jobs.len(),
         };
         self.decide(now, None, None, formed);
-        let waiting = self.jobs.iter().filter(|(_, job)| !job.has_started());
-        let refused: Vec<(JobKey, Cause)> = waiting
-            .filter_map(|(key, job)| {
-                let cause = self.unservable(&job.plan.service, job.needs())?;
-                (!job.is_kept()).then_some((key, cause))
-            })
-            .collect();
+        let is_waiting = |(_, job): &(JobKey, &Job)| !job.has_started() && !job.is_kept();
+        let unservable = |(key, job): (JobKey, &Job)| {
+            let cause = self.unservable(&job.plan.service, job.needs())?;
+            Some((key, cause))
+        };
+        let waiting = self.jobs.iter().filter(is_waiting);
+        let refused: Vec<(JobKey, Cause)> = waiting.filter_map(unservable).collect();
         for (key, cause) in refused {
             self.fail_job(key, cause, now);
         }
--- a/crates/lagoonhill_core/src/entry/machine/dispatch.rs
+++ b/crates/lagoonhill_core/src/entry/machine/dispatch.rs
@@ -181,11 +181,12 @@
 
     fn situation(&self, key: JobKey, now: TimestampMs) -> Situation {
         let plan = &self.jobs[key].plan;
+        let kind = self.kind_of(key);
         let keeps_reserve = plan.class > Class::Rush && self.is_rush_on(&plan.service, now);
         Situation {
-            run_time_ms: self.next_run_time(key),
+            run_time_ms: self.next_run_time_as(key, &kind),
             within_ms: self.time_left(key, now),
-            spread_permille: self.run_times.spread_permille(&self.kind_of(key)),
+            spread_permille: self.run_times.spread_permille(&kind),
             room: if keeps_reserve {
                 Room::KeepReserve
             } else {
@@ -204,14 +205,18 @@
     /// Expected run time of a job's next ready task on a worker of average
     /// speed.
     pub(super) fn next_run_time(&self, key: JobKey) -> DurationMs {
-        let kind = self.kind_of(key);
+        self.next_run_time_as(key, &self.kind_of(key))
+    }
+
+    /// As [`Self::next_run_time`], of a job whose kind of work is known.
+    fn next_run_time_as(&self, key: JobKey, kind: &WorkKind) -> DurationMs {
         let prior_ms = self.prior_run_time(&kind.service);
         let declared_ms = self.jobs[key].next_estimate_ms();
         if kind.queue.is_none() {
-            return self.run_times.expected(&kind, prior_ms);
+            return self.run_times.expected(kind, prior_ms);
         }
         self.run_times
-            .expected_declared(&kind, declared_ms, prior_ms)
+            .expected_declared(kind, declared_ms, prior_ms)
     }
 
     /// Whether jobs of the most urgent class have come lately.
--- a/crates/lagoonhill_core/src/entry/machine/forecast.rs
+++ b/crates/lagoonhill_core/src/entry/machine/forecast.rs
@@ -40,7 +40,7 @@
         let Some(promise) = promise.filter(|_| !submission.kept) else {
             return Ok(());
         };
-        if self.forming.is_on() {
+        if self.may_await_workers(submission.kept) {
             return Ok(());
         }
         let service = &submission.service;
--- a/crates/lagoonhill_core/tests/floods.rs
+++ b/crates/lagoonhill_core/tests/floods.rs
@@ -3,10 +3,9 @@
 mod support;
 
 use lagoonhill_core::entry::{CallerId, RunCertainty, Submission, Throughput, Work};
-use lagoonhill_rules::{RuleSet, parse_rules};
 use lagoonhill_standin::NodeId;
 use lagoonhill_types::prelude::*;
-use support::{TestWorld, config, queue_job, world};
+use support::{TestWorld, ask, class_rules, config, queue_job, world};
 
 /// Defines one test for each named case.
 macro_rules! cases {
@@ -15,13 +14,6 @@
     };
 }
 
-const RULES: &str = "\
-service dispatch deadline=20s run-time=100ms run-limit=20s  # tests
-queue short service=dispatch class=rush attempts=4 objective=60ms slack-permille=1600  # tests
-queue middle service=dispatch class=standard attempts=4 objective=60ms slack-permille=1600  # tests
-queue long service=dispatch class=office attempts=4 objective=60ms slack-permille=1600  # tests
-";
-
 /// Ten such tasks fill a target.
 const TASK_PROCESSORS: MilliProcessors = MilliProcessors(6_400);
 
@@ -31,10 +23,7 @@
 fn fleet(entries: usize, targets: usize, seed: u64) -> TestWorld {
     let mut config = config(entries, targets, seed);
     config.slots = 10;
-    config.rules = RuleSet::new(
-        Revision(1),
-        parse_rules(RULES).expect("the rules are valid"),
-    );
+    config.rules = class_rules();
     world(&config)
 }
 
@@ -108,9 +97,7 @@
         warm_up(&mut world, 2, "short", 100);
         let mut callers = Vec::new();
         for number in 0..800 {
-            let asked_ms = world.now();
-            let caller = world.submit(number % 2, job("short", &format!("flood{number}"), 100));
-            callers.push((caller, asked_ms));
+            callers.push(ask(&mut world, number % 2, job("short", &format!("flood{number}"), 100)));
             world.run_for(if number % 2 == 0 { 2 } else { 3 });
         }
         world.run_for(2_000);
@@ -129,9 +116,7 @@
         let mut callers = Vec::new();
         for number in 0..1_200 {
             let entry = if number % 10 < 8 { 0 } else { 1 + number % 4 };
-            let asked_ms = world.now();
-            let caller = world.submit(entry, job("short", &format!("skewed{number}"), 100));
-            callers.push((caller, asked_ms));
+            callers.push(ask(&mut world, entry, job("short", &format!("skewed{number}"), 100)));
             world.run_for(3);
         }
         world.run_for(2_000);
@@ -148,12 +133,11 @@
         for number in 0..1_000 {
             let is_wide = number % 10 == 0;
             let width = if is_wide { 6 } else { 1 };
-            let asked_ms = world.now();
             let name = format!("mixed{number}");
-            let caller = world.submit(number % 2, wide_job("short", &name, width, 100));
-            all.push((caller, asked_ms));
+            let asked = ask(&mut world, number % 2, wide_job("short", &name, width, 100));
+            all.push(asked);
             if is_wide {
-                wide.push((caller, asked_ms));
+                wide.push(asked);
             }
             world.run_for(2);
         }
@@ -170,8 +154,7 @@
         warm_up(&mut world, 1, "short", 100);
         let mut callers = Vec::new();
         for number in 0..300 {
-            let asked_ms = world.now();
-            callers.push((world.submit(0, job("short", &format!("back{number}"), 100)), asked_ms));
+            callers.push(ask(&mut world, 0, job("short", &format!("back{number}"), 100)));
             world.run_for(3);
         }
         world.run_for(2_000);
@@ -192,8 +175,7 @@
         world.run_for(20_000);
         let mut callers = Vec::new();
         for number in 0..20 {
-            let asked_ms = world.now();
-            callers.push((world.submit(0, job("short", &format!("cut{number}"), 100)), asked_ms));
+            callers.push(ask(&mut world, 0, job("short", &format!("cut{number}"), 100)));
             world.run_for(20);
         }
         world.run_for(1_000);
@@ -218,10 +200,9 @@
             }
         }
         world.run_for(7_000);
-        let asked_ms = world.now();
-        let caller = world.submit(0, job("short", "sound", 100));
+        let asked = ask(&mut world, 0, job("short", "sound", 100));
         world.run_for(1_000);
-        let tally = tally(&world, &[(caller, asked_ms)], 400);
+        let tally = tally(&world, &[asked], 400);
         assert_eq!(tally.answered, 1, "{tally:?}");
     }
 
--- a/crates/lagoonhill_core/tests/queues.rs
+++ b/crates/lagoonhill_core/tests/queues.rs
@@ -6,10 +6,9 @@
 use lagoonhill_core::entry::{
     CallerId, Decision, DecisionKind, Needs, QueueOrder, Step, Submission,
 };
-use lagoonhill_rules::{RuleSet, parse_rules};
 use lagoonhill_standin::{NodeId, Stopped, TargetModel};
 use lagoonhill_types::prelude::*;
-use support::{TestWorld, average_target, config, is_complete, service, world};
+use support::{TestWorld, ask, average_target, class_rules, config, is_complete, service, world};
 
 /// Defines one test for each named case.
 macro_rules! cases {
@@ -18,24 +17,12 @@
     };
 }
 
-const RULES: &str = "\
-service dispatch deadline=20s run-time=100ms run-limit=20s  # tests
-queue short service=dispatch class=rush attempts=4 objective=60ms slack-permille=1600  # tests
-queue long service=dispatch class=office attempts=4 objective=60ms slack-permille=1600  # tests
-queue fragile service=dispatch attempts=2 objective=60ms slack-permille=1600  # tests
-";
-
-fn rules() -> RuleSet {
-    let lines = parse_rules(RULES).expect("the test rules are valid");
-    RuleSet::new(Revision(1), lines)
-}
-
 /// Targets of ten processors, by their models.
 fn fleet(entries: usize, targets: Vec<TargetModel>, seed: u64) -> TestWorld {
     let mut config = config(entries, targets.len(), seed);
     config.targets = targets;
     config.slots = 10;
-    config.rules = rules();
+    config.rules = class_rules();
     let mut world = world(&config);
     world.stopped = Stopped::Interrupted;
     world
@@ -168,9 +155,7 @@
         let mut callers = Vec::new();
         for number in 0..400 {
             let entry = number % 2;
-            let asked_ms = world.now();
-            let caller = world.submit(entry, simple("short", &format!("flood{number}"), 1, 100));
-            callers.push((caller, asked_ms));
+            callers.push(ask(&mut world, entry, simple("short", &format!("flood{number}"), 1, 100)));
             world.run_for(if number % 3 == 0 { 3 } else { 4 });
         }
         world.run_for(3_000);
@@ -192,9 +177,8 @@
         let mut callers = Vec::new();
         for round in 0..10 {
             for number in 0..14 {
-                let asked_ms = world.now();
                 let name = format!("long{round}-{number}");
-                callers.push((world.submit(0, simple("long", &name, 1, 300)), asked_ms));
+                callers.push(ask(&mut world, 0, simple("long", &name, 1, 300)));
             }
             world.run_for(700);
         }
@@ -214,9 +198,7 @@
         world.set_target(0, TargetModel { slowness_permille: 400_000, ..average_target() });
         let mut callers = Vec::new();
         for number in 0..200 {
-            let asked_ms = world.now();
-            let caller = world.submit(number % 4, simple("short", &format!("hang{number}"), 1, 50));
-            callers.push((caller, asked_ms));
+            callers.push(ask(&mut world, number % 4, simple("short", &format!("hang{number}"), 1, 50)));
             world.run_for(10);
         }
         world.run_for(2_000);
@@ -260,9 +242,8 @@
         let mut world = fleet(1, vec![average_target(); 1], 11);
         let mut callers = Vec::new();
         for number in 0..300 {
-            let asked_ms = world.now();
             let name = format!("flood{number}");
-            callers.push((world.submit(0, simple("long", &name, 1, 600)), asked_ms));
+            callers.push(ask(&mut world, 0, simple("long", &name, 1, 600)));
             world.run_for(10);
         }
         world.run_for(8_000);
--- a/crates/lagoonhill_core/tests/support/mod.rs
+++ b/crates/lagoonhill_core/tests/support/mod.rs
@@ -30,6 +30,31 @@
     )
 }
 
+/// Rules with a queue for each class, and one whose jobs get few attempts.
+pub(crate) fn class_rules() -> RuleSet {
+    const CLASS_RULES: &str = "\
+service dispatch deadline=20s run-time=100ms run-limit=20s  # tests
+queue short service=dispatch class=rush attempts=4 objective=60ms slack-permille=1600  # tests
+queue middle service=dispatch class=standard attempts=4 objective=60ms slack-permille=1600  # tests
+queue long service=dispatch class=office attempts=4 objective=60ms slack-permille=1600  # tests
+queue fragile service=dispatch attempts=2 objective=60ms slack-permille=1600  # tests
+";
+    RuleSet::new(
+        Revision(1),
+        parse_rules(CLASS_RULES).expect("the rules are valid"),
+    )
+}
+
+/// Submits a job; returns its caller and when it asked.
+pub(crate) fn ask(
+    world: &mut TestWorld,
+    entry: usize,
+    submission: Submission,
+) -> (CallerId, TimestampMs) {
+    let asked_ms = world.now();
+    (world.submit(entry, submission), asked_ms)
+}
+
 /// Rules with a queue of short tasks.
 pub(crate) fn queue_rules() -> RuleSet {
     const QUEUE_RULES: &str = "\
