--- a/crates/lagoonhill/tests/kept_jobs.rs
+++ b/crates/lagoonhill/tests/kept_jobs.rs
@@ -21,6 +21,10 @@
     };
 }
 
+/// Age of a count that callers may get, and a second for the processes of a busy
+/// machine.
+const MAX_COUNT_AGE: Duration = Duration::from_secs(3);
+
 async fn fleet(entries: usize) -> Fleet {
     let fleet = Fleet::start(entries, 2).await;
     let revision = fleet
@@ -122,6 +126,36 @@
         assert_eq!(state(&fleet, 0, "long").await, "cancelled");
     }
 
+    a_cancel_through_another_entry_is_shown_at_once_by_the_owner => {
+        let fleet = fleet(2).await;
+        let (status, _) = put(&fleet, 0, "slow", job("slow", 2, 30_000)).await;
+        assert_eq!(status, 200);
+        fleet.until_started("slow").await;
+        // The owner learns of the cancel, and stores its end, long after the answer.
+        let delay = Duration::from_millis(300);
+        fleet.platform.set_faults(PlatformFaults { delay, ..Default::default() });
+        let path = "/v1/queues/nightly/jobs/slow";
+        let (status, body) = request(&fleet, 1, Method::DELETE, path, Value::Null).await;
+        assert_eq!((status, body["state"].as_str()), (200, Some("cancelled")), "{body}");
+        assert_eq!(state(&fleet, 0, "slow").await, "cancelled");
+    }
+
+    the_first_jobs_of_a_fleet_are_counted_by_another_entry_within_seconds => {
+        let fleet = fleet(2).await;
+        for number in 0..4 {
+            let name = format!("early{number}");
+            let (status, _) = put(&fleet, 0, &name, job(&name, 40, 1_000)).await;
+            assert_eq!(status, 200);
+        }
+        // An owner publishes its counts each second; readers keep them for one more.
+        let counted = until(async || {
+            let (_, body) = request(&fleet, 1, Method::GET, "/v1/queues/nightly", Value::Null).await;
+            body["waiting"].as_u64().is_some_and(|waiting| waiting >= 2)
+        });
+        let in_time = tokio::time::timeout(MAX_COUNT_AGE, counted).await;
+        assert!(in_time.is_ok(), "the count of another entry is older than {MAX_COUNT_AGE:?}");
+    }
+
     another_entry_completes_the_job_of_a_killed_entry => {
         let mut fleet = fleet(2).await;
         let (status, _) = put(&fleet, 0, "orphan", job("orphan", 2, 2_000)).await;
--- a/crates/lagoonhill_entry/src/client.rs
+++ b/crates/lagoonhill_entry/src/client.rs
@@ -41,6 +41,10 @@
 /// Time between two checks of whether a cancel has been stored.
 const CANCEL_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Longest wait for a cancel to be stored. The cancel stays in effect after that;
+/// its caller is told that it is not confirmed.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// How long the first durable job waits for this entry to become an owner.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -84,19 +88,24 @@
     }
 
     /// The status of a durable job, whichever entry owns it; `None` if there is no
-    /// such job.
+    /// such job. Fails if the store does not answer.
+    ///
+    /// The store is asked even about a job of this entry, since another entry may
+    /// have stored its cancellation a moment ago. Memory only tells whether an open
+    /// job has started.
     pub async fn job_status(
         &self,
         name: RequestKey,
     ) -> Result<Option<JobStatus>, StoreUnavailable> {
-        if let Some(job_status) = self.own_job_status(&name).await {
-            return Ok(Some(job_status));
-        }
-        let found = self.durable_jobs.requests.look_up(name).await?;
-        Ok(found.map(|state| match state {
-            DurableJobState::Open => JobStatus::Running,
-            state => JobStatus::Over(state),
-        }))
+        let found = self.durable_jobs.requests.look_up(name.clone()).await?;
+        Ok(match found {
+            Some(DurableJobState::Open) => {
+                let own = self.own_job_status(&name).await;
+                Some(own.unwrap_or(JobStatus::Running))
+            }
+            Some(state) => Some(JobStatus::Over(state)),
+            None => None,
+        })
     }
 
     async fn own_job_status(&self, name: &RequestKey) -> Option<JobStatus> {
@@ -123,13 +132,22 @@
             name: name.clone(),
             reply,
         });
-        if request.await.unwrap_or(false) {
-            while self.own_job_status(&name).await.is_some() {
-                sleep(CANCEL_POLL_INTERVAL).await;
+        let cancelled = async {
+            if request.await.unwrap_or(false) {
+                while self.own_job_status(&name).await.is_some() {
+                    sleep(CANCEL_POLL_INTERVAL).await;
+                }
             }
-        }
-        // Another entry may own it by now; the state of an ended job does not change.
-        self.durable_jobs.requests.cancel(name).await
+            // Another entry may own it by now; the state of an ended job does not
+            // change.
+            self.durable_jobs.requests.cancel(name.clone()).await
+        };
+        timeout(CANCEL_TIMEOUT, cancelled)
+            .await
+            .unwrap_or_else(|_| {
+                let why = format!("the cancellation of {name} is not confirmed yet");
+                Err(StoreUnavailable(why))
+            })
     }
 
     /// Submits a job and waits for its answer. Dropping the future withdraws
--- a/crates/lagoonhill_entry/src/durable_job_requests.rs
+++ b/crates/lagoonhill_entry/src/durable_job_requests.rs
@@ -24,6 +24,8 @@
     /// The number of jobs of a queue that wait at other entries.
     Waiting {
         queue: QueueName,
+        /// Whether no durable job is known here, so that older counts will do.
+        is_idle: bool,
         reply: oneshot::Sender<Result<usize, StoreUnavailable>>,
     },
     /// Delete this entry's owner key: the process ends.
@@ -65,11 +67,13 @@
         &self,
         queue: QueueName,
     ) -> Result<usize, StoreUnavailable> {
-        if !*self.is_needed.borrow() {
-            return Ok(0);
-        }
-        self.request(|reply| DurableJobRequest::Waiting { queue, reply })
-            .await
+        let is_idle = !*self.is_needed.borrow();
+        self.request(|reply| DurableJobRequest::Waiting {
+            queue,
+            is_idle,
+            reply,
+        })
+        .await
     }
 
     pub(crate) async fn look_up(
@@ -127,8 +131,12 @@
                     let found = found.map(|found| found.map(|(form, _)| form.state.into()));
                     let _ = reply.send(found);
                 }
-                DurableJobRequest::Waiting { queue, reply } => {
-                    let _ = reply.send(durable_store.waiting_at_peers(&queue).await);
+                DurableJobRequest::Waiting {
+                    queue,
+                    is_idle,
+                    reply,
+                } => {
+                    let _ = reply.send(durable_store.waiting_at_peers(&queue, is_idle).await);
                 }
                 DurableJobRequest::Leave { reply } => {
                     durable_store.leave().await;
--- a/crates/lagoonhill_entry/src/durable_store.rs
+++ b/crates/lagoonhill_entry/src/durable_store.rs
@@ -43,6 +43,10 @@
 /// get counts that are up to two seconds old.
 const WAITING_COUNTS_MAX_AGE_MS: DurationMs = DurationMs(500);
 
+/// The same at an entry that knows of no durable job. Owners publish their counts
+/// each second, which together stays within the two seconds.
+const IDLE_WAITING_COUNTS_MAX_AGE_MS: DurationMs = DurationMs(1_000);
+
 /// Ends and cancels stored within this time of a grant share its lease.
 const LEASE_REUSE_WINDOW_MS: DurationMs = DurationMs::from_secs(30);
 
@@ -362,14 +366,21 @@
         matches!(published, TransactionOutcome::Done(_))
     }
 
-    /// Durable jobs of a queue that wait at other entries; up to a second old.
+    /// Durable jobs of a queue that wait at other entries; up to two seconds old.
+    /// An entry that knows of no durable job (`is_idle`) reads the counts less often.
     pub(crate) async fn waiting_at_peers(
         &self,
         queue: &QueueName,
+        is_idle: bool,
     ) -> Result<usize, StoreUnavailable> {
         let now = self.clock.now();
+        let max_age_ms = if is_idle {
+            IDLE_WAITING_COUNTS_MAX_AGE_MS
+        } else {
+            WAITING_COUNTS_MAX_AGE_MS
+        };
         if let Some((counts, read_ms)) = &self.shared().waiting
-            && now.since(*read_ms) < WAITING_COUNTS_MAX_AGE_MS
+            && now.since(*read_ms) < max_age_ms
         {
             return Ok(counts.get(queue).copied().unwrap_or(0));
         }
