Drained zones: operators' evacuations are in force at entries and agents

Cause: `op/evacuate/ZONE` was read by nobody.

Workers of a drained zone count as no capacity from that moment on. With all suitable workers drained a job is refused as not run; durable jobs wait. The message to agents is a rules update of revision 0, which earlier releases ignore.

--- a/crates/lagoonhill_agent/src/control.rs
+++ b/crates/lagoonhill_agent/src/control.rs
@@ -26,6 +26,8 @@
     pub(crate) sessions: usize,
     pub(crate) entries: Vec<EntryAddress>,
     pub(crate) rules_revision: Revision,
+    pub(crate) zone: AvailabilityZone,
+    pub(crate) is_zone_drained: bool,
 }
 
 /// An event for the control thread.
@@ -116,6 +118,9 @@
                 }
                 AgentEffect::EndStored { key } => self.runner.end_stored(key, now),
                 AgentEffect::DiscardEnd { key } => self.runner.end_discarded(key),
+                AgentEffect::ZoneDrain { drain } => {
+                    info!(target: "decision", "{drain} source=entry");
+                }
                 AgentEffect::Drained => {
                     let _ = self.drained.send(true);
                 }
@@ -136,6 +141,8 @@
             sessions: self.agent.entries().filter(|(_, open)| *open).count(),
             entries: self.agent.entries().map(|(address, _)| *address).collect(),
             rules_revision: self.agent.rules().revision,
+            zone: self.agent.zone().clone(),
+            is_zone_drained: self.agent.is_zone_drained(),
         }
     }
 
--- a/crates/lagoonhill_agent/src/discovery.rs
+++ b/crates/lagoonhill_agent/src/discovery.rs
@@ -102,6 +102,7 @@
         beats: Vec::new(),
         wants_all: false,
         revision: Revision(0),
+        drains_revision: Revision(0),
     };
     let body = serde_json::to_vec(&request).ok()?;
     let headers = [("content-type", "application/json")];
--- a/crates/lagoonhill_agent/src/metrics.rs
+++ b/crates/lagoonhill_agent/src/metrics.rs
@@ -1,6 +1,6 @@
 use lagoonhill_daemon::{Meters, PacketMeter};
 use lagoonhill_types::prelude::*;
-use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge};
+use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
 
 use crate::control::AgentStatus;
 
@@ -16,6 +16,7 @@
     running: IntGauge,
     sessions: IntGauge,
     rules_revision: IntGauge,
+    zone_drained: IntGaugeVec,
 }
 
 impl Metrics {
@@ -44,6 +45,11 @@
                 "lagoonhill_rules_revision",
                 "Revision of the rules in force.",
             ),
+            zone_drained: meters.gauges(
+                "lagoonhill_zone_drained",
+                "1 while operators drain the worker's zone.",
+                "zone",
+            ),
             meters,
         }
     }
@@ -73,6 +79,9 @@
         gauge(&self.sessions, status.sessions);
         self.rules_revision
             .set(i64::try_from(status.rules_revision.0).unwrap_or(i64::MAX));
+        self.zone_drained
+            .with_label_values(&[status.zone.as_str()])
+            .set(i64::from(status.is_zone_drained));
         self.meters.render()
     }
 }
--- a/crates/lagoonhill_core/src/agent/effect.rs
+++ b/crates/lagoonhill_core/src/agent/effect.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use lagoonhill_protocol::{Packet, Start, Target};
+use lagoonhill_rules::ZoneDrain;
 
 use super::TaskKey;
 
@@ -50,6 +51,11 @@
         /// The run.
         key: TaskKey,
     },
+    /// The drain of the agent's zone came into force, or ended.
+    ZoneDrain {
+        /// The new state.
+        drain: ZoneDrain,
+    },
     /// All outcomes are delivered; the process may exit.
     Drained,
 }
--- a/crates/lagoonhill_core/src/agent/link.rs
+++ b/crates/lagoonhill_core/src/agent/link.rs
@@ -30,6 +30,8 @@
     pub held: u16,
     /// Processors that those tasks need, in thousandths.
     pub held_processors: MilliProcessors,
+    /// Whether the entry has told of a drain, so that it knows the word for it.
+    pub knows_drains: bool,
 }
 
 impl EntryLink {
@@ -44,6 +46,7 @@
             last_received_ms: now,
             held: 0,
             held_processors: MilliProcessors(0),
+            knows_drains: false,
         }
     }
 
--- a/crates/lagoonhill_core/src/agent/machine/mod.rs
+++ b/crates/lagoonhill_core/src/agent/machine/mod.rs
@@ -1,5 +1,7 @@
 //! State machine of an agent: sessions with entries, and the tasks from them.
 
+mod drain;
+
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 
@@ -13,7 +15,8 @@
 
 use super::{AgentEffect, EntryKey, EntryLink, HeldTask, TargetSpeed, TaskKey, TaskPhase};
 use crate::{
-    FrameHeader, Heartbeat, Liveness, RulesSync, Session, Timing, estimated_slowness, overdue_after,
+    DrainSync, FrameHeader, Heartbeat, Liveness, RulesSync, Session, Timing, estimated_slowness,
+    overdue_after,
 };
 
 /// Longest pause between two hellos to an entry that does not answer.
@@ -76,6 +79,7 @@
     /// Ends of durable jobs' runs that their entries have not stored yet.
     unstored_ends: HashMap<TaskId, UnstoredEnd>,
     rules: RulesSync,
+    drains: DrainSync,
     rules_installed_ms: TimestampMs,
     leaving: bool,
     drained_reported: bool,
@@ -103,6 +107,7 @@
             used: Resources::default(),
             unstored_ends: HashMap::new(),
             rules: RulesSync::default(),
+            drains: DrainSync::default(),
             rules_installed_ms: TimestampMs(0),
             leaving: false,
             drained_reported: false,
@@ -118,6 +123,11 @@
         self.rules.rules()
     }
 
+    /// The worker's availability zone.
+    pub fn zone(&self) -> &AvailabilityZone {
+        &self.config.zone
+    }
+
     /// The announced target.
     pub fn target(&self) -> Option<&Target> {
         self.target.as_ref()
@@ -519,6 +529,9 @@
         if self.leaving {
             session.push(Message::Leaving);
         }
+        if self.is_zone_drained() {
+            self.tell_zone_drain(key);
+        }
     }
 
     /// Sends newer rules to an entry with an older revision, but not those of a
@@ -650,7 +663,9 @@
             Message::CancelJob(job) => self.on_cancel(key, job),
             Message::Withdraw(task) => self.on_withdraw(key, task),
             Message::Rules(update) => {
-                if self.rules.install_update(&update) {
+                if let Some(drain) = update.zone_drain() {
+                    self.on_zone_drain(key, drain, now);
+                } else if self.rules.install_update(&update) {
                     self.rules_installed_ms = now;
                 }
                 // Each entry that sent them waits until they are in force.
@@ -698,6 +713,9 @@
         if self.leaving {
             return Some(NotRunReason::Leaving);
         }
+        if self.is_zone_drained() {
+            return Some(self.drain_reason(key));
+        }
         let Some(target) = &self.target else {
             return Some(NotRunReason::NoTarget);
         };
--- a/crates/lagoonhill_core/src/entry/answer.rs
+++ b/crates/lagoonhill_core/src/entry/answer.rs
@@ -63,6 +63,11 @@
     /// No worker serves the service at present.
     #[error("no worker serves `{0}` at present: send the request again later")]
     NoWorkers(ServiceName),
+    /// Operators drain every worker that could serve the job.
+    #[error(
+        "every worker of `{0}` that could run the job is drained by operators: send the request again later"
+    )]
+    Drained(ServiceName),
     /// The team exceeds its rate limit.
     #[error("team `{0}` is over its rate: send the request again later")]
     RateLimited(TeamName),
@@ -178,6 +183,7 @@
             Self::TooManyTasks { .. } => "too_many_tasks",
             Self::NeverFits(_) => "never_fits",
             Self::NoWorkers(_) => "no_workers",
+            Self::Drained(_) => "drained",
             Self::RateLimited(_) => "rate_limited",
             Self::QueueFull(_) => "queue_full",
             Self::TooLate { .. } => "too_late",
--- a/crates/lagoonhill_core/src/entry/decision.rs
+++ b/crates/lagoonhill_core/src/entry/decision.rs
@@ -3,10 +3,32 @@
 use std::fmt;
 
 use lagoonhill_protocol::NotRunReason;
+use lagoonhill_rules::ZoneDrain;
 use lagoonhill_types::prelude::*;
 
 use super::{Cause, DurableJobState, RunCertainty};
 
+/// From where an entry learned whether a zone is drained.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DrainSource {
+    /// The platform's store.
+    Store,
+    /// Another entry.
+    Peer,
+    /// The agent of a worker in the zone.
+    Agent,
+}
+
+impl fmt::Display for DrainSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Store => "store",
+            Self::Peer => "peer",
+            Self::Agent => "agent",
+        })
+    }
+}
+
 /// Kind of a decision, with its details.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum DecisionKind {
@@ -127,6 +149,17 @@
         /// Its state in the store.
         state: DurableJobState,
     },
+    /// The drain of a zone came into force, or ended.
+    ZoneDrain {
+        /// The zone, and whether it is drained.
+        drain: ZoneDrain,
+        /// From where this entry learned of it.
+        source: DrainSource,
+        /// Workers of the zone in session. None if the zone is misspelt.
+        workers: usize,
+        /// Other zones that changed at the same time.
+        other_zones: usize,
+    },
     /// Newer rules came into force.
     Rules {
         /// Revision of the rules.
@@ -232,6 +265,15 @@
                 write!(f, "adopted epoch={epoch} until={in_doubt_until_ms}")
             }
             DecisionKind::Abandoned { state } => write!(f, "given-up state={state}"),
+            DecisionKind::ZoneDrain {
+                drain,
+                source,
+                workers,
+                other_zones,
+            } => write!(
+                f,
+                "{drain} source={source} workers={workers} other_zones={other_zones}"
+            ),
             DecisionKind::Rules { revision } => write!(f, "rules revision={revision}"),
         }
     }
--- a/crates/lagoonhill_core/src/entry/fleet.rs
+++ b/crates/lagoonhill_core/src/entry/fleet.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use lagoonhill_protocol::SessionId;
-use lagoonhill_rules::{RuleSet, ServingState};
+use lagoonhill_rules::ServingState;
 use lagoonhill_types::prelude::*;
 use slotmap::SlotMap;
 
@@ -146,7 +146,6 @@
         &self,
         service: &ServiceName,
         needs: &Needs,
-        rules: &RuleSet,
         own_zone: Option<&AvailabilityZone>,
         now: TimestampMs,
     ) -> Vec<Candidate> {
@@ -157,7 +156,7 @@
         }
         let candidate = |key: &WorkerKey| {
             let worker = self.workers.get(*key)?;
-            let is_eligible = worker.fits(needs) && may_get_task(worker, rules, now);
+            let is_eligible = worker.fits(needs) && may_get_task(worker, now);
             let (reported, age_ms) = worker.reported_peer_load(now).filter(|_| is_eligible)?;
             let peer_load = mean.estimate(reported, age_ms);
             worker.candidate(*key, needs, peer_load, own_zone)
@@ -170,8 +169,19 @@
 
     /// Whether the target of any worker of the service meets the requirements.
     pub fn any_fits(&self, service: &ServiceName, needs: &Needs) -> bool {
-        let fits = |key: &WorkerKey| self.workers.get(*key).is_some_and(|w| w.fits(needs));
-        self.workers_of(service).iter().any(fits)
+        self.fitting(service, needs).next().is_some()
+    }
+
+    /// Whether a worker of the service that meets the requirements is not drained.
+    pub fn any_fits_undrained(&self, service: &ServiceName, needs: &Needs) -> bool {
+        self.fitting(service, needs)
+            .any(|worker| worker.operator_state != ServingState::Drain)
+    }
+
+    fn fitting(&self, service: &ServiceName, needs: &Needs) -> impl Iterator<Item = &Worker> {
+        let keys = self.workers_of(service).iter();
+        let workers = keys.filter_map(|key| self.workers.get(*key));
+        workers.filter(|worker| worker.fits(needs))
     }
 
     fn serving(&self, service: &ServiceName) -> impl Iterator<Item = &Worker> {
@@ -221,11 +231,11 @@
 }
 
 /// Whether a worker may get a task now; in quarantine only if it has none.
-fn may_get_task(worker: &Worker, rules: &RuleSet, now: TimestampMs) -> bool {
+fn may_get_task(worker: &Worker, now: TimestampMs) -> bool {
     if worker.state() != WorkerState::Serving {
         return false;
     }
-    match rules.serving_state(&worker.id, &worker.zone) {
+    match worker.operator_state {
         ServingState::Serve if worker.health.is_quarantined() => {
             worker.is_idle() && worker.health.may_probe(now)
         }
--- a/crates/lagoonhill_core/src/entry/machine/admission.rs
+++ b/crates/lagoonhill_core/src/entry/machine/admission.rs
@@ -373,6 +373,11 @@
                 });
             }
         }
+        let needs = params.steps.iter().map(|step| &step.needs);
+        if !submission.durable && self.is_all_drained(service, needs) {
+            let cause = Cause::Drained(service.clone());
+            return Err(JobFailure::refused_for_now(cause, DEFAULT_RETRY_MS));
+        }
         self.check_queue(submission, params)?;
         let rate = self.rules().team(team).and_then(|rule| rule.rate);
         let Some(rate) = rate else {
@@ -425,6 +430,7 @@
         for (key, cause) in refused {
             self.fail_job(key, cause, now);
         }
+        self.fail_all_drained(now);
     }
 
     pub(super) fn live_entry_count(&self) -> f64 {
--- a/crates/lagoonhill_core/src/entry/machine/dispatch.rs
+++ b/crates/lagoonhill_core/src/entry/machine/dispatch.rs
@@ -82,8 +82,8 @@
                 blocked.jobs.insert(key);
                 continue;
             }
-            let (rules, zone) = (self.rules.rules(), self.config.zone.as_ref());
-            let mut eligible = self.fleet.candidates(service, &needs, rules, zone, now);
+            let zone = self.config.zone.as_ref();
+            let mut eligible = self.fleet.candidates(service, &needs, zone, now);
             let candidate_count = eligible.len();
             if let Some(limit) = needs.max_per_worker {
                 let job = &self.jobs[key];
--- a/crates/lagoonhill_core/src/entry/machine/forecast.rs
+++ b/crates/lagoonhill_core/src/entry/machine/forecast.rs
@@ -72,11 +72,9 @@
         let Some(step) = steps.first() else {
             return false;
         };
-        let (rules, zone) = (self.rules.rules(), self.config.zone.as_ref());
+        let zone = self.config.zone.as_ref();
         let service = &submission.service;
-        let candidates = self
-            .fleet
-            .candidates(service, &step.needs, rules, zone, now);
+        let candidates = self.fleet.candidates(service, &step.needs, zone, now);
         candidates
             .iter()
             .any(|candidate| candidate.load.saturating_add(MIN_FREE_SLOTS) <= candidate.slots)
--- a/crates/lagoonhill_core/src/entry/machine/mod.rs
+++ b/crates/lagoonhill_core/src/entry/machine/mod.rs
@@ -3,6 +3,7 @@
 
 mod admission;
 mod dispatch;
+mod drains;
 mod durable_jobs;
 mod endings;
 mod forecast;
@@ -23,7 +24,7 @@
     Placement, Records, RunTimes, StartupDiscovery, TeamUsage, Throughput, TieredQueue, Worker,
     WorkerKey, WorkerStatus,
 };
-use crate::{FrameHeader, Heartbeat, Liveness, RulesSync};
+use crate::{DrainSync, FrameHeader, Heartbeat, Liveness, RulesSync};
 
 /// Run time assumed for a task without a rule, a declaration or history.
 const DEFAULT_RUN_TIME_MS: DurationMs = DurationMs(300);
@@ -40,6 +41,7 @@
     config: EntryConfig,
     placement: P,
     rules: RulesSync,
+    drains: DrainSync,
     fleet: Fleet,
     jobs: SlotMap<JobKey, Job>,
     by_job: HashMap<JobId, JobKey>,
@@ -82,6 +84,7 @@
             config,
             placement,
             rules: RulesSync::default(),
+            drains: DrainSync::default(),
             fleet: Fleet::default(),
             jobs: SlotMap::with_key(),
             by_job: HashMap::new(),
@@ -176,6 +179,7 @@
             queued_tasks: self.queued.values().sum(),
             workers: self.fleet.iter().map(worker).collect(),
             entries: self.entries.iter().copied().collect(),
+            drained_zones: self.drains.drained_zones(),
         }
     }
 
@@ -206,6 +210,10 @@
     fn distribute_rules(&mut self, now: TimestampMs) {
         let revision = self.rules.revision();
         self.log_decision(now, None, None, DecisionKind::Rules { revision });
+        for key in self.fleet.keys() {
+            self.update_operator_state(key);
+        }
+        self.fail_all_drained(now);
         if self.config.shares_rules {
             for (key, worker) in self.fleet.iter_mut() {
                 worker.session.offer_rules(&self.rules);
--- a/crates/lagoonhill_core/src/entry/machine/sessions.rs
+++ b/crates/lagoonhill_core/src/entry/machine/sessions.rs
@@ -64,6 +64,14 @@
         worker.leaving = hello.leaving;
         let id = worker.id.clone();
         let key = self.fleet.insert(worker);
+        self.update_operator_state(key);
+        if self
+            .fleet
+            .get(key)
+            .is_some_and(|worker| self.drains.is_drained(&worker.zone))
+        {
+            self.tell_zone_drain(key);
+        }
         self.discovery.worker_joined(now);
         self.log_decision(now, None, None, DecisionKind::Joined { worker: id });
         self.welcome(key, now);
@@ -147,7 +155,9 @@
                 }
             }
             Message::Rules(update) => {
-                if self.rules.install_update(&update) {
+                if let Some(drain) = update.zone_drain() {
+                    self.on_zone_drain(key, drain, now);
+                } else if self.rules.install_update(&update) {
                     self.distribute_rules(now);
                 }
             }
--- a/crates/lagoonhill_core/src/entry/mod.rs
+++ b/crates/lagoonhill_core/src/entry/mod.rs
@@ -28,7 +28,7 @@
 
 pub use answer::{Answer, Cause, JobFailure, RunCertainty};
 pub use config::{DEFAULT_LOOK_AHEAD, EntryConfig};
-pub use decision::{Decision, DecisionKind};
+pub use decision::{Decision, DecisionKind, DrainSource};
 pub use durable_job::{
     DurableJob, DurableJobState, DurableState, PendingWrite, Progress, StoreOutcome, StoreRequest,
 };
--- a/crates/lagoonhill_core/src/entry/status.rs
+++ b/crates/lagoonhill_core/src/entry/status.rs
@@ -1,5 +1,7 @@
 //! State of an entry and its workers, as the `status` command shows it.
 
+use std::collections::BTreeSet;
+
 use lagoonhill_protocol::EntryAddress;
 use lagoonhill_types::prelude::*;
 
@@ -43,4 +45,6 @@
     pub workers: Vec<WorkerStatus>,
     /// Entries that it knows, including itself.
     pub entries: Vec<EntryAddress>,
+    /// Zones that are drained beside the rules.
+    pub drained_zones: BTreeSet<AvailabilityZone>,
 }
--- a/crates/lagoonhill_core/src/entry/worker.rs
+++ b/crates/lagoonhill_core/src/entry/worker.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 
 use lagoonhill_protocol::{Load, Target};
+use lagoonhill_rules::ServingState;
 use lagoonhill_types::prelude::*;
 use slotmap::new_key_type;
 
@@ -28,6 +29,8 @@
     Suspect,
     /// Leaving the fleet; gets no new tasks.
     Leaving,
+    /// Drained by operators, itself or with its zone; gets no new tasks.
+    Drained,
 }
 
 impl fmt::Display for WorkerState {
@@ -37,6 +40,7 @@
             Self::Serving => "serving",
             Self::Suspect => "suspect",
             Self::Leaving => "leaving",
+            Self::Drained => "drained",
         })
     }
 }
@@ -89,6 +93,8 @@
     pub session: Session,
     /// Whether its agent has sent a leave message.
     pub leaving: bool,
+    /// State that operators have set for it or its zone.
+    pub operator_state: ServingState,
     dispatched_tasks: HashMap<TaskId, DispatchedTask>,
     /// Resources that all dispatched tasks take together.
     dispatched_needs: Resources,
@@ -116,6 +122,7 @@
             target,
             session,
             leaving: false,
+            operator_state: ServingState::Serve,
             dispatched_tasks: HashMap::new(),
             dispatched_needs: Resources::default(),
             health: Health::default(),
@@ -130,6 +137,7 @@
             _ if self.leaving => WorkerState::Leaving,
             None => WorkerState::Joining,
             Some(_) if self.session.is_silent() => WorkerState::Suspect,
+            Some(_) if self.operator_state == ServingState::Drain => WorkerState::Drained,
             Some(_) => WorkerState::Serving,
         }
     }
--- a/crates/lagoonhill_core/src/lib.rs
+++ b/crates/lagoonhill_core/src/lib.rs
@@ -5,6 +5,7 @@
 //! in daemons, property tests and benchmarks.
 
 pub mod agent;
+mod drain_sync;
 pub mod entry;
 pub mod leased;
 mod membership;
@@ -13,6 +14,7 @@
 mod slowness;
 mod timing;
 
+pub use drain_sync::DrainSync;
 pub use membership::{Exchange, Membership};
 pub use rules_sync::RulesSync;
 pub use session::{FrameHeader, Heartbeat, Liveness, Session};
--- a/crates/lagoonhill_entry/src/api.rs
+++ b/crates/lagoonhill_entry/src/api.rs
@@ -344,6 +344,7 @@
         Cause::Leaving
         | Cause::NoRules
         | Cause::NoWorkers(_)
+        | Cause::Drained(_)
         | Cause::QueueFull(_)
         | Cause::TooLate { .. }
         | Cause::Backlog { .. }
@@ -428,9 +429,10 @@
             .control
             .send(ControlEvent::Entries(state.peers.live()));
     }
-    let rules = state.control.request(ControlEvent::CurrentRules).await;
-    let rules = rules.map_err(|error| stopped(&error))?;
-    let newer = rules.revision > peers_request.revision;
+    let known = state.control.request(ControlEvent::CurrentRules).await;
+    let (rules, drains) = known.map_err(|error| stopped(&error))?;
+    let has_newer_rules = rules.revision > peers_request.revision;
+    let has_newer_drains = drains.revision > peers_request.drains_revision;
     let (entries, beats) = if is_entry {
         (Vec::new(), state.peers.digest(peers_request.wants_all))
     } else {
@@ -439,7 +441,8 @@
     Ok(json(&PeersResponse {
         entries,
         beats,
-        rules: newer.then(|| RulesDocument::new(&rules)),
+        rules: has_newer_rules.then(|| RulesDocument::new(&rules)),
+        drains: has_newer_drains.then_some(drains),
     }))
 }
 
--- a/crates/lagoonhill_entry/src/control.rs
+++ b/crates/lagoonhill_entry/src/control.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 
 use lagoonhill_core::entry::{
-    Answer, CallerId, Decision, DurableJob, Entry, EntryEffect, EntryStatus, KeyBinding, Placement,
-    StoreOutcome, StoreRequest, Submission,
+    Answer, CallerId, Decision, DrainSource, DurableJob, Entry, EntryEffect, EntryStatus,
+    KeyBinding, Placement, StoreOutcome, StoreRequest, Submission,
 };
 use lagoonhill_daemon::ControlState;
 use lagoonhill_link::Link;
 use lagoonhill_protocol::{EntryAddress, Packet};
-use lagoonhill_rules::RuleSet;
+use lagoonhill_rules::{RuleSet, ZoneDrains};
 use lagoonhill_types::prelude::*;
 use log::info;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -84,6 +84,10 @@
         reply: oneshot::Sender<Option<bool>>,
     },
     Rules(RuleSet),
+    Drains {
+        drains: ZoneDrains,
+        source: DrainSource,
+    },
     Entries(Vec<EntryAddress>),
     Status(oneshot::Sender<EntryStatus>),
     Waiting {
@@ -92,7 +96,7 @@
     },
     /// Counts the durable jobs that wait, by queue.
     WaitingDurable(oneshot::Sender<BTreeMap<QueueName, usize>>),
-    CurrentRules(oneshot::Sender<RuleSet>),
+    CurrentRules(oneshot::Sender<(RuleSet, ZoneDrains)>),
     Explain {
         job: JobId,
         reply: oneshot::Sender<Vec<Decision>>,
@@ -163,6 +167,9 @@
             ControlEvent::Rules(rules) => {
                 self.entry.install_rules(rules, now);
             }
+            ControlEvent::Drains { drains, source } => {
+                self.entry.install_drains(drains, source, now);
+            }
             ControlEvent::Entries(entries) => self.entry.set_entries(entries),
             ControlEvent::Status(reply) => {
                 let _ = reply.send(self.entry.status());
@@ -174,7 +181,8 @@
                 let _ = reply.send(self.entry.waiting_durable());
             }
             ControlEvent::CurrentRules(reply) => {
-                let _ = reply.send(self.entry.rules().clone());
+                let rules = self.entry.rules().clone();
+                let _ = reply.send((rules, self.entry.drains().clone()));
             }
             ControlEvent::Explain { job, reply } => {
                 let about = |decision: &&Decision| decision.job == Some(job);
--- a/crates/lagoonhill_entry/src/lib.rs
+++ b/crates/lagoonhill_entry/src/lib.rs
@@ -7,6 +7,7 @@
 mod client;
 mod control;
 mod daemon;
+mod drain_keys;
 mod durable_job_requests;
 mod durable_jobs;
 mod durable_store;
@@ -18,6 +19,7 @@
 mod ownership;
 mod peers;
 mod queue_api;
+mod rules_follower;
 mod rules_watch;
 mod settings;
 
--- a/crates/lagoonhill_entry/src/metrics.rs
+++ b/crates/lagoonhill_entry/src/metrics.rs
@@ -19,6 +19,7 @@
     platform_calls: IntCounterVec,
     platform_failures: IntCounterVec,
     by_state: IntGaugeVec,
+    zone_drained: IntGaugeVec,
     queued: IntGauge,
     running_jobs: IntGauge,
     workers: IntGauge,
@@ -68,6 +69,11 @@
                 "Calls to the platform's store without a usable answer.",
                 "kind",
             ),
+            zone_drained: meters.gauges(
+                "lagoonhill_zone_drained",
+                "1 for each zone that operators drain beside the rules.",
+                "zone",
+            ),
             by_state: meters.gauges(
                 "lagoonhill_workers_by_state",
                 "Workers with a session, by what is believed of them.",
@@ -129,6 +135,7 @@
             | DecisionKind::Left { .. }
             | DecisionKind::Quarantined { .. }
             | DecisionKind::Recovered { .. }
+            | DecisionKind::ZoneDrain { .. }
             | DecisionKind::Rules { .. } => return,
         };
         self.jobs.with_label_values(&[outcome]).inc();
@@ -157,6 +164,11 @@
         gauge(&self.entries, status.entries.len());
         self.rules_revision
             .set(i64::try_from(status.rules_revision.0).unwrap_or(i64::MAX));
+        self.zone_drained.reset();
+        for zone in &status.drained_zones {
+            let gauge = self.zone_drained.with_label_values(&[zone.as_str()]);
+            gauge.set(1);
+        }
         self.by_state.reset();
         for worker in &status.workers {
             let state = if worker.quarantined {
--- a/crates/lagoonhill_entry/src/peers.rs
+++ b/crates/lagoonhill_entry/src/peers.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hyper::Method;
+use lagoonhill_core::entry::DrainSource;
 use lagoonhill_core::{Exchange, Membership};
 use lagoonhill_http::HttpClient;
 use lagoonhill_platform::Store;
@@ -124,13 +125,14 @@
     peers: &Peers,
     control: &ControlHandle,
 ) {
-    let Ok(rules) = control.request(ControlEvent::CurrentRules).await else {
+    let Ok((rules, drains)) = control.request(ControlEvent::CurrentRules).await else {
         return;
     };
     let request = PeersRequest {
         beats: peers.digest(is_full),
         wants_all: is_full,
         revision: rules.revision,
+        drains_revision: drains.revision,
     };
     let body = serde_json::to_vec(&request).expect("a request always serializes");
     let headers = [("content-type", "application/json")];
@@ -153,6 +155,11 @@
         return;
     };
     peers.learn(&answer.beats);
+    // First the drains: with its first rules an entry begins to place tasks.
+    if let Some(drains) = answer.drains {
+        let source = DrainSource::Peer;
+        control.send(ControlEvent::Drains { drains, source });
+    }
     if let Some(rules) = answer.rules.and_then(|document| document.to_rules()) {
         control.send(ControlEvent::Rules(rules));
     }
--- a/crates/lagoonhill_entry/src/rules_watch.rs
+++ b/crates/lagoonhill_entry/src/rules_watch.rs
@@ -1,18 +1,23 @@
 use std::time::Duration;
 
-use lagoonhill_platform::{RULES_KEY, Store, StoreRevision, StoreUnavailable, WatchEvent};
+use lagoonhill_platform::{RULES_KEY, Store, StoreRevision, StoreUnavailable};
 use lagoonhill_rules::{RuleSet, StoredRules};
 use log::{info, warn};
 use tokio::time::{sleep, timeout};
 
-use crate::control::ControlEvent;
 use crate::handle::ControlHandle;
+use crate::rules_follower::Follower;
 
 /// Where the rules are stored, and how they are decoded and watched.
 #[derive(Clone, Debug)]
 pub struct RulesSource {
-    /// The key in the platform's store.
+    /// The prefix of all keys of this source, which are listed and watched together.
+    pub prefix: &'static str,
+    /// The key of the rules in the platform's store.
     pub key: &'static str,
+    /// The prefix of the keys that drain the zone named after it, if operators
+    /// drain zones in this way beside the rules.
+    pub drains_prefix: Option<&'static str>,
     /// Decodes the value; the error says what is wrong with it.
     pub decode: fn(&[u8]) -> Result<RuleSet, String>,
     /// The value is read again after this long without an event, in case the watch
@@ -29,7 +34,9 @@
             Ok(stored.rules)
         };
         Self {
+            prefix: RULES_KEY,
             key: RULES_KEY,
+            drains_prefix: None,
             decode,
             reread: Duration::from_secs(5),
             retry: Duration::from_secs(1),
@@ -40,9 +47,10 @@
 /// Watches the rules in the platform's store, for ever.
 pub(crate) async fn follow_rules<S: Store>(store: S, source: RulesSource, control: ControlHandle) {
     let mut is_store_lost = false;
+    let mut follower = Follower::new(source.clone(), control);
     loop {
-        let followed = follow_once(&store, &source, &control, &mut is_store_lost).await;
-        if let Err(error) = followed
+        let result = follow_once(&store, &source, &mut follower, &mut is_store_lost).await;
+        if let Err(error) = result
             && !is_store_lost
         {
             is_store_lost = true;
@@ -52,34 +60,31 @@
     }
 }
 
-/// Reads the rules, then watches them until the watch ends or has missed a change.
+/// Reads the rules and drains, then watches them until the watch ends or has missed
+/// a change.
 async fn follow_once<S: Store>(
     store: &S,
     source: &RulesSource,
-    control: &ControlHandle,
+    follower: &mut Follower,
     is_store_lost: &mut bool,
 ) -> Result<(), StoreUnavailable> {
-    let mut seen = read_rules(store, source, control).await?;
-    let mut events = store.watch(source.key, StoreRevision(seen.0 + 1)).await?;
+    let listing = store.list_at_revision(source.prefix).await?;
+    follower.replace(&listing);
+    let from = StoreRevision(listing.revision.0 + 1);
+    let mut events = store.watch(source.prefix, from).await?;
     if std::mem::take(is_store_lost) {
-        info!("dependency regained: watching the rules again, at revision {seen}");
+        info!(
+            "dependency regained: watching the rules again, at revision {}",
+            listing.revision
+        );
     }
     loop {
         match timeout(source.reread, events.recv()).await {
-            // The watch covers a prefix: other keys may begin with this one.
-            Ok(Some(WatchEvent::Put(found))) if found.key != source.key => {}
-            Ok(Some(WatchEvent::Deleted(key))) if key != source.key => {}
-            Ok(Some(WatchEvent::Put(found))) => {
-                seen = found.revision;
-                install(source, &found.value, control);
-            }
-            Ok(Some(WatchEvent::Deleted(_))) => {
-                warn!("the rules were deleted from the platform; keeping the rules in force");
-            }
+            Ok(Some(event)) => follower.apply(&event),
             Ok(None) => return Ok(()),
             Err(_) => {
-                let found = read_rules(store, source, control).await?;
-                if found > seen {
+                let listing = store.list_at_revision(source.prefix).await?;
+                if follower.replace(&listing) {
                     info!("the watch missed a change; opening a new one");
                     return Ok(());
                 }
@@ -87,24 +92,3 @@
         }
     }
 }
-
-async fn read_rules<S: Store>(
-    store: &S,
-    source: &RulesSource,
-    control: &ControlHandle,
-) -> Result<StoreRevision, StoreUnavailable> {
-    let Some(found) = store.read(source.key).await? else {
-        return Ok(StoreRevision(0));
-    };
-    install(source, &found.value, control);
-    Ok(found.revision)
-}
-
-fn install(source: &RulesSource, value: &[u8], control: &ControlHandle) {
-    match (source.decode)(value) {
-        Ok(rules) => {
-            control.send(ControlEvent::Rules(rules));
-        }
-        Err(error) => warn!("{error}; keeping the rules in force"),
-    }
-}
--- a/crates/lagoonhill_operator/src/fleet_status.rs
+++ b/crates/lagoonhill_operator/src/fleet_status.rs
@@ -173,6 +173,7 @@
         beats: Vec::new(),
         wants_all: false,
         revision: Revision(0),
+        drains_revision: Revision(0),
     };
     let body = serde_json::to_vec(&request).expect("a request always serializes");
     let headers = [("content-type", "application/json")];
--- a/crates/lagoonhill_platform/src/etcd.rs
+++ b/crates/lagoonhill_platform/src/etcd.rs
@@ -17,8 +17,8 @@
     WatchRequest, prefix_end,
 };
 use crate::{
-    CallCounts, CallKind, LeaseId, Put, Store, StoreRevision, StoreUnavailable, Transaction,
-    TransactionOutcome, Versioned, WatchEvent,
+    CallCounts, CallKind, LeaseId, Listing, Put, Store, StoreRevision, StoreUnavailable,
+    Transaction, TransactionOutcome, Versioned, WatchEvent,
 };
 
 /// Events of a watch that are buffered for a slow reader.
@@ -52,9 +52,13 @@
         result.inspect_err(|_| self.counts.add_failed(kind))
     }
 
-    async fn range(&self, request: RangeRequest) -> Result<Vec<Versioned>, StoreUnavailable> {
+    async fn range(&self, request: RangeRequest) -> Result<Listing, StoreUnavailable> {
         let response: RangeResponse = self.call(CallKind::Read, "/v3/kv/range", &request).await?;
-        response.kvs.into_iter().map(versioned).collect()
+        let values: Result<Vec<Versioned>, _> = response.kvs.into_iter().map(versioned).collect();
+        Ok(Listing {
+            values: values?,
+            revision: StoreRevision(response.header.revision.0),
+        })
     }
 }
 
@@ -72,7 +76,10 @@
     let deleted = event.kind == "DELETE";
     let value = versioned(event.kv).ok()?;
     Some(if deleted {
-        WatchEvent::Deleted(value.key)
+        WatchEvent::Deleted {
+            key: value.key,
+            revision: value.revision,
+        }
     } else {
         WatchEvent::Put(value)
     })
@@ -88,10 +95,10 @@
             key: key.into(),
             range_end: None,
         };
-        Ok(self.range(request).await?.into_iter().next())
+        Ok(self.range(request).await?.values.into_iter().next())
     }
 
-    async fn list(&self, prefix: &str) -> Result<Vec<Versioned>, StoreUnavailable> {
+    async fn list_at_revision(&self, prefix: &str) -> Result<Listing, StoreUnavailable> {
         let range_end = Some(prefix_end(prefix));
         self.range(RangeRequest {
             key: prefix.into(),
--- a/crates/lagoonhill_platform/src/lib.rs
+++ b/crates/lagoonhill_platform/src/lib.rs
@@ -18,6 +18,6 @@
     REQUEST_KEYS_PREFIX, RULES_KEY, WAITING_COUNTS_PREFIX,
 };
 pub use store::{
-    LeaseId, Put, Store, StoreRevision, StoreUnavailable, Transaction, TransactionOutcome,
+    LeaseId, Listing, Put, Store, StoreRevision, StoreUnavailable, Transaction, TransactionOutcome,
     Versioned, WatchEvent, WriteOutcome,
 };
--- a/crates/lagoonhill_platform/src/store.rs
+++ b/crates/lagoonhill_platform/src/store.rs
@@ -123,13 +123,28 @@
     }
 }
 
+/// The values under a prefix, as of one revision of the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listing {
+    /// The values. Changes after `revision` may be among them if they fill several
+    /// pages; a watch from there on reports these changes again.
+    pub values: Vec<Versioned>,
+    /// The store's revision.
+    pub revision: StoreRevision,
+}
+
 /// A change reported by a watch.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WatchEvent {
     /// A value was set.
     Put(Versioned),
     /// The key was deleted.
-    Deleted(String),
+    Deleted {
+        /// The key.
+        key: String,
+        /// The revision of its deletion.
+        revision: StoreRevision,
+    },
 }
 
 /// The store did not respond, or its response is unusable for the reason given.
@@ -148,11 +163,20 @@
         key: &str,
     ) -> impl Future<Output = Result<Option<Versioned>, StoreUnavailable>> + Send;
 
+    /// Reads every value whose key starts with `prefix`, and the store's revision.
+    fn list_at_revision(
+        &self,
+        prefix: &str,
+    ) -> impl Future<Output = Result<Listing, StoreUnavailable>> + Send;
+
     /// Reads every value whose key starts with `prefix`.
     fn list(
         &self,
         prefix: &str,
-    ) -> impl Future<Output = Result<Vec<Versioned>, StoreUnavailable>> + Send;
+    ) -> impl Future<Output = Result<Vec<Versioned>, StoreUnavailable>> + Send {
+        let listing = self.list_at_revision(prefix);
+        async move { Ok(listing.await?.values) }
+    }
 
     /// Applies several changes atomically.
     fn transact(
--- a/crates/lagoonhill_protocol/src/message.rs
+++ b/crates/lagoonhill_protocol/src/message.rs
@@ -1,16 +1,17 @@
 //! Messages that a session delivers reliably and in order.
 
+use lagoonhill_rules::ZoneDrain;
 use lagoonhill_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
 use crate::{EntryAddress, Outcome, Start, Target};
 
-/// Rule changes for a peer whose revision is older.
+/// Rule changes for a peer whose revision is older, or the drain of a zone.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RulesUpdate {
     /// The revision to which the update applies; 0 replaces all lines.
     pub from: Revision,
-    /// The revision after the update.
+    /// The revision after the update; 0 if it is the drain of a zone.
     pub to: Revision,
     /// Lines to add or replace, as text.
     pub set: Vec<String>,
@@ -18,6 +19,47 @@
     pub removed: Vec<String>,
 }
 
+/// Kind of the rule line that stands for the drain of a zone.
+const ZONE_KIND: &str = "zone ";
+
+impl RulesUpdate {
+    /// Tells a peer whether a zone is drained: `from` is the store's revision, and
+    /// the line is set or removed.
+    ///
+    /// `to` is 0, so that releases that know of rules only ignore the update.
+    pub fn of_zone_drain(drain: &ZoneDrain) -> Self {
+        let key = format!("{ZONE_KIND}{}", drain.zone);
+        let (set, removed) = if drain.is_drained {
+            (vec![key], Vec::new())
+        } else {
+            (Vec::new(), vec![key])
+        };
+        Self {
+            from: drain.revision,
+            to: Revision(0),
+            set,
+            removed,
+        }
+    }
+
+    /// The drain of a zone that the update tells, if it does.
+    pub fn zone_drain(&self) -> Option<ZoneDrain> {
+        if self.to != Revision(0) {
+            return None;
+        }
+        let (key, is_drained) = match (self.set.as_slice(), self.removed.as_slice()) {
+            ([key], []) => (key, true),
+            ([], [key]) => (key, false),
+            _ => return None,
+        };
+        Some(ZoneDrain {
+            revision: self.from,
+            zone: key.strip_prefix(ZONE_KIND)?.parse().ok()?,
+            is_drained,
+        })
+    }
+}
+
 /// A reliable message of a session.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
@@ -39,7 +81,7 @@
     Target(Option<Target>),
     /// Agent to entry: the agent is shutting down and takes no new work.
     Leaving,
-    /// Both directions: newer rules.
+    /// Both directions: newer rules, or whether the agent's zone is drained.
     Rules(RulesUpdate),
     /// Entry to agent: newly discovered entries.
     Entries(Vec<EntryAddress>),
--- a/crates/lagoonhill_protocol/src/outcome.rs
+++ b/crates/lagoonhill_protocol/src/outcome.rs
@@ -30,6 +30,10 @@
     /// The target reported that it is unhealthy.
     #[error("the target says that it is unhealthy")]
     TargetUnhealthy,
+    /// Operators drain the agent's zone. Only sent to entries that have told the
+    /// agent of a drain, since earlier releases can't decode it.
+    #[error("its zone is drained")]
+    ZoneDrained,
 }
 
 /// How a task ended.
--- a/crates/lagoonhill_protocol/src/peers.rs
+++ b/crates/lagoonhill_protocol/src/peers.rs
@@ -1,6 +1,6 @@
 //! Bodies of `POST /v1/peers`, by which entries exchange membership and rules.
 
-use lagoonhill_rules::{RuleSet, parse_rules};
+use lagoonhill_rules::{RuleSet, ZoneDrains, parse_rules};
 use lagoonhill_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -55,6 +55,9 @@
     pub wants_all: bool,
     /// Revision of the sender's rules.
     pub revision: Revision,
+    /// Store revision of the drained zones that the sender knows.
+    #[serde(default)]
+    pub drains_revision: Revision,
 }
 
 /// Answer to `POST /v1/peers`.
@@ -68,4 +71,7 @@
     pub beats: Vec<MemberBeat>,
     /// Rules of the answering entry, if those of the sender are older.
     pub rules: Option<RulesDocument>,
+    /// Drained zones known to the answering entry, if those of the sender are older.
+    #[serde(default)]
+    pub drains: Option<ZoneDrains>,
 }
--- a/crates/lagoonhill_rules/src/lib.rs
+++ b/crates/lagoonhill_rules/src/lib.rs
@@ -11,6 +11,7 @@
 mod rule;
 mod set;
 mod stored;
+mod zone_drains;
 
 pub use edit::{Change, Edit, EditConflict, EditId};
 pub use error::{RuleError, RuleErrors, RuleProblem};
@@ -21,3 +22,4 @@
 };
 pub use set::{RuleDelta, RuleSet};
 pub use stored::{EditRecord, StoreError, StoredRules};
+pub use zone_drains::{ZoneDrain, ZoneDrains};
--- a/crates/lagoonhill_standin/src/world.rs
+++ b/crates/lagoonhill_standin/src/world.rs
@@ -956,7 +956,9 @@
         match effect {
             AgentEffect::Send { to, packet } => self.send(NodeId::Agent(index), to, packet),
             AgentEffect::Reconnect { to } => self.reconnect(NodeId::Agent(index), to),
-            AgentEffect::Disconnect { .. } | AgentEffect::Drained => {}
+            AgentEffect::Disconnect { .. }
+            | AgentEffect::Drained
+            | AgentEffect::ZoneDrain { .. } => {}
             AgentEffect::EndStored { key } => {
                 if let Some(payload) = self.run_payloads.remove(&(index, key)) {
                     *self.acknowledged_ends.entry(payload).or_default() += 1;
