lagoonhill analyze: from a fleet's logs to where time and promises go

Change: a command that reads logs of one or more processes in the order of their time, holds only jobs that have not ended, and prints a table or JSON: fates, answer against promise, waits at entry and agent, run against expected, load and age of reports at dispatch, held-up dispatches, refusals, the heaviest seconds, drains and quarantines; groups by team, width, entry or worker.

--- a/crates/lagoonhill/src/cli.rs
+++ b/crates/lagoonhill/src/cli.rs
@@ -2,6 +2,7 @@
 
 use bpaf::Bpaf;
 use lagoonhill_core::entry::DEFAULT_LOOK_AHEAD;
+use lagoonhill_operator::GroupBy;
 
 /// Options of every daemon. All values are checked together, so that one start
 /// reports every invalid setting.
@@ -194,6 +195,26 @@
     },
 }
 
+/// Options of the analysis of logs.
+#[derive(Bpaf, Clone, Debug)]
+pub(crate) struct AnalyzeOptions {
+    /// Group jobs: all, team, width, entry or worker
+    #[bpaf(argument("GROUPING"), fallback(GroupBy::All), display_fallback)]
+    pub(crate) by: GroupBy,
+    /// Leave out jobs that came earlier than this after the first one
+    #[bpaf(argument("SECONDS"), fallback(0.0), display_fallback)]
+    pub(crate) from: f64,
+    /// Leave out jobs that came later than this after the first one
+    #[bpaf(argument("SECONDS"), fallback(f64::INFINITY))]
+    pub(crate) to: f64,
+    /// Print JSON
+    #[bpaf(switch)]
+    pub(crate) json: bool,
+    /// Logs named after their processes, or `-` for standard input
+    #[bpaf(positional("FILE"), many)]
+    pub(crate) logs: Vec<String>,
+}
+
 /// Options of the demonstration.
 #[derive(Bpaf, Clone, Debug)]
 pub(crate) struct DemoOptions {
@@ -258,6 +279,9 @@
         #[bpaf(positional("JOB"))]
         job: String,
     },
+    /// Tell from logs where time, work and promises went
+    #[bpaf(command)]
+    Analyze(#[bpaf(external(analyze_options))] AnalyzeOptions),
     /// Run a whole fleet with stand-in targets under a short load peak
     #[bpaf(command)]
     Demo(#[bpaf(external(demo_options))] DemoOptions),
--- a/crates/lagoonhill/src/commands.rs
+++ b/crates/lagoonhill/src/commands.rs
@@ -26,7 +26,7 @@
 use crate::settings::{check_agent, check_entry, read_address, read_value};
 
 /// The path that means standard input.
-const STDIN_PATH: &str = "-";
+pub(crate) const STDIN_PATH: &str = "-";
 
 /// Time within which accepted rules must be in force everywhere; later, a warning is printed.
 const IN_FORCE_LIMIT: Duration = Duration::from_secs(12);
--- a/crates/lagoonhill/src/main.rs
+++ b/crates/lagoonhill/src/main.rs
@@ -1,5 +1,6 @@
 //! The `lagoonhill` command: parses the command line and calls the libraries.
 
+mod analyze;
 mod cli;
 mod commands;
 mod demo;
@@ -21,6 +22,7 @@
     match command {
         Command::Entry { common, options } => commands::entry(common, options).await,
         Command::Agent { common, options } => commands::agent(common, options).await,
+        Command::Analyze(options) => analyze::analyze(&options),
         Command::Rules(command) => commands::rules(command).await,
         Command::Status { entry } => commands::status(&entry).await,
         Command::Explain { entry, log, job } => {
