--- a/crates/lagoonhill_operator/tests/analysis.rs
+++ b/crates/lagoonhill_operator/tests/analysis.rs
@@ -104,6 +104,7 @@
 /// Cut and damaged lines are counted or read as far as they go, and end nothing.
 #[test]
 fn damaged_lines_are_counted() {
+    #[allow(clippy::needless_pass_by_value, reason = "quickcheck passes values")]
     fn check(cuts: Vec<usize>, noise: Vec<String>) -> bool {
         let mut lines = story(0, "a-1", "short", 2, 80);
         for (line, cut) in lines.iter_mut().zip(&cuts) {
