--- a/crates/lagoonhill_bench/src/large_fleet.rs
+++ b/crates/lagoonhill_bench/src/large_fleet.rs
@@ -324,6 +324,7 @@
             repeat_permille: 0,
         },
         look_ahead: DEFAULT_LOOK_AHEAD,
+        overcommit: 8,
         timing,
         seed: run.seed,
     };
--- a/crates/lagoonhill_bench/src/policy_run.rs
+++ b/crates/lagoonhill_bench/src/policy_run.rs
@@ -224,6 +224,7 @@
             repeat_permille: 0,
         },
         look_ahead: run.look_ahead,
+        overcommit: 8,
         timing: Timing::default(),
         seed: run.seed,
     };
--- a/crates/lagoonhill_core/tests/large_fleet.rs
+++ b/crates/lagoonhill_core/tests/large_fleet.rs
@@ -95,6 +95,38 @@
         }
     }
 
+    // Load pattern: several entries near the fleet's capacity, each with reports
+    // that are some tens of milliseconds old. A task that is dispatched to a worker
+    // that has become full meanwhile is bound to it, if it waits there, while others
+    // have free capacity.
+    a_task_that_finds_its_worker_full_starts_elsewhere_at_once => {
+        let held_up = |overcommit| {
+            let mut config = config(11, 21, 3);
+            config.slots = 10;
+            config.zones = 3;
+            config.rules = queue_rules();
+            config.look_ahead = DEFAULT_LOOK_AHEAD;
+            config.overcommit = overcommit;
+            let mut world = world(&config);
+            let mut random = fastrand::Rng::with_seed(5);
+            let mut submitted = Vec::new();
+            for number in 0..2_600 {
+                let submission = job(&format!("near-full-{number}"), 2, 100);
+                submitted.push((world.now(), submission.tasks.clone()));
+                world.submit(random.usize(0..11), submission);
+                world.run_for(1 + u64::from(number % 8 == 0));
+            }
+            world.run_for(2_000);
+            let is_held_up = |(at_ms, payload): &(TimestampMs, Payload)| {
+                world.started_ms.get(payload).is_none_or(|started_ms| started_ms.since(*at_ms) > DurationMs(30))
+            };
+            let tasks = submitted.into_iter().flat_map(|(at_ms, tasks)| tasks.into_iter().map(move |task| (at_ms, task)));
+            tasks.filter(is_held_up).count()
+        };
+        let (bound, returned) = (held_up(8), held_up(0));
+        assert!(returned * 2 < bound, "{returned} of 5200 tasks started late, {bound} if they wait at agents");
+    }
+
     // Load pattern: power loss. All agents restart together, with new
     // incarnations.
     a_restarted_fleet_spreads_over_the_targets => {
--- a/crates/lagoonhill_core/tests/support/mod.rs
+++ b/crates/lagoonhill_core/tests/support/mod.rs
@@ -95,6 +95,7 @@
             repeat_permille: 0,
         },
         look_ahead: 1,
+        overcommit: 8,
         timing: Timing::default(),
         seed,
     }
--- a/crates/lagoonhill_standin/src/world.rs
+++ b/crates/lagoonhill_standin/src/world.rs
@@ -263,6 +263,8 @@
     pub network: Network,
     /// Look-ahead: tasks dispatched to an agent beyond its slots.
     pub look_ahead: u16,
+    /// Tasks that an agent holds beyond the target's slots.
+    pub overcommit: u16,
     /// Session time limits.
     pub timing: Timing,
     /// Seed of all random draws.
@@ -458,7 +460,7 @@
                 .expect("the name is valid"),
             zone: zone_name(index % self.zones),
             inbox: agent_inbox(index),
-            overcommit: 8,
+            overcommit: config.overcommit,
             timing: config.timing,
         };
         let now = self.now + DurationMs(skew_ms);
