Another submission under a name in use is refused, and each refusal is logged

The fingerprint covered service, team and inputs only; now all but the deadline, which shrinks as a caller tries again. KeyReused and TicketExpired wrote no refused line. Test: durable_jobs another_job_under_a_name_in_use_is_refused (failed before).

Three polls in flight at a target that loses answers, instead of two

Hypothesis: ends are told by polls alone; a target that loses a quarter of its answers loses both in one case of sixteen, and a job of eight tasks is late by that in one of four. Test: leased an_end_is_known_though_two_of_its_answers_are_lost.

--- a/crates/lagoonhill_core/src/entry/machine/durable_jobs.rs
+++ b/crates/lagoonhill_core/src/entry/machine/durable_jobs.rs
@@ -48,6 +48,11 @@
         };
         if let Some(&key) = self.durable_jobs.get(&name) {
             let job = &mut self.jobs[key];
+            let known = job.durable.as_ref().map(|it| it.submission.fingerprint());
+            if known.is_some_and(|known| known != submission.fingerprint()) {
+                let failure = JobFailure::refused(Cause::KeyReused);
+                return self.refuse(caller, Some(name), failure, now);
+            }
             if job.is_accepted() {
                 let id = job.plan.id;
                 return self.answer_accepted(caller, id);
--- a/crates/lagoonhill_core/src/entry/machine/submissions.rs
+++ b/crates/lagoonhill_core/src/entry/machine/submissions.rs
@@ -50,7 +50,7 @@
         now: TimestampMs,
     ) {
         let key = RecordKey::Ticket(ticket.number);
-        if self.attach_to_record(&key, caller, &submission) {
+        if self.attach_to_record(&key, caller, &submission, now) {
             return;
         }
         if now >= ticket.expires_ms || ticket.number >= self.next_number {
@@ -59,13 +59,7 @@
                 cause: Cause::TicketExpired,
                 retry_after_ms: None,
             };
-            return self.answer(
-                caller,
-                Answer {
-                    job: None,
-                    outcome: Err(failure),
-                },
-            );
+            return self.refuse(caller, submission.name(), failure, now);
         }
         self.admit(caller, submission, ticket.number, Some(key), now);
         self.dispatch_all(now);
@@ -82,7 +76,7 @@
         now: TimestampMs,
     ) {
         let key = RecordKey::Key(request_key.clone());
-        if self.attach_to_record(&key, caller, &submission) {
+        if self.attach_to_record(&key, caller, &submission, now) {
             return;
         }
         if bound_here {
@@ -157,7 +151,7 @@
         let copy = submission.clone();
         self.admit(first, submission, number, Some(key.clone()), now);
         for caller in callers {
-            if !self.attach_to_record(key, caller, &copy) {
+            if !self.attach_to_record(key, caller, &copy, now) {
                 let failure =
                     JobFailure::refused_for_now(Cause::StoreUnavailable, DEFAULT_RETRY_MS);
                 self.refuse(caller, key.request(), failure, now);
@@ -173,19 +167,15 @@
         key: &RecordKey,
         caller: CallerId,
         submission: &Submission,
+        now: TimestampMs,
     ) -> bool {
         let Some((fingerprint, _)) = self.records.get(key) else {
             return false;
         };
         if fingerprint != submission.fingerprint() {
             let failure = JobFailure::refused(Cause::KeyReused);
-            self.answer(
-                caller,
-                Answer {
-                    job: None,
-                    outcome: Err(failure),
-                },
-            );
+            let request = submission.name().or_else(|| key.request());
+            self.refuse(caller, request, failure, now);
             return true;
         }
         match self.records.get_mut(key) {
--- a/crates/lagoonhill_core/src/entry/submission.rs
+++ b/crates/lagoonhill_core/src/entry/submission.rs
@@ -43,7 +43,7 @@
 }
 
 /// Tasks of one job that become ready at the same time.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Hash)]
 pub struct Step {
     /// Number of tasks.
     pub count: u16,
@@ -93,11 +93,17 @@
 }
 
 impl Submission {
-    /// Hash of service, team and inputs, to detect another submission with a key.
+    /// Hash of what is to run, to detect another submission with the same key: all
+    /// but the deadline, which shrinks as a caller tries again.
     pub fn fingerprint(&self) -> u64 {
         let mut hasher = DefaultHasher::new();
         self.service.hash(&mut hasher);
         self.team.hash(&mut hasher);
+        self.durable.hash(&mut hasher);
+        if let Some(queued) = &self.queued {
+            queued.queue.hash(&mut hasher);
+        }
+        self.steps().hash(&mut hasher);
         for task in &self.tasks {
             task.as_slice().hash(&mut hasher);
         }
--- a/crates/lagoonhill_core/src/leased/runs.rs
+++ b/crates/lagoonhill_core/src/leased/runs.rs
@@ -61,9 +61,12 @@
 /// of attempts. A target ignores the repeated start of a run that it has.
 const START_RETRY_MS: DurationMs = DurationMs(25);
 
-/// Time for which two polls are kept in flight after an unanswered call. Ends
-/// are reported by polls alone, so a lost answer would delay the ends of all runs.
-const DOUBLE_POLL_MS: DurationMs = DurationMs(5_000);
+/// Time for which [`LOSSY_POLLS`] are kept in flight after an unanswered call.
+const LOSSY_POLL_MS: DurationMs = DurationMs(5_000);
+
+/// Polls in flight at a target that loses answers. Ends are reported by polls
+/// alone, so ends of all runs are delayed while every answer in flight is lost.
+const LOSSY_POLLS: usize = 3;
 
 /// Shortest pause between two polls while ends are not stored yet; storing takes
 /// a few round trips to the store.
@@ -161,8 +164,8 @@
     next_call: u64,
     /// Polls in flight, with the time when each was sent.
     polls: Vec<(CallId, TimestampMs)>,
-    /// Until when two polls are kept in flight.
-    double_poll_until_ms: TimestampMs,
+    /// Until when the target counts as losing answers.
+    lossy_until_ms: TimestampMs,
     last_poll_ms: TimestampMs,
     last_reply_ms: TimestampMs,
     /// Whether the target answers, with no foreign runs and no ends to discard.
@@ -192,7 +195,7 @@
             calls: HashMap::new(),
             next_call: 0,
             polls: Vec::new(),
-            double_poll_until_ms: TimestampMs(0),
+            lossy_until_ms: TimestampMs(0),
             last_poll_ms: now,
             last_reply_ms: now,
             ready: false,
@@ -393,7 +396,8 @@
         let late_ms = self.timing.wait_ms + LATE_POLL_MS;
         match self.polls.as_slice() {
             [] => true,
-            [(_, sent_ms)] => now < self.double_poll_until_ms || now.since(*sent_ms) > late_ms,
+            polls if now < self.lossy_until_ms => polls.len() < LOSSY_POLLS,
+            [(_, sent_ms)] => now.since(*sent_ms) > late_ms,
             _ => false,
         }
     }
@@ -427,7 +431,7 @@
         };
         self.polls.retain(|(poll, _)| *poll != id);
         match &reply {
-            TargetReply::Unanswered(_) => self.double_poll_until_ms = now + DOUBLE_POLL_MS,
+            TargetReply::Unanswered(_) => self.lossy_until_ms = now + LOSSY_POLL_MS,
             TargetReply::OtherIncarnation => {
                 return self.end_incarnation("another incarnation of the target answers");
             }
@@ -720,7 +724,7 @@
         let is_lost = |sent_ms: TimestampMs| now.since(sent_ms) > limit_ms;
         for (id, _) in self.polls.extract_if(.., |(_, sent_ms)| is_lost(*sent_ms)) {
             self.calls.remove(&id);
-            self.double_poll_until_ms = now + DOUBLE_POLL_MS;
+            self.lossy_until_ms = now + LOSSY_POLL_MS;
         }
     }
 
--- a/crates/lagoonhill_core/tests/durable_jobs.rs
+++ b/crates/lagoonhill_core/tests/durable_jobs.rs
@@ -115,6 +115,24 @@
         assert!(world.starts.is_empty());
     }
 
+    // A caller that reuses a name must not be told that its other job was accepted.
+    another_job_under_a_name_in_use_is_refused => {
+        let mut world = fleet(1, 2, 21);
+        let first = world.submit_durable(0, simple("reused", 2, 300));
+        world.run_for(50);
+        let mut other = simple("reused", 2, 300);
+        if let Some(queued) = &mut other.queued {
+            queued.steps[0].needs.max_per_worker = Some(1);
+        }
+        let second = world.submit_durable(0, other);
+        let again = world.submit_durable(0, simple("reused", 2, 300));
+        world.run_for(50);
+        assert!(is_complete(&world, first) && is_complete(&world, again));
+        let (run, cause) = failure(&world, second).expect("the other job was not refused");
+        assert_eq!(run, lagoonhill_core::entry::RunCertainty::NotRun);
+        assert!(cause.contains("different request"), "{cause}");
+    }
+
     a_job_submitted_twice_runs_once => {
         let mut world = fleet(2, 2, 3);
         let first = world.submit_durable(0, simple("twice", 3, 200));
