--- a/crates/lagoonhill/src/commands.rs
+++ b/crates/lagoonhill/src/commands.rs
@@ -257,7 +257,7 @@
             .map_err(|error| error.to_string())?;
         let behind = processes
             .iter()
-            .filter(|process| process.revision < stored_revision)
+            .filter(|process| process.revision < Some(stored_revision))
             .count();
         let is_late = started.elapsed() > IN_FORCE_LIMIT;
         if behind == 0 || started.elapsed() > STATUS_TIMEOUT {
@@ -281,12 +281,13 @@
 
 fn print_processes(processes: &[ProcessRevision], stored_revision: Revision) {
     for ProcessRevision { process, revision } in processes {
-        let mark = if *revision < stored_revision {
-            "BEHIND"
-        } else {
-            "in force"
-        };
-        println!("{process:<40} revision {revision:<8} {mark}");
+        match revision {
+            None => println!("{process:<40} does not answer   BEHIND, for all that is known"),
+            Some(revision) if *revision < stored_revision => {
+                println!("{process:<40} revision {revision:<8} BEHIND");
+            }
+            Some(revision) => println!("{process:<40} revision {revision:<8} in force"),
+        }
     }
 }
 
--- a/crates/lagoonhill/tests/processes.rs
+++ b/crates/lagoonhill/tests/processes.rs
@@ -253,6 +253,22 @@
         }
     }
 
+    // An entry that does not answer may decide by older rules.
+    an_entry_that_does_not_answer_is_not_in_force => {
+        let mut fleet = Fleet::start(2, 1).await;
+        let silent = fleet.entries[1].http;
+        until(async || {
+            let report = fleet.report(0).await;
+            report.is_some_and(|report| report.entries.len() == 2)
+        })
+        .await;
+        fleet.entries[1].kill();
+        let processes = lagoonhill_operator::query_fleet(&fleet.http, fleet.entries[0].http).await;
+        let processes = processes.expect("the other entry answers");
+        let named = processes.iter().find(|it| it.process == format!("entry {silent}"));
+        assert_eq!(named.map(|it| it.revision), Some(None), "{processes:?}");
+    }
+
     rules_in_force_stay_after_an_undecodable_value_is_stored => {
         let fleet = Fleet::start(1, 1).await;
         let before = fleet.report(0).await.expect("a status").rules_revision;
--- a/crates/lagoonhill_core/src/entry/machine/submissions.rs
+++ b/crates/lagoonhill_core/src/entry/machine/submissions.rs
@@ -5,7 +5,7 @@
 
 use super::{DEFAULT_RETRY_MS, Entry};
 use crate::entry::{
-    Answer, CallerId, Cause, EntryEffect, JobFailure, KeyBinding, Placement, Record, RecordKey,
+    CallerId, Cause, EntryEffect, JobFailure, KeyBinding, Placement, Record, RecordKey,
     RunCertainty, Submission,
 };
 
--- a/crates/lagoonhill_entry/src/durable_store.rs
+++ b/crates/lagoonhill_entry/src/durable_store.rs
@@ -156,7 +156,10 @@
                     return;
                 }
                 TransactionOutcome::Conflict(found) => batch = self.resolve(batch, &found).await,
-                TransactionOutcome::LeaseExpired => self.shared().lease = None,
+                TransactionOutcome::LeaseExpired => {
+                    self.shared().lease = None;
+                    sleep(BACKOFF).await;
+                }
                 TransactionOutcome::Refused => {
                     batch = self.retry_or_report(batch, StoreOutcome::Rejected).await;
                 }
@@ -454,7 +457,10 @@
             };
             match self.store.transact(&transaction).await {
                 TransactionOutcome::Done(_) => return Ok(Some(DurableJobState::Cancelled)),
-                TransactionOutcome::LeaseExpired => self.shared().lease = None,
+                TransactionOutcome::LeaseExpired => {
+                    self.shared().lease = None;
+                    sleep(BACKOFF).await;
+                }
                 TransactionOutcome::Conflict(_) => {}
                 TransactionOutcome::Refused | TransactionOutcome::Unknown => sleep(BACKOFF).await,
             }
--- a/crates/lagoonhill_operator/src/fleet_status.rs
+++ b/crates/lagoonhill_operator/src/fleet_status.rs
@@ -92,8 +92,8 @@
 pub struct ProcessRevision {
     /// `entry <address>` or `agent <worker>`.
     pub process: String,
-    /// The revision in force there.
-    pub revision: Revision,
+    /// The revision in force there; `None` if the process does not answer.
+    pub revision: Option<Revision>,
 }
 
 async fn get(http: &HttpClient, address: SocketAddr, path: &str) -> Result<Vec<u8>, QueryError> {
@@ -144,7 +144,7 @@
 
 /// Queries every entry that the entry at `address` knows. Returns each process
 /// once, an agent with the highest revision that any entry reports for it.
-/// Entries that do not answer are left out.
+/// An entry that does not answer has no revision: what it decides by is unknown.
 pub async fn query_fleet(
     http: &HttpClient,
     address: SocketAddr,
@@ -152,13 +152,15 @@
     let first = query_entry(http, address).await?;
     let mut seen = std::collections::BTreeMap::new();
     for entry in &first.entries {
+        let process = format!("entry {}", entry.http);
         let Ok(report) = query_entry(http, entry.http).await else {
+            seen.insert(process, None);
             continue;
         };
-        seen.insert(format!("entry {}", entry.http), report.rules_revision);
+        seen.insert(process, Some(report.rules_revision));
         for worker in report.workers {
             let known = seen.entry(format!("agent {}", worker.worker)).or_default();
-            *known = worker.rules_revision.max(*known);
+            *known = Some(worker.rules_revision).max(*known);
         }
     }
     Ok(seen
