Four polls at a target that loses answers

Hypothesis: with a quarter of the answers lost, three polls still lose an end in one case of seventy, and wide jobs wait for their last task.

--- a/crates/lagoonhill_core/src/leased/runs.rs
+++ b/crates/lagoonhill_core/src/leased/runs.rs
@@ -66,7 +66,7 @@
 
 /// Polls in flight at a target that loses answers. Ends are reported by polls
 /// alone, so ends of all runs are delayed while every answer in flight is lost.
-const LOSSY_POLLS: usize = 3;
+const LOSSY_POLLS: usize = 4;
 
 /// Shortest pause between two polls while ends are not stored yet; storing takes
 /// a few round trips to the store.
--- a/crates/lagoonhill_core/tests/leased.rs
+++ b/crates/lagoonhill_core/tests/leased.rs
@@ -346,14 +346,14 @@
         assert!(matches!(bench.result_of(key), Some(TaskResult::Done(_))));
     }
 
-    a_target_that_loses_answers_is_polled_three_times_at_a_time => {
+    a_target_that_loses_answers_is_polled_four_times_at_a_time => {
         let mut bench = Bench::ready();
         let is_poll = |call: &TargetCall| matches!(call, TargetCall::Poll { .. });
         bench.answer(is_poll, TargetReply::Unanswered("lost".to_owned()));
         bench.pass(100);
         bench.answer_poll(&[], &[]);
         let polls = |bench: &Bench| bench.calls.iter().filter(|call| is_poll(&call.what)).count();
-        assert_eq!(polls(&bench), 3);
+        assert_eq!(polls(&bench), 4);
         for _ in 0..120 {
             bench.pass(50);
             for _ in 0..polls(&bench) {
@@ -366,17 +366,17 @@
     // Load pattern: a target loses a quarter of its answers under load. Each end
     // answers all polls in flight; if all these answers are lost, the ends of all
     // runs are unknown until the polls time out.
-    an_end_is_known_though_two_of_its_answers_are_lost => {
+    an_end_is_known_though_three_of_its_answers_are_lost => {
         let mut bench = Bench::ready();
         let is_poll = |call: &TargetCall| matches!(call, TargetCall::Poll { .. });
         bench.answer(is_poll, TargetReply::Unanswered("lost".to_owned()));
         let key = bench.started(0);
         bench.pass(30);
-        // The answers to the two newer polls are lost: nothing is heard of them.
+        // The answers to the three newer polls are lost: nothing is heard of them.
         bench.answer_oldest_poll_with(&[], &[end(1, 0, 1, EndKind::Done)]);
         assert!(matches!(bench.result_of(key), Some(TaskResult::Done(_))));
         let polls = bench.calls.iter().filter(|call| is_poll(&call.what)).count();
-        assert_eq!(polls, 3, "the answered poll was not replaced at once");
+        assert_eq!(polls, 4, "the answered poll was not replaced at once");
     }
 
     // Answers on two connections may arrive out of order.
