--- a/crates/lagoonhill_core/tests/drains.rs
+++ b/crates/lagoonhill_core/tests/drains.rs
@@ -128,6 +128,27 @@
         checker.assert_no_violations(&world);
     }
 
+    // Earlier releases can't decode the reason for a drain: an entry that has not
+    // told of one gets a reason that all know.
+    only_entries_that_have_told_of_a_drain_are_given_it_as_the_reason => {
+        let mut world = world(&two_zones(2, 2, 7));
+        world.record_decisions = true;
+        for entry in 0..2 {
+            for number in 0..20 {
+                world.submit(entry, job(&format!("under-way-{entry}-{number}"), 1, 400));
+            }
+        }
+        install(&mut world, 0, &drains(5, &[0]));
+        world.run_for(200);
+        let reasons = |entry: u64| -> BTreeSet<String> {
+            let texts = world.decisions.iter().filter(|decision| decision.job.is_some_and(|job| job.entry == Incarnation(entry)));
+            let moved = texts.map(ToString::to_string).filter(|text| text.contains(" moved "));
+            moved.filter_map(|text| Some(text.split_once("why=")?.1.to_owned())).collect()
+        };
+        assert_eq!(reasons(100), BTreeSet::from(["\"its zone is drained\"".to_owned()]));
+        assert_eq!(reasons(101), BTreeSet::from(["\"the worker is leaving\"".to_owned()]));
+    }
+
     // A task that lies at the agent when the drain arrives has not begun.
     tasks_that_wait_at_an_agent_are_returned_and_run_elsewhere => {
         let mut config = two_zones(1, 2, 3);
