--- a/crates/lagoonhill_core/src/agent/link.rs
+++ b/crates/lagoonhill_core/src/agent/link.rs
@@ -30,7 +30,8 @@
     pub held: u16,
     /// Processors that those tasks need, in thousandths.
     pub held_processors: MilliProcessors,
-    /// Whether the entry has told of a drain, so that it knows the word for it.
+    /// Whether the entry has sent the drain of a zone, so that it can decode
+    /// [`NotRunReason::ZoneDrained`](lagoonhill_protocol::NotRunReason).
     pub knows_drains: bool,
 }
 
--- a/crates/lagoonhill_core/src/agent/machine/drain.rs
+++ b/crates/lagoonhill_core/src/agent/machine/drain.rs
@@ -1,4 +1,7 @@
 //! Drain of the agent's own zone: nothing starts there, whichever entry asks.
+//!
+//! Load pattern: some entries can't read the store and go on dispatching to the
+//! zone. Their tasks are returned, and they learn of the drain from here.
 
 use lagoonhill_protocol::{Message, NotRunReason, RulesUpdate};
 use lagoonhill_rules::ZoneDrain;
