--- a/crates/lagoonhill/src/analyze.rs
+++ b/crates/lagoonhill/src/analyze.rs
@@ -11,7 +11,7 @@
 use crate::cli::AnalyzeOptions;
 use crate::commands::STDIN_PATH;
 
-/// Reads the logs one after the other, line by line, and prints what they tell.
+/// Reads the logs, merged by time, and prints what they tell.
 pub(crate) fn analyze(options: &AnalyzeOptions) -> Result<ExitCode, String> {
     let mut analysis = LogAnalysis::new(AnalysisOptions {
         by: options.by,
