review: show that a task failing twice wedges its worker

Cause: the ends that wait to be stored are kept by task, so the second end of a task on a worker replaces the first, which is then never acknowledged. Nothing is fixed.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -9,9 +9,13 @@
 mod store;
 mod workers;
 
+mod cancelled;
 mod checks;
 mod ends_taken;
+mod ends_stuck;
+mod late_writes;
 mod orphaned;
+mod quarantined;
 mod repeated;
 mod revoked;
 mod waiting;
@@ -57,6 +61,10 @@
     match case {
         "revoked" => revoked::play(trouble),
         "repeated" => repeated::play(trouble),
+        "cancelled" => cancelled::play(trouble),
+        "ends-stuck" => ends_stuck::play(trouble),
+        "late-writes" => late_writes::play(trouble),
+        "quarantined" => quarantined::play(trouble),
         "orphaned" => orphaned::play(trouble),
         "ends-taken" => ends_taken::play(trouble),
         "waiting" => waiting::play(trouble),
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -49,6 +49,12 @@
     down_since: Option<Instant>,
     /// Machines that the store turns away.
     turned_away: HashSet<usize>,
+    /// Machines that are partitioned from the store.
+    cut_off: HashSet<usize>,
+    /// Share of the writes, in thousandths, that get no answer and are done late.
+    late_permille: u64,
+    /// State of the random numbers.
+    random: u64,
 }
 
 #[derive(Clone, Default)]
@@ -90,6 +96,11 @@
         }
     }
 
+    /// Cuts one machine off: its requests hang from now on.
+    pub fn cut_off(&self, machine: usize) {
+        self.lock().cut_off.insert(machine);
+    }
+
     /// Resets the connections of one machine from now on. With `revoke` the keys
     /// under its leases are taken away at once.
     pub fn turn_away(&self, machine: usize, revoke: bool) {
@@ -108,7 +119,36 @@
     }
 
     pub fn take_back(&self, machine: usize) {
-        self.lock().turned_away.remove(&machine);
+        let mut state = self.lock();
+        state.turned_away.remove(&machine);
+        state.cut_off.remove(&machine);
+    }
+
+    /// From now on a share of the writes gets no answer and is done 1 to 6 s later,
+    /// if its condition still holds.
+    pub fn lose_answers_late(&self, permille: u64) {
+        let mut state = self.lock();
+        state.random = u64::from(std::process::id()).wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
+        state.late_permille = permille;
+    }
+
+    /// Whether this write gets no answer, and when it is done.
+    fn delay_of_write(&self) -> Option<Duration> {
+        let mut state = self.lock();
+        let permille = state.late_permille;
+        let is_late = permille > 0 && state.next_random() % 1_000 < permille;
+        is_late.then(|| Duration::from_millis(1_000 + state.next_random() % 5_000))
+    }
+
+    /// Whether the machine is cut off; waits for the end of the cut. What was sent
+    /// meanwhile is lost, as its sender has given it up.
+    fn was_cut_off(&self, machine: usize) -> bool {
+        let mut was_cut_off = false;
+        while self.lock().cut_off.contains(&machine) {
+            was_cut_off = true;
+            sleep(Duration::from_millis(5));
+        }
+        was_cut_off
     }
 
     fn is_closed_to(&self, machine: usize) -> bool {
@@ -118,13 +158,31 @@
 
     fn handle(&self, machine: usize, request: &Request) -> Answer {
         sleep(ANSWER_TIME);
-        if self.is_closed_to(machine) {
+        if self.is_closed_to(machine) || self.was_cut_off(machine) {
             return Answer::Close;
         }
         if request.path == "/api/kv-watch" {
             return self.watch(machine, request);
         }
         let body = Json::parse(&request.body).unwrap_or(Json::Null);
+        if request.path == "/api/kv-txn"
+            && let Some(delay) = self.delay_of_write()
+        {
+            let store = self.clone();
+            std::thread::spawn(move || {
+                sleep(delay);
+                let keys = keys_of(&body);
+                let answer = store.lock().transact(&body);
+                let Answer::Reply(status, _) = answer else { return };
+                record::write(&format!(
+                    "store: a write without answer is done {} ms late: {status} {keys}",
+                    delay.as_millis()
+                ));
+            });
+            // The channel returns nothing further; the client gives it up.
+            sleep(Duration::from_secs(8));
+            return Answer::Close;
+        }
         self.lock().handle(machine, request, &body)
     }
 
@@ -134,7 +192,7 @@
         let prefix = request.parameter("prefix");
         let until = Instant::now() + Duration::from_millis(wait_ms.min(30_000));
         loop {
-            if self.is_closed_to(machine) {
+            if self.is_closed_to(machine) || self.was_cut_off(machine) {
                 return Answer::Close;
             }
             let mut state = self.lock();
@@ -156,7 +214,21 @@
     }
 }
 
+/// The keys that a transaction writes and drops, for the record.
+fn keys_of(body: &Json) -> String {
+    let writes = body.get("writes").as_list().iter().filter_map(|row| row.get("key").as_str());
+    let drops = body.get("drop").as_list().iter().filter_map(Json::as_str);
+    writes.chain(drops).collect::<Vec<&str>>().join(" ")
+}
+
 impl State {
+    fn next_random(&mut self) -> u64 {
+        self.random ^= self.random << 13;
+        self.random ^= self.random >> 7;
+        self.random ^= self.random << 17;
+        self.random
+    }
+
     fn log_change(&mut self, key: &str, event: Json) {
         let change = Change {
             at: Instant::now(),
--- a/review/standins/workers.rs
+++ b/review/standins/workers.rs
@@ -1,7 +1,7 @@
 //! Stand-in workers, after PROTOCOL.md, and the ledger of what they ran.
 //!
 //! The spec of a job gives the time of a task of each step in milliseconds,
-//! separated by commas.
+//! separated by commas; a task whose time begins with `f` fails then.
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::{SocketAddr, TcpListener};
@@ -17,6 +17,9 @@
 const STOP_TIME: Duration = Duration::from_millis(30);
 const HOLD_MAX_MS: i64 = 1_000;
 
+/// Most ends in one list.
+const MAX_LISTED: usize = 500;
+
 /// A run in the ledger. Times are those of the record.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -153,6 +156,16 @@
         self.lock().ledger.clone()
     }
 
+    /// Of the ends that the workers have listed, how many, and how many are not taken
+    /// note of.
+    pub fn listed_ends(&self) -> (usize, usize) {
+        let state = self.lock();
+        let noted = state.ledger.iter().filter(|run| run.observed_ms.is_some()).count();
+        let listed = state.workers.iter().map(|worker| worker.finished.len().min(MAX_LISTED));
+        let open: usize = listed.sum();
+        (noted + open, open)
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         let mut state = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         state.advance();
@@ -298,12 +311,14 @@
         }
         let step = task.split('.').nth(2).and_then(|step| step.parse().ok()).unwrap_or(0);
         let spec = body.get("spec").as_str().unwrap_or_default();
-        let run_ms = spec.split(',').nth(step).and_then(|ms| ms.parse().ok()).unwrap_or(200);
+        let time = spec.split(',').nth(step).unwrap_or_default();
+        let how = if time.starts_with('f') { "failed" } else { "done" };
+        let run_ms = time.trim_start_matches('f').parse().unwrap_or(200);
         record::write(&format!("worker {index}: {task} run {number} started, takes {run_ms} ms"));
         worker.highest.insert(task.to_owned(), number);
         let active = Active {
             ledger: self.ledger.len(),
-            end: (Instant::now() + Duration::from_millis(run_ms), "done"),
+            end: (Instant::now() + Duration::from_millis(run_ms), how),
         };
         worker.runs.insert(key, active);
         self.ledger.push(Run {
@@ -361,7 +376,7 @@
                 Json::Int(0),
             ])
         });
-        let finished = worker.finished.iter().take(500).map(|end| {
+        let finished = worker.finished.iter().take(MAX_LISTED).map(|end| {
             Json::List(vec![
                 Json::Int(end.number),
                 Json::text(&end.task),
