review: spread the jobs of case 3 over the entries, widen the margins of case 5

Change: jobs and repeated requests go to three entries; the replacement of case 5 begins with x = 1 s.

--- a/review/standins/orphaned.rs
+++ b/review/standins/orphaned.rs
@@ -11,14 +11,15 @@
     r#"{"spec":"7000","steps":[{"count":2,"cpu":1600,"mem-mb":64,"estimate-ms":7000}]}"#;
 
 pub fn play(trouble: bool) -> Outcome {
-    // Returns 10 s after the start of the machines.
+    // Returns 10 s after the start of the machines, when idle entries have just looked
+    // for owners.
     let mut fleet = Fleet::start(3, 6)?;
     let mut replacement = 1;
     if trouble {
-        sleep(Duration::from_millis(300));
+        sleep(Duration::from_millis(200));
         record::write("trouble: entry-0 is replaced as planned: the new machine starts first");
         replacement = fleet.add_entry();
-        sleep(Duration::from_millis(2_000));
+        sleep(Duration::from_secs(1));
         fleet.signal(0, crate::fleet::TERM);
         sleep(Duration::from_millis(300));
     }
--- a/review/standins/repeated.rs
+++ b/review/standins/repeated.rs
@@ -8,7 +8,9 @@
 use crate::fleet::Fleet;
 use crate::{Outcome, record};
 
-const JOBS: usize = 30;
+const JOBS: usize = 60;
+
+const ENTRIES: usize = 3;
 
 /// Of so many jobs the request of one arrives once more.
 const JOBS_PER_REPEAT: usize = 3;
@@ -17,9 +19,10 @@
 const BODY: &str = r#"{"spec":"300,9000","steps":[{"count":1,"cpu":500,"mem-mb":64,"estimate-ms":300},{"count":1,"cpu":500,"mem-mb":64,"estimate-ms":9000,"after":[0]}]}"#;
 
 pub fn play(trouble: bool) -> Outcome {
-    let fleet = Fleet::start(3, 6)?;
-    let ids: Vec<String> =
-        (0..JOBS).map(|_| fleet.submit(0, BODY)).collect::<Result<_, String>>()?;
+    let fleet = Fleet::start(ENTRIES, 6)?;
+    let ids: Vec<String> = (0..JOBS)
+        .map(|number| fleet.submit(number / JOBS_PER_REPEAT % ENTRIES, BODY))
+        .collect::<Result<_, String>>()?;
     // The first steps end, and their ends are taken note of.
     sleep(Duration::from_secs(3));
     let ledger = fleet.workers.ledger();
@@ -35,10 +38,10 @@
         fleet.store.come_back();
         record::write("the store is back");
     }
-    // Some requests arrive once more, seconds after their 2xx.
-    for id in ids.iter().step_by(JOBS_PER_REPEAT) {
-        let _ = fleet.request(0, "POST", id, BODY);
-        sleep(Duration::from_millis(200));
+    // Some requests arrive once more, seconds after their 2xx, where they were accepted.
+    for (number, id) in ids.iter().step_by(JOBS_PER_REPEAT).enumerate() {
+        let _ = fleet.request(number % ENTRIES, "POST", id, BODY);
+        sleep(Duration::from_millis(120));
     }
     sleep(Duration::from_secs(20));
     Ok(holds_twice(&fleet.workers.ledger()))
