review: show that a foreign heartbeat makes tasks run twice

Cause: an agent checks neither the service nor the address of a heartbeat, so that of another writer ends the life of its sound worker, whose runs go on unstopped. Nothing is fixed.

--- a/review/standins/cancelled.rs
+++ b/review/standins/cancelled.rs
@@ -4,11 +4,10 @@
 use std::thread::sleep;
 use std::time::Duration;
 
+use crate::checks::holds_cancel;
 use crate::fleet::Fleet;
 use crate::{Outcome, record};
 
-const CANCEL_MS: u64 = 3_000;
-
 /// Forty tasks, one at a time on the only worker of kind `b`.
 const BODY: &str = r#"{"spec":"300","steps":[{"count":40,"cpu":16000,"mem-mb":64,"estimate-ms":300,"requirements":"b"}]}"#;
 
@@ -31,19 +30,5 @@
     record::write("the store is in reach again");
     sleep(Duration::from_secs(15));
     let _ = fleet.request(1, "GET", &id, "");
-    let mut held = true;
-    for run in fleet.workers.ledger() {
-        if run.task.starts_with(&id) && run.started_ms > acknowledged_ms + CANCEL_MS {
-            held = false;
-            record::write(&format!(
-                "UNASKED: {} run {} started on worker {} at {} ms, {} ms after the job's cancel was acknowledged",
-                run.task,
-                run.run,
-                run.worker,
-                run.started_ms,
-                run.started_ms - acknowledged_ms
-            ));
-        }
-    }
-    Ok(held)
+    Ok(holds_cancel(&fleet.workers.ledger(), &id, acknowledged_ms))
 }
--- a/review/standins/checks.rs
+++ b/review/standins/checks.rs
@@ -27,3 +27,26 @@
     }
     held
 }
+
+/// Longest time from the acknowledgement of a cancel to the last start, `cancel_ms`.
+const CANCEL_MS: u64 = 3_000;
+
+/// UNASKED: a task of the job starts later than `cancel_ms` after its cancelling was
+/// acknowledged. Returns whether it held.
+pub fn holds_cancel(ledger: &[Run], id: &str, acknowledged_ms: u64) -> bool {
+    let mut held = true;
+    for run in ledger.iter().filter(|run| run.task.starts_with(id)) {
+        if run.started_ms > acknowledged_ms + CANCEL_MS {
+            held = false;
+            record::write(&format!(
+                "UNASKED: {} run {} started on worker {} at {} ms, {} ms after the job's cancel was acknowledged",
+                run.task,
+                run.run,
+                run.worker,
+                run.started_ms,
+                run.started_ms - acknowledged_ms
+            ));
+        }
+    }
+    held
+}
--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -28,6 +28,8 @@
 
 pub const TERM: i32 = 15;
 pub const KILL: i32 = 9;
+pub const STOP: i32 = 19;
+pub const CONT: i32 = 18;
 
 const PR_SET_PDEATHSIG: i32 = 1;
 
@@ -213,6 +215,15 @@
         matches!(sent, Ok((200, _)))
     }
 
+    /// Sends a heartbeat to an agent; returns the status of the answer.
+    pub fn heartbeat(&self, agent: usize, id: &str, body: &str) -> Result<u16, String> {
+        let address = address(self.network, 2, agent, CONTROL_PORT);
+        let host = [("host", address.to_string())];
+        let path = format!("/api/Instances.Heartbeat/{id}");
+        let sent = http::send(address, "POST", &path, &host, body, Duration::from_secs(1));
+        sent.map(|(status, _)| status)
+    }
+
     /// Sends a signal to an entry that this run started.
     pub fn signal(&self, entry: usize, signal: i32) {
         let Some(child) = &self.entries[entry].child else {
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -13,9 +13,12 @@
 mod checks;
 mod ends_taken;
 mod ends_stuck;
+mod foreign_beat;
 mod late_writes;
 mod orphaned;
+mod paused;
 mod quarantined;
+mod reborn;
 mod repeated;
 mod revoked;
 mod waiting;
@@ -65,6 +68,9 @@
         "ends-stuck" => ends_stuck::play(trouble),
         "late-writes" => late_writes::play(trouble),
         "quarantined" => quarantined::play(trouble),
+        "paused" => paused::play(trouble),
+        "reborn" => reborn::play(trouble),
+        "foreign-beat" => foreign_beat::play(trouble),
         "orphaned" => orphaned::play(trouble),
         "ends-taken" => ends_taken::play(trouble),
         "waiting" => waiting::play(trouble),
--- a/review/standins/workers.rs
+++ b/review/standins/workers.rs
@@ -14,6 +14,9 @@
 use crate::record;
 
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
+
+/// Time from the start of a worker, when it takes calls, to its first heartbeat.
+const FIRST_HEARTBEAT: Duration = Duration::from_millis(10);
 const STOP_TIME: Duration = Duration::from_millis(30);
 const HOLD_MAX_MS: i64 = 1_000;
 
@@ -63,6 +66,7 @@
     zone: &'static str,
     rack: String,
     kind: &'static str,
+    is_up: bool,
     born_ms: i64,
     started: Instant,
     sequence: i64,
@@ -76,7 +80,41 @@
     last_end: i64,
 }
 
+/// The time of day in milliseconds.
+fn now_ms() -> i64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    i64::try_from(since.as_millis()).unwrap_or(0)
+}
+
 impl Worker {
+    /// A new life, which holds and knows nothing.
+    fn new(
+        id: String,
+        address: SocketAddr,
+        zone: &'static str,
+        rack: String,
+        kind: &'static str,
+    ) -> Self {
+        Self {
+            id,
+            address,
+            zone,
+            rack,
+            kind,
+            is_up: true,
+            born_ms: now_ms(),
+            started: Instant::now(),
+            sequence: 0,
+            token: 0,
+            lease_until: None,
+            lapsed_at: None,
+            runs: BTreeMap::new(),
+            highest: HashMap::new(),
+            finished: Vec::new(),
+            last_end: 0,
+        }
+    }
+
     fn clock_ms(&self) -> i64 {
         i64::try_from(self.started.elapsed().as_millis()).unwrap_or(i64::MAX)
     }
@@ -113,24 +151,10 @@
 
 impl Workers {
     pub fn start(service: &'static str, places: &[Place]) -> Self {
-        let born_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
-        let born_ms = i64::try_from(born_ms).unwrap_or(0);
-        let worker = |(index, place): (usize, &Place)| Worker {
-            id: format!("i-{born_ms:x}{index:02}"),
-            address: place.app,
-            zone: place.zone,
-            rack: format!("r1-{}", index / 3),
-            kind: place.kind,
-            born_ms,
-            started: Instant::now(),
-            sequence: 0,
-            token: 0,
-            lease_until: None,
-            lapsed_at: None,
-            runs: BTreeMap::new(),
-            highest: HashMap::new(),
-            finished: Vec::new(),
-            last_end: 0,
+        let unique = now_ms();
+        let worker = |(index, place): (usize, &Place)| {
+            let id = format!("i-{unique:x}{index:02}");
+            Worker::new(id, place.app, place.zone, format!("r1-{}", index / 3), place.kind)
         };
         let workers = places.iter().enumerate().map(worker).collect();
         let workers = Self(Arc::new(Mutex::new(State { workers, ledger: Vec::new() })));
@@ -151,6 +175,30 @@
         workers
     }
 
+    /// Crashes a worker: it answers nothing, and all that ran there is gone.
+    pub fn crash(&self, index: usize) {
+        let mut state = self.lock();
+        let worker = &mut state.workers[index];
+        worker.is_up = false;
+        worker.finished.clear();
+        let runs = std::mem::take(&mut worker.runs);
+        for (_, run) in runs {
+            let entry = &mut state.ledger[run.ledger];
+            entry.ended_ms = Some(record::now_ms());
+            entry.how = "crashed";
+        }
+        record::write(&format!("trouble: worker {index} crashes"));
+    }
+
+    /// Starts a crashed worker again under the id that it had.
+    pub fn start_again(&self, index: usize) {
+        let mut state = self.lock();
+        let old = &state.workers[index];
+        let life = Worker::new(old.id.clone(), old.address, old.zone, old.rack.clone(), old.kind);
+        state.workers[index] = life;
+        record::write(&format!("worker {index} is up again, under the id that it had"));
+    }
+
     /// The runs so far.
     pub fn ledger(&self) -> Vec<Run> {
         self.lock().ledger.clone()
@@ -174,9 +222,14 @@
 
     fn beat(&self, index: usize, service: &str, control: SocketAddr) {
         loop {
-            let (path, body) = {
+            let (life, path, body) = {
                 let mut state = self.lock();
                 let worker = &mut state.workers[index];
+                if !worker.is_up {
+                    drop(state);
+                    sleep(FIRST_HEARTBEAT);
+                    continue;
+                }
                 worker.sequence += 1;
                 let capacity = Json::map(vec![
                     ("cpu", Json::Int(16_000)),
@@ -200,12 +253,15 @@
                     ("sequence", Json::Int(worker.sequence)),
                     ("born", Json::Int(worker.born_ms)),
                 ]);
-                (format!("/api/Instances.Heartbeat/{}", worker.id), body)
+                (worker.started, format!("/api/Instances.Heartbeat/{}", worker.id), body)
             };
             let limit = Duration::from_secs(1);
             let host = [("host", control.to_string())];
             let _ = http::send(control, "POST", &path, &host, &body.write(), limit);
-            sleep(HEARTBEAT);
+            let sent = Instant::now();
+            while sent.elapsed() < HEARTBEAT && self.lock().workers[index].started == life {
+                sleep(FIRST_HEARTBEAT / 2);
+            }
         }
     }
 
@@ -215,6 +271,9 @@
         };
         let mut state = self.lock();
         let worker = &mut state.workers[index];
+        if !worker.is_up {
+            return Answer::Close;
+        }
         let clock = |worker: &Worker| ("clock-ms", Json::Int(worker.clock_ms()));
         if request
             .header("lagoonhill-expected-instance")
