--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 # broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/standins ] && [ -x target/release/lagoonhill-platform ] || exit 2
-exec target/review/standins revoked review/5
+exec target/review/standins orphaned review/5
