Agent: log and count what it makes of announcements and why runs are given up

Decision lines `announced` (an announcement that is no routine one) and `target-changed` (reason, incarnations, time since the last answer, runs interrupted; a warning if there are any), and counters lagoonhill_target_announcements_total, lagoonhill_target_changes_total and lagoonhill_target_change_interrupted_runs_total. No decision changes.

--- a/crates/lagoonhill_agent/src/control.rs
+++ b/crates/lagoonhill_agent/src/control.rs
@@ -1,16 +1,18 @@
 //! The agent's control thread: feeds events to its state machine and runs the
 //! resulting effects.
 
+use std::fmt;
 use std::ops::ControlFlow;
 use std::sync::mpsc::Sender;
 
 use lagoonhill_core::agent::{Agent, AgentEffect, TaskKey};
+use lagoonhill_core::leased::{AnnouncementReport, TargetChange};
 use lagoonhill_daemon::ControlState;
 use lagoonhill_link::Link;
 use lagoonhill_protocol::{EntryAddress, Packet, Start, Target, TaskResult};
 use lagoonhill_rules::RuleSet;
 use lagoonhill_types::prelude::*;
-use log::info;
+use log::{Level, info, log};
 use tokio::sync::{oneshot, watch};
 
 use crate::metrics::Metrics;
@@ -191,9 +193,59 @@
                     self.agent.finished(key, result, now);
                 }
                 RunnerReport::Target(target) => self.agent.set_target(target, now),
+                RunnerReport::Changed(change) => self.log_change(&change),
+                RunnerReport::Announced(report) => self.log_announcement(&report),
             }
         }
     }
+
+    fn log_change(&self, change: &TargetChange) {
+        let TargetChange {
+            reason,
+            replaced,
+            present,
+            reply_age_ms,
+            interrupted,
+        } = change;
+        self.metrics.target_changed(reason.label(), *interrupted);
+        let level = if *interrupted > 0 {
+            Level::Warn
+        } else {
+            Level::Info
+        };
+        log!(
+            target: "decision",
+            level,
+            "target-changed reason={} replaced={} present={} reply_age={reply_age_ms} interrupted={interrupted}",
+            reason.label(),
+            or_none(replaced.as_ref()),
+            or_none(present.as_ref()),
+        );
+    }
+
+    fn log_announcement(&self, report: &AnnouncementReport) {
+        self.metrics.announced(report.outcome.label());
+        if report.outcome.is_routine() {
+            return;
+        }
+        let present = report.present.as_ref();
+        info!(
+            target: "decision",
+            "announced outcome={} incarnation={} sequence={} service={} address={} present={} newest={}",
+            report.outcome.label(),
+            report.incarnation,
+            report.sequence,
+            report.service,
+            report.address,
+            or_none(present.map(|(incarnation, _)| incarnation)),
+            or_none(present.map(|(_, newest)| newest)),
+        );
+    }
+}
+
+/// Formats a value for the log, or `none`.
+fn or_none(value: Option<impl fmt::Display>) -> String {
+    value.map_or_else(|| "none".to_owned(), |value| value.to_string())
 }
 
 /// Label of a result, for metrics and the log.
--- a/crates/lagoonhill_agent/src/leased_runner.rs
+++ b/crates/lagoonhill_agent/src/leased_runner.rs
@@ -99,6 +99,10 @@
                     }
                     self.reports.push(RunnerReport::Target(target));
                 }
+                LeasedEffect::Changed(change) => self.reports.push(RunnerReport::Changed(change)),
+                LeasedEffect::Announced(report) => {
+                    self.reports.push(RunnerReport::Announced(report));
+                }
             }
         }
     }
@@ -131,18 +135,11 @@
     fn handle(&mut self, event: LeasedEvent, now: TimestampMs) {
         match event {
             LeasedEvent::Announced(announcement) => {
-                let incarnation = announcement.incarnation.clone();
-                let known = self.runs.incarnation() == Some(&incarnation);
-                let accepted = self.runs.announce(*announcement, now);
-                if !accepted {
-                    info!("an announcement of {incarnation} is out of date");
-                } else if !known {
-                    info!("the target is now {incarnation}");
-                }
+                self.runs.announce(*announcement, now);
             }
             LeasedEvent::Left(name) => {
-                info!("the target {name} has left");
-                self.runs.target_left(&name);
+                info!("the target {name} has sent its leave message");
+                self.runs.target_left(&name, now);
             }
             LeasedEvent::Answered(id, reply) => self.runs.answered(id, reply, now),
         }
--- a/crates/lagoonhill_agent/src/metrics.rs
+++ b/crates/lagoonhill_agent/src/metrics.rs
@@ -12,6 +12,9 @@
     started: IntCounter,
     ended: IntCounterVec,
     task_seconds: HistogramVec,
+    announcements: IntCounterVec,
+    target_changes: IntCounterVec,
+    interrupted: IntCounterVec,
     held: IntGauge,
     running: IntGauge,
     sessions: IntGauge,
@@ -38,6 +41,21 @@
                 "Time of a task here: from its order to its start (waited), and from its start to its end (ran).",
                 "stage",
             ),
+            announcements: meters.counters(
+                "lagoonhill_target_announcements_total",
+                "Announcements of targets, by what was made of them.",
+                "outcome",
+            ),
+            target_changes: meters.counters(
+                "lagoonhill_target_changes_total",
+                "Times that the target's incarnation changed, by what told so.",
+                "reason",
+            ),
+            interrupted: meters.counters(
+                "lagoonhill_target_change_interrupted_runs_total",
+                "Runs reported as interrupted when the target's incarnation changed, by what told so.",
+                "reason",
+            ),
             held: meters.gauge("lagoonhill_held_tasks", "Tasks waiting or running here."),
             running: meters.gauge("lagoonhill_running_tasks", "Tasks at the target."),
             sessions: meters.gauge("lagoonhill_sessions", "Entries with an open session."),
@@ -70,6 +88,19 @@
             .observe(ran_ms.as_secs_f64());
     }
 
+    /// Counts an announcement of a target.
+    pub(crate) fn announced(&self, outcome: &str) {
+        self.announcements.with_label_values(&[outcome]).inc();
+    }
+
+    /// Counts a change of the target's incarnation, and the runs that it interrupted.
+    pub(crate) fn target_changed(&self, reason: &str, interrupted: usize) {
+        self.target_changes.with_label_values(&[reason]).inc();
+        self.interrupted
+            .with_label_values(&[reason])
+            .inc_by(interrupted as u64);
+    }
+
     /// Updates the gauges from `status` and renders all metrics as Prometheus text.
     pub(crate) fn render(&self, status: &AgentStatus) -> Vec<u8> {
         let gauge =
--- a/crates/lagoonhill_agent/src/target_runner.rs
+++ b/crates/lagoonhill_agent/src/target_runner.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 
 use lagoonhill_core::agent::TaskKey;
+use lagoonhill_core::leased::{AnnouncementReport, TargetChange};
 use lagoonhill_protocol::{Start, Target, TaskResult};
 use lagoonhill_types::prelude::*;
 
@@ -18,6 +19,10 @@
     },
     /// The target accepts tasks, or (`None`) does not.
     Target(Option<Target>),
+    /// Another incarnation of the target is present, or none.
+    Changed(TargetChange),
+    /// An announcement was handled.
+    Announced(AnnouncementReport),
 }
 
 /// Runs tasks on the target. Called on the control thread, so it must not block:
--- /dev/null
+++ b/crates/lagoonhill_core/src/leased/announcement_report.rs
@@ -0,0 +1,70 @@
+//! Reports of handled announcements, for logs and metrics.
+
+use std::net::SocketAddr;
+
+use lagoonhill_types::prelude::*;
+
+use super::{Announcement, TargetIncarnation};
+
+/// An announcement, and what was made of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AnnouncementReport {
+    /// What was made of the announcement.
+    pub outcome: AnnouncementOutcome,
+    /// The incarnation that it names.
+    pub incarnation: TargetIncarnation,
+    /// Its sequence number.
+    pub sequence: u64,
+    /// The service that it names.
+    pub service: ServiceName,
+    /// The address that it names.
+    pub address: SocketAddr,
+    /// The present incarnation and its newest sequence number, before the announcement.
+    pub present: Option<(TargetIncarnation, u64)>,
+}
+
+impl AnnouncementReport {
+    /// Reports what was made of `announcement` while `present` was the newest one of
+    /// the present incarnation.
+    pub fn new(
+        outcome: AnnouncementOutcome,
+        announcement: &Announcement,
+        present: Option<&Announcement>,
+    ) -> Self {
+        Self {
+            outcome,
+            incarnation: announcement.incarnation.clone(),
+            sequence: announcement.sequence,
+            service: announcement.target.service.clone(),
+            address: announcement.target.address,
+            present: present.map(|present| (present.incarnation.clone(), present.sequence)),
+        }
+    }
+}
+
+/// What was made of an announcement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnnouncementOutcome {
+    /// It updates the present incarnation.
+    Updated,
+    /// It is of another incarnation, which is the present one from now on.
+    Taken,
+    /// It was sent before the newest one, or by an incarnation that has left.
+    OutOfDate,
+}
+
+impl AnnouncementOutcome {
+    /// Label of the outcome in logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Updated => "updated",
+            Self::Taken => "taken",
+            Self::OutOfDate => "out-of-date",
+        }
+    }
+
+    /// Whether every announcement of a target in good order has this outcome.
+    pub fn is_routine(self) -> bool {
+        matches!(self, Self::Updated)
+    }
+}
--- a/crates/lagoonhill_core/src/leased/mod.rs
+++ b/crates/lagoonhill_core/src/leased/mod.rs
@@ -2,14 +2,18 @@
 //! lease renewal and interpretation of its lists of runs.
 
 mod announcement;
+mod announcement_report;
 mod call;
 mod clock;
 mod runs;
+mod target_change;
 
 pub use announcement::Announcement;
+pub use announcement_report::{AnnouncementOutcome, AnnouncementReport};
 pub use call::{
     CallId, EndKind, EndedRun, FencingToken, Refusal, RunRef, StartRequest, TargetCall,
     TargetIncarnation, TargetReply, TargetTimeMs,
 };
 pub use clock::TargetClock;
 pub use runs::{LeaseTiming, LeasedEffect, LeasedRuns};
+pub use target_change::{ChangeReason, TargetChange};
--- a/crates/lagoonhill_core/src/leased/runs.rs
+++ b/crates/lagoonhill_core/src/leased/runs.rs
@@ -7,8 +7,9 @@
 use lagoonhill_types::prelude::*;
 
 use super::{
-    Announcement, CallId, EndKind, EndedRun, FencingToken, Refusal, RunRef, StartRequest,
-    TargetCall, TargetClock, TargetIncarnation, TargetReply, TargetTimeMs,
+    Announcement, AnnouncementOutcome, AnnouncementReport, CallId, ChangeReason, EndKind, EndedRun,
+    FencingToken, Refusal, RunRef, StartRequest, TargetCall, TargetChange, TargetClock,
+    TargetIncarnation, TargetReply, TargetTimeMs,
 };
 use crate::agent::TaskKey;
 use crate::on_slow_clock;
@@ -130,6 +131,10 @@
     },
     /// The target that accepts runs from now on, or `None` if it accepts none.
     Target(Option<Target>),
+    /// Another incarnation is present, or none.
+    Changed(TargetChange),
+    /// An announcement was handled.
+    Announced(AnnouncementReport),
 }
 
 /// The runs on one target, each under the target's lease.
@@ -222,19 +227,28 @@
     }
 
     /// Handles an announcement of a target. Another incarnation ends every run
-    /// of the present one. Returns false when the announcement is out of date.
-    pub fn announce(&mut self, announcement: Announcement, now: TimestampMs) -> bool {
+    /// of the present one. [`LeasedEffect::Announced`] tells what was made of it.
+    pub fn announce(&mut self, announcement: Announcement, now: TimestampMs) {
         let known = self.announced.as_ref().or(self.departed.as_ref());
-        if known.is_some_and(|known| announcement.is_older_than(known)) {
-            return false;
-        }
+        let is_older = known.is_some_and(|known| announcement.is_older_than(known));
         let departed = self.departed.as_ref().map(|departed| &departed.incarnation);
-        if departed == Some(&announcement.incarnation) {
-            return false;
-        }
+        let has_departed = departed == Some(&announcement.incarnation);
         let is_new = self.incarnation() != Some(&announcement.incarnation);
+        let outcome = if is_older || has_departed {
+            AnnouncementOutcome::OutOfDate
+        } else if is_new {
+            AnnouncementOutcome::Taken
+        } else {
+            AnnouncementOutcome::Updated
+        };
+        let report = AnnouncementReport::new(outcome, &announcement, self.announced.as_ref());
+        self.effects.push(LeasedEffect::Announced(report));
+        if outcome == AnnouncementOutcome::OutOfDate {
+            return;
+        }
         if is_new {
-            self.end_incarnation("another incarnation of the target took its place");
+            let present = announcement.incarnation.clone();
+            self.end_incarnation(ChangeReason::Announced, Some(present), now);
         }
         self.announced = Some(announcement);
         if is_new {
@@ -242,23 +256,35 @@
             self.poll(now);
         }
         self.report_target();
-        true
     }
 
     /// Handles the leave message of a target: its runs have ended with it.
-    pub fn target_left(&mut self, incarnation_name: &WorkerId) {
+    pub fn target_left(&mut self, incarnation_name: &WorkerId, now: TimestampMs) {
         if self
             .incarnation()
             .is_some_and(|incarnation| incarnation.name == *incarnation_name)
         {
-            self.departed = self.announced.take();
-            self.end_incarnation("the target has left");
+            self.departed.clone_from(&self.announced);
+            self.end_incarnation(ChangeReason::Left, None, now);
         }
     }
 
-    fn end_incarnation(&mut self, why: &str) {
-        self.interrupt_all(why);
-        self.announced = None;
+    fn end_incarnation(
+        &mut self,
+        reason: ChangeReason,
+        present: Option<TargetIncarnation>,
+        now: TimestampMs,
+    ) {
+        let interrupted = self.runs.len();
+        self.interrupt_all(&reason.to_string());
+        let replaced = self.announced.take().map(|announced| announced.incarnation);
+        self.effects.push(LeasedEffect::Changed(TargetChange {
+            reason,
+            replaced,
+            present,
+            reply_age_ms: now.since(self.last_reply_ms),
+            interrupted,
+        }));
         self.clock = None;
         self.last_end = 0;
         self.unstored.clear();
@@ -433,7 +459,7 @@
         match &reply {
             TargetReply::Unanswered(_) => self.lossy_until_ms = now + LOSSY_POLL_MS,
             TargetReply::OtherIncarnation => {
-                return self.end_incarnation("another incarnation of the target answers");
+                return self.end_incarnation(ChangeReason::OtherAnswered, None, now);
             }
             TargetReply::Started(clock_ms)
             | TargetReply::Refused(_, clock_ms)
@@ -552,7 +578,7 @@
         };
         let expected = self.incarnation().map(|incarnation| incarnation.born_ms);
         if born_ms.is_some() && expected.is_some_and(|born| born > 0 && Some(born) != born_ms) {
-            return self.end_incarnation("another incarnation of the target answers");
+            return self.end_incarnation(ChangeReason::OtherBirthTime, None, now);
         }
         // A list from before a known end may arrive later and still contain the run.
         let newest = ended.last().map_or(observed, |end| end.number);
--- a/crates/lagoonhill_core/tests/leased.rs
+++ b/crates/lagoonhill_core/tests/leased.rs
@@ -5,8 +5,9 @@
 
 use lagoonhill_core::agent::TaskKey;
 use lagoonhill_core::leased::{
-    Announcement, CallId, EndKind, EndedRun, FencingToken, LeaseTiming, LeasedEffect, LeasedRuns,
-    Refusal, RunRef, TargetCall, TargetIncarnation, TargetReply, TargetTimeMs,
+    Announcement, AnnouncementOutcome, CallId, EndKind, EndedRun, FencingToken, LeaseTiming,
+    LeasedEffect, LeasedRuns, Refusal, RunRef, TargetCall, TargetIncarnation, TargetReply,
+    TargetTimeMs,
 };
 use lagoonhill_protocol::{NotRunReason, Start, Target, TaskResult};
 use lagoonhill_types::prelude::*;
@@ -71,6 +72,8 @@
     calls: Vec<Call>,
     ended: Vec<(TaskKey, TaskResult)>,
     target: Option<Target>,
+    /// What was made of the last announcement.
+    outcome: Option<AnnouncementOutcome>,
     /// Whether started tasks belong to durable jobs.
     durable: bool,
 }
@@ -85,6 +88,7 @@
             calls: Vec::new(),
             ended: Vec::new(),
             target: None,
+            outcome: None,
             durable: false,
         }
     }
@@ -110,14 +114,16 @@
                 }),
                 LeasedEffect::Ended { key, result } => self.ended.push((key, result)),
                 LeasedEffect::Target(target) => self.target = target,
+                LeasedEffect::Changed(_) => {}
+                LeasedEffect::Announced(report) => self.outcome = Some(report.outcome),
             }
         }
     }
 
     fn announce(&mut self, announcement: Announcement) -> bool {
-        let accepted = self.runs.announce(announcement, self.now);
+        self.runs.announce(announcement, self.now);
         self.collect();
-        accepted
+        self.outcome != Some(AnnouncementOutcome::OutOfDate)
     }
 
     fn start(&mut self, index: u16) -> TaskKey {
@@ -512,7 +518,7 @@
         assert!(!bench.announce(announcement(incarnation("target", 5), 8, false)));
         assert!(!bench.announce(announcement(incarnation("target", 4), 99, false)));
         assert_eq!(bench.target, None, "an outdated announcement made the target available again");
-        bench.runs.target_left(&incarnation("target", 5).name);
+        bench.runs.target_left(&incarnation("target", 5).name, bench.now);
         bench.collect();
         assert!(!bench.announce(announcement(incarnation("target", 5), 10, false)));
     }
