leased: show that announcements of another writer end runs

The others are of the same class: a leave message is believed at once and for good, a sequence number or a description of another writer for ever, and a start time that is earlier than that of the predecessor never.

--- a/crates/lagoonhill_core/tests/leased.rs
+++ b/crates/lagoonhill_core/tests/leased.rs
@@ -60,6 +60,7 @@
 #[derive(Debug)]
 struct Call {
     id: CallId,
+    to: TargetIncarnation,
     token: FencingToken,
     what: TargetCall,
 }
@@ -106,9 +107,14 @@
         for effect in self.runs.poll_effects() {
             match effect {
                 LeasedEffect::Call {
-                    id, token, call, ..
+                    id,
+                    incarnation,
+                    token,
+                    call,
+                    ..
                 } => self.calls.push(Call {
                     id,
+                    to: incarnation,
                     token,
                     what: call,
                 }),
@@ -194,6 +200,38 @@
         self.answer(|call| matches!(call, TargetCall::Poll { .. }), held)
     }
 
+    /// Answers all open polls as a target of this name and birth time: those that are
+    /// addressed to another name get a 421.
+    fn answer_polls_as(&mut self, target: &TargetIncarnation, running: &[RunRef]) {
+        let is_poll = |call: &Call| matches!(call.what, TargetCall::Poll { .. });
+        let (polls, others) = self.calls.drain(..).partition(is_poll);
+        self.calls = others;
+        let polls: Vec<Call> = polls;
+        for poll in polls {
+            let reply = if poll.to.name == target.name {
+                TargetReply::Polled {
+                    clock_ms: self.clock(),
+                    born_ms: Some(target.born_ms),
+                    running: running.to_vec(),
+                    ended: Vec::new(),
+                }
+            } else {
+                TargetReply::OtherIncarnation
+            };
+            self.runs.answered(poll.id, reply, self.now);
+            self.collect();
+        }
+    }
+
+    /// Lets time pass while the target answers every poll.
+    fn pass_answering(&mut self, span_ms: u64, target: &TargetIncarnation, running: &[RunRef]) {
+        for _ in 0..span_ms / 50 {
+            self.answer_polls_as(target, running);
+            self.pass(50);
+        }
+        self.answer_polls_as(target, running);
+    }
+
     fn answer_oldest_poll(&mut self, running: &[RunRef]) {
         self.answer_oldest_poll_with(running, &[]);
     }
@@ -582,4 +620,120 @@
         bench.answer_poll(&[], &[]);
         assert!(matches!(bench.result_of(key), Some(TaskResult::Interrupted(_))));
     }
+
+    // Guards against two runs of a task at once: the agent reported the runs of a live
+    // target as interrupted when a heartbeat of another writer arrived.
+    an_announcement_of_another_writer_interrupts_no_run => {
+        let mut bench = Bench::ready();
+        let target = incarnation("target", 5);
+        let key = bench.started(0);
+        for (name, born_ms) in [("foreign", 9), ("unborn", 0), ("latest", u64::MAX), ("target", 9)] {
+            let mut foreign = announcement(incarnation(name, born_ms), 1, false);
+            foreign.target.service = "unnamed".parse().expect("the name is valid");
+            bench.announce(foreign);
+            assert_eq!(bench.result_of(key), None, "{name} interrupted a run");
+            bench.pass_answering(300, &target, &[run_ref(0, 1)]);
+            assert_eq!(bench.result_of(key), None, "{name} interrupted a run");
+            assert!(bench.target.is_some(), "the target takes no tasks after {name}");
+        }
+        bench.answer_poll(&[], &[end(1, 0, 1, EndKind::Done)]);
+        assert!(matches!(bench.result_of(key), Some(TaskResult::Done(_))));
+    }
+
+    // Guards against two runs of a task at once: a leave message may be of another
+    // writer, and a target that sends one may run tasks for a moment after it.
+    a_leave_message_ends_runs_only_with_their_lease => {
+        let mut bench = Bench::ready();
+        let target = incarnation("target", 5);
+        let timing = LeaseTiming::default();
+        let key = bench.started(0);
+        bench.answer_polls_as(&target, &[run_ref(0, 1)]);
+        let last_grant = bench.now;
+        bench.runs.target_left(&target.name, bench.now);
+        bench.collect();
+        assert_eq!(bench.target, None, "a target that has left is offered for work");
+        bench.calls.clear();
+        while bench.result_of(key).is_none() {
+            bench.pass(10);
+            let renews = |call: &Call| matches!(call.what, TargetCall::Poll { until_ms: Some(_), .. });
+            assert!(!bench.calls.iter().any(renews), "the lease was renewed");
+            bench.answer_polls_as(&target, &[run_ref(0, 1)]);
+        }
+        let slow_ms = timing.hold_ms.0 * 102 / 100;
+        assert!(bench.now.since(last_grant).0 >= slow_ms, "the run ended before its lease");
+    }
+
+    // Guards against a target that is lost for good: after a leave message of another
+    // writer, all of its own announcements were taken for late ones.
+    a_target_that_goes_on_after_a_leave_message_is_used_again => {
+        let mut bench = Bench::ready();
+        let target = incarnation("target", 5);
+        bench.runs.target_left(&target.name, bench.now);
+        bench.collect();
+        bench.pass_answering(1_500, &target, &[]);
+        assert_eq!(bench.target, None, "a target that has left is offered for work");
+        bench.announce(announcement(target.clone(), 2, false));
+        bench.answer_polls_as(&target, &[]);
+        assert!(bench.target.is_some(), "the target takes no tasks");
+    }
+
+    // Guards against a drain that is never heard: the highest sequence number of
+    // another writer made all later announcements of the target late.
+    a_sequence_number_of_another_writer_hides_no_drain => {
+        let mut bench = Bench::ready();
+        let mut foreign = announcement(incarnation("target", 5), u64::MAX, false);
+        foreign.target.address = SocketAddr::from(([127, 0, 0, 9], 9));
+        bench.announce(foreign);
+        bench.announce(announcement(incarnation("target", 5), u64::MAX, false));
+        bench.pass_answering(1_500, &incarnation("target", 5), &[]);
+        bench.announce(announcement(incarnation("target", 5), 2, true));
+        assert_eq!(bench.target, None, "a draining target is offered for work");
+    }
+
+    // As above, with the announcement of the other writer as the first one that an
+    // agent receives.
+    a_description_of_another_writer_is_corrected_by_two_announcements => {
+        let mut bench = Bench::new();
+        let target = incarnation("target", 5);
+        let mut foreign = announcement(target.clone(), u64::MAX, false);
+        foreign.target.service = "unnamed".parse().expect("the name is valid");
+        bench.announce(foreign);
+        bench.pass_answering(500, &target, &[]);
+        bench.announce(announcement(target.clone(), 7, false));
+        bench.pass_answering(1_500, &target, &[]);
+        bench.announce(announcement(target.clone(), 8, false));
+        let service = bench.target.as_ref().map(|target| target.service.to_string());
+        assert_eq!(service.as_deref(), Some("dispatch"));
+    }
+
+    // Guards against a target that is lost for good: a restart with a clock that was
+    // set back made its announcements look older than those of its predecessor.
+    a_target_whose_clock_was_set_back_is_used => {
+        let mut bench = Bench::ready();
+        let key = bench.started(0);
+        let next = incarnation("next", 2);
+        bench.announce(announcement(next.clone(), 1, false));
+        bench.pass_answering(300, &next, &[]);
+        assert!(matches!(bench.result_of(key), Some(TaskResult::Interrupted(_))));
+        assert!(bench.target.is_some(), "the target takes no tasks");
+    }
+
+    // Guards against calls without bound for announcements without bound.
+    a_flood_of_foreign_announcements_costs_a_few_polls => {
+        let mut bench = Bench::ready();
+        let target = incarnation("target", 5);
+        let key = bench.started(0);
+        for number in 0..1_000 {
+            bench.announce(announcement(incarnation(&format!("foreign-{number}"), 9), 1, false));
+        }
+        let is_foreign = |call: &&Call| call.to != target;
+        let polls = bench.calls.iter().filter(is_foreign).count();
+        assert!(polls <= 4, "{polls} polls");
+        bench.pass_answering(300, &target, &[run_ref(0, 1)]);
+        assert_eq!(bench.result_of(key), None);
+        let next = incarnation("next", 9);
+        bench.announce(announcement(next.clone(), 1, false));
+        bench.pass_answering(300, &next, &[]);
+        assert!(bench.target.is_some(), "the next incarnation takes no tasks");
+    }
 }
