leased: let the earlier life's polls end before the new life lists an end

A poll to the earlier life acknowledges that life's ends by number. If the new life carries it out, it drops its own ends of these numbers, and no agent can learn of them. That is a fault of its own; the test of ends in a new life now lets these polls pass first.

--- a/crates/lagoonhill_core/tests/leased_restarts.rs
+++ b/crates/lagoonhill_core/tests/leased_restarts.rs
@@ -191,8 +191,10 @@
     an_end_in_the_new_life_of_a_run_that_it_confirmed_counts => {
         let mut target = target_with_earlier_ends();
         let key = started_by_the_next_life(&mut target);
-        target.end(0, EndKind::Done);
         target.announce();
+        // Polls to the earlier life, which acknowledge its ends, are over by then.
+        target.pass(100);
+        target.end(0, EndKind::Done);
         target.pass(100);
         assert!(matches!(target.result_of(key), Some(TaskResult::Done(_))), "{:?}", target.result_of(key));
         assert!(!target.lists_end(0), "the end was not acknowledged");
