--- a/crates/lagoonhill_core/tests/support/restarting_target.rs
+++ b/crates/lagoonhill_core/tests/support/restarting_target.rs
@@ -1,4 +1,6 @@
-//! An agent's view of a leased target that may start again under its name.
+//! An agent's leased target, which may start again under its name.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -23,6 +25,12 @@
 /// Name of all lives of the target.
 const NAME: &str = "target";
 
+/// Longest lease that the target grants: `hold-max-ms` of the sites.
+const MAX_HOLD_MS: u64 = 1_000;
+
+/// Most ends that the target lists at a time.
+const MAX_LISTED_ENDS: usize = 500;
+
 pub(crate) fn run_ref(index: u16) -> RunRef {
     RunRef {
         task: TaskName {
@@ -42,6 +50,8 @@
     running: Vec<RunRef>,
     ended: Vec<EndedRun>,
     last_end: u64,
+    /// When the lease expires, on the clock of this life.
+    lease_expires_ms: u64,
     /// Runs that were stopped before they arrived.
     barred: Vec<RunRef>,
 }
@@ -54,6 +64,7 @@
             running: Vec::new(),
             ended: Vec::new(),
             last_end: 0,
+            lease_expires_ms: 0,
             barred: Vec::new(),
         }
     }
@@ -71,10 +82,33 @@
         });
     }
 
+    fn clock(&self, now: TimestampMs) -> TargetTimeMs {
+        TargetTimeMs(now.since(self.began_ms).0 + 100)
+    }
+
+    /// Ends all runs if the lease has expired.
+    fn expire(&mut self, now: TimestampMs) {
+        if self.clock(now).0 >= self.lease_expires_ms {
+            for run in self.running.clone() {
+                self.end(&run, EndKind::Expired);
+            }
+        }
+    }
+
+    fn extend_lease(&mut self, until_ms: TargetTimeMs, now: TimestampMs) {
+        let granted_ms = until_ms.0.min(self.clock(now).0 + MAX_HOLD_MS);
+        self.lease_expires_ms = self.lease_expires_ms.max(granted_ms);
+    }
+
     fn carry_out(&mut self, call: &TargetCall, now: TimestampMs) -> TargetReply {
-        let clock_ms = TargetTimeMs(now.since(self.began_ms).0 + 100);
+        let clock_ms = self.clock(now);
+        self.expire(now);
         match call {
             TargetCall::Start(request) => {
+                if request.until_ms <= clock_ms {
+                    return TargetReply::Refused(Refusal::Late, clock_ms);
+                }
+                self.extend_lease(request.until_ms, now);
                 let run = &request.run;
                 if self.running.contains(run) {
                     return TargetReply::Started(clock_ms);
@@ -92,13 +126,18 @@
                 self.barred.push(run.clone());
                 TargetReply::Stopping(clock_ms)
             }
-            TargetCall::Poll { observed, .. } => {
+            TargetCall::Poll {
+                observed, until_ms, ..
+            } => {
+                if let Some(until_ms) = until_ms {
+                    self.extend_lease(*until_ms, now);
+                }
                 self.ended.retain(|end| end.number > *observed);
                 TargetReply::Polled {
                     clock_ms,
                     born_ms: Some(self.born_ms),
                     running: self.running.clone(),
-                    ended: self.ended.clone(),
+                    ended: self.ended.iter().take(MAX_LISTED_ENDS).cloned().collect(),
                 }
             }
         }
@@ -296,10 +335,24 @@
         call
     }
 
+    /// The target sends a leave message, or another writer does.
+    pub(crate) fn leave(&mut self) {
+        self.runs
+            .target_left(&NAME.parse().expect("the name is valid"));
+        self.collect();
+    }
+
+    /// Stops a run.
+    pub(crate) fn stop(&mut self, key: TaskKey) {
+        self.runs.stop(key, self.now);
+        self.collect();
+    }
+
     /// Lets time pass. The target answers polls and stops.
     pub(crate) fn pass(&mut self, span_ms: u64) {
         for _ in 0..span_ms / 10 {
             self.now = self.now + DurationMs(10);
+            self.life.expire(self.now);
             self.runs.tick(self.now);
             self.collect();
             let (starts, others) = std::mem::take(&mut self.calls)
