Agent: an announcement only proposes an incarnation, the target confirms it

A heartbeat of another writer, for a service that nothing names, made the agent take its sender for a new life of its target: it reported all runs as interrupted, their entries started them elsewhere at once, and the target ran on.

An announced incarnation other than the present one is now a candidate. It is polled, without a lease, under its own name, and becomes the present one when the target answers as that incarnation: with its name (no 421) and its birth time. Until then the present one and its runs go on. The order of birth times is not needed any more, so a target whose clock was set back is used too.

--- a/crates/lagoonhill_agent/src/control.rs
+++ b/crates/lagoonhill_agent/src/control.rs
@@ -228,9 +228,15 @@
         if report.outcome.is_routine() {
             return;
         }
+        let level = if report.outcome.is_foreign() {
+            Level::Warn
+        } else {
+            Level::Info
+        };
         let present = report.present.as_ref();
-        info!(
+        log!(
             target: "decision",
+            level,
             "announced outcome={} incarnation={} sequence={} service={} address={} present={} newest={}",
             report.outcome.label(),
             report.incarnation,
--- a/crates/lagoonhill_core/src/leased/announcement.rs
+++ b/crates/lagoonhill_core/src/leased/announcement.rs
@@ -16,15 +16,3 @@
     /// Whether the target is about to leave and accepts no new runs.
     pub draining: bool,
 }
-
-impl Announcement {
-    /// Whether this was sent before `other` and was delayed on the way. Two
-    /// incarnations with different names and no start times can't be ordered:
-    /// the one received last is taken for the later one.
-    pub fn is_older_than(&self, other: &Self) -> bool {
-        if self.incarnation == other.incarnation {
-            return self.sequence <= other.sequence;
-        }
-        self.incarnation.born_ms < other.incarnation.born_ms
-    }
-}
--- a/crates/lagoonhill_core/src/leased/announcement_report.rs
+++ b/crates/lagoonhill_core/src/leased/announcement_report.rs
@@ -47,10 +47,17 @@
 pub enum AnnouncementOutcome {
     /// It updates the present incarnation.
     Updated,
-    /// It is of another incarnation, which is the present one from now on.
-    Taken,
-    /// It was sent before the newest one, or by an incarnation that has left.
+    /// It is late, or of an incarnation that has left.
     OutOfDate,
+    /// It is of another incarnation, which is polled.
+    Proposed,
+    /// The target is the announced incarnation.
+    Confirmed,
+    /// The target is not the announced incarnation.
+    Refuted,
+    /// The target has not told in time whether it is the announced incarnation, or
+    /// there are too many such announcements.
+    Unconfirmed,
 }
 
 impl AnnouncementOutcome {
@@ -58,8 +65,11 @@
     pub fn label(self) -> &'static str {
         match self {
             Self::Updated => "updated",
-            Self::Taken => "taken",
             Self::OutOfDate => "out-of-date",
+            Self::Proposed => "proposed",
+            Self::Confirmed => "confirmed",
+            Self::Refuted => "refuted",
+            Self::Unconfirmed => "unconfirmed",
         }
     }
 
@@ -67,4 +77,9 @@
     pub fn is_routine(self) -> bool {
         matches!(self, Self::Updated)
     }
+
+    /// Whether the announcement is probably of another writer than the target.
+    pub fn is_foreign(self) -> bool {
+        matches!(self, Self::Refuted)
+    }
 }
--- a/crates/lagoonhill_core/src/leased/mod.rs
+++ b/crates/lagoonhill_core/src/leased/mod.rs
@@ -4,7 +4,9 @@
 mod announcement;
 mod announcement_report;
 mod call;
+mod candidates;
 mod clock;
+mod present;
 mod runs;
 mod target_change;
 
--- /dev/null
+++ b/crates/lagoonhill_core/src/leased/present.rs
@@ -0,0 +1,57 @@
+//! The present incarnation of a target.
+
+use super::{Announcement, AnnouncementOutcome, TargetIncarnation};
+use lagoonhill_protocol::Target;
+
+/// The incarnation that answers at the target's address.
+#[derive(Debug)]
+pub(super) struct Present {
+    pub(super) incarnation: TargetIncarnation,
+    /// What it has announced; absent if only its answers are known.
+    description: Option<Announcement>,
+}
+
+impl Present {
+    /// An incarnation that was announced, then confirmed by the target.
+    pub(super) fn announced(incarnation: TargetIncarnation, announcement: Announcement) -> Self {
+        Self {
+            incarnation,
+            description: Some(announcement),
+        }
+    }
+
+    /// An incarnation that has answered before its first announcement was received.
+    pub(super) fn undescribed(incarnation: TargetIncarnation) -> Self {
+        Self {
+            incarnation,
+            description: None,
+        }
+    }
+
+    pub(super) fn newest_announcement(&self) -> Option<&Announcement> {
+        self.description.as_ref()
+    }
+
+    /// The target that accepts runs, unless it drains.
+    pub(super) fn usable_target(&self) -> Option<&Target> {
+        let newest = self.newest_announcement()?;
+        (!newest.draining).then_some(&newest.target)
+    }
+
+    /// Whether an announcement claims to be of this incarnation. One without a birth
+    /// time could be of any incarnation of that name.
+    pub(super) fn is_claimed_by(&self, claimed: &TargetIncarnation) -> bool {
+        claimed.name == self.incarnation.name
+            && (claimed.born_ms == self.incarnation.born_ms || claimed.born_ms == 0)
+    }
+
+    /// Handles an announcement that claims to be of this incarnation.
+    pub(super) fn describe(&mut self, announcement: Announcement) -> AnnouncementOutcome {
+        let is_late = |newest: &Announcement| announcement.sequence <= newest.sequence;
+        if self.description.as_ref().is_some_and(is_late) {
+            return AnnouncementOutcome::OutOfDate;
+        }
+        self.description = Some(announcement);
+        AnnouncementOutcome::Updated
+    }
+}
--- /dev/null
+++ b/crates/lagoonhill_core/src/leased/runs/incarnations.rs
@@ -0,0 +1,192 @@
+//! Which incarnation of the target is present, and what becomes of its runs when
+//! another one takes its place.
+//!
+//! Announcements may be late or of another writer, so none of them ends a run. An
+//! announced incarnation becomes the present one when the target itself answers a
+//! poll addressed to it.
+
+use lagoonhill_types::prelude::*;
+
+use super::{LeasedEffect, LeasedRuns, Purpose};
+use crate::leased::candidates::Candidate;
+use crate::leased::present::Present;
+use crate::leased::{
+    Announcement, AnnouncementOutcome, AnnouncementReport, CallId, ChangeReason, TargetCall,
+    TargetChange, TargetIncarnation, TargetReply,
+};
+
+impl LeasedRuns {
+    /// Handles an announcement of a target. Another incarnation than the present one
+    /// is polled first. [`LeasedEffect::Announced`] tells what was made of it.
+    pub fn announce(&mut self, announcement: Announcement, now: TimestampMs) {
+        let newest = self.newest_announcement();
+        let mut report =
+            AnnouncementReport::new(AnnouncementOutcome::OutOfDate, &announcement, newest);
+        if let Some(present) = &mut self.present
+            && present.is_claimed_by(&announcement.incarnation)
+        {
+            report.outcome = present.describe(announcement);
+        } else if !self.has_departed(&announcement) {
+            report.outcome = self.candidates.propose(announcement, now);
+        }
+        self.effects.push(LeasedEffect::Announced(report));
+        self.report_target();
+        self.poll_candidates(now);
+    }
+
+    /// Whether an announcement is of an incarnation that has left.
+    fn has_departed(&self, announcement: &Announcement) -> bool {
+        let departed = self.departed.as_ref().map(|departed| &departed.incarnation);
+        departed == Some(&announcement.incarnation)
+    }
+
+    /// The newest announcement of the present incarnation.
+    pub(super) fn newest_announcement(&self) -> Option<&Announcement> {
+        self.present.as_ref()?.newest_announcement()
+    }
+
+    /// Polls announced incarnations, so that the target tells whether it is one.
+    pub(super) fn poll_candidates(&mut self, now: TimestampMs) {
+        for candidate in self.candidates.take_expired(now) {
+            self.report_candidate(AnnouncementOutcome::Unconfirmed, &candidate);
+        }
+        let retry_ms = self.timing.reply_ms * 2;
+        for incarnation in self.candidates.due(retry_ms, now) {
+            let poll = TargetCall::Poll {
+                until_ms: None,
+                observed: 0,
+                wait_ms: DurationMs::ZERO,
+            };
+            let limit_ms = self.timing.reply_ms;
+            let id = self.call_to(incarnation.clone(), Purpose::Confirm, poll, limit_ms);
+            self.candidates.polled(&incarnation, id, now);
+        }
+    }
+
+    /// Handles the answer to the poll of an announced incarnation.
+    pub(super) fn candidate_answered(&mut self, id: CallId, reply: TargetReply, now: TimestampMs) {
+        let listed_born_ms = match &reply {
+            TargetReply::Polled { born_ms, .. } => *born_ms,
+            TargetReply::OtherIncarnation => {
+                if let Some(candidate) = self.candidates.take(id) {
+                    self.report_candidate(AnnouncementOutcome::Refuted, &candidate);
+                }
+                return;
+            }
+            // The poll is repeated.
+            _ => return,
+        };
+        let Some(candidate) = self.candidates.take(id) else {
+            return;
+        };
+        let claimed = &candidate.announcement.incarnation;
+        let is_confirmed = match listed_born_ms {
+            Some(born_ms) => claimed.born_ms == 0 || claimed.born_ms == born_ms,
+            // Without a birth time, incarnations of one name can't be told apart.
+            None => self
+                .incarnation()
+                .is_none_or(|present| present.name != claimed.name),
+        };
+        if !is_confirmed {
+            return self.report_candidate(AnnouncementOutcome::Refuted, &candidate);
+        }
+        let confirmed = TargetIncarnation {
+            name: claimed.name.clone(),
+            born_ms: listed_born_ms.unwrap_or(claimed.born_ms),
+        };
+        self.report_candidate(AnnouncementOutcome::Confirmed, &candidate);
+        if self.incarnation() == Some(&confirmed) {
+            return;
+        }
+        let polled_ms = candidate.polled_ms;
+        let next = Present::announced(confirmed, candidate.announcement);
+        self.replace_present(next, ChangeReason::Announced, now);
+        self.take_answer(&reply, now);
+        self.poll_answered(polled_ms, 0, reply, now);
+    }
+
+    fn report_candidate(&mut self, outcome: AnnouncementOutcome, candidate: &Candidate) {
+        let report =
+            AnnouncementReport::new(outcome, &candidate.announcement, self.newest_announcement());
+        self.effects.push(LeasedEffect::Announced(report));
+    }
+
+    /// Handles the leave message of a target: its runs have ended with it.
+    pub fn target_left(&mut self, name: &WorkerId, now: TimestampMs) {
+        if self
+            .incarnation()
+            .is_some_and(|incarnation| incarnation.name == *name)
+        {
+            self.departed = self.newest_announcement().cloned();
+            self.lose_present(ChangeReason::Left, now);
+        }
+    }
+
+    /// Handles an answer that shows that the target has started again under the name
+    /// of the present incarnation.
+    pub(super) fn target_restarted(
+        &mut self,
+        born_ms: u64,
+        polled_ms: TimestampMs,
+        reply: TargetReply,
+        now: TimestampMs,
+    ) {
+        let Some(present) = &self.present else {
+            return;
+        };
+        let name = present.incarnation.name.clone();
+        let next = Present::undescribed(TargetIncarnation { name, born_ms });
+        self.replace_present(next, ChangeReason::OtherBirthTime, now);
+        self.take_answer(&reply, now);
+        self.poll_answered(polled_ms, 0, reply, now);
+    }
+
+    /// Replaces the present incarnation by one that has answered a poll: the runs of the
+    /// replaced one are over.
+    fn replace_present(&mut self, next: Present, reason: ChangeReason, now: TimestampMs) {
+        let replaced = self.present.replace(next);
+        let interrupted = self.runs.len();
+        self.interrupt_all(&reason.to_string());
+        self.report_change(reason, replaced, interrupted, now);
+        self.reset_incarnation();
+    }
+
+    /// Ends the present incarnation with all of its runs.
+    pub(super) fn lose_present(&mut self, reason: ChangeReason, now: TimestampMs) {
+        let interrupted = self.runs.len();
+        self.interrupt_all(&reason.to_string());
+        let lost = self.present.take();
+        self.report_change(reason, lost, interrupted, now);
+        self.reset_incarnation();
+        self.report_target();
+    }
+
+    fn report_change(
+        &mut self,
+        reason: ChangeReason,
+        replaced: Option<Present>,
+        interrupted: usize,
+        now: TimestampMs,
+    ) {
+        self.effects.push(LeasedEffect::Changed(TargetChange {
+            reason,
+            replaced: replaced.map(|replaced| replaced.incarnation),
+            present: self.incarnation().cloned(),
+            reply_age_ms: now.since(self.last_reply_ms),
+            interrupted,
+        }));
+    }
+
+    /// Resets what is known of an incarnation, except for its runs.
+    fn reset_incarnation(&mut self) {
+        self.clock = None;
+        self.last_end = 0;
+        self.unstored.clear();
+        self.discarding = false;
+        self.foreign.clear();
+        self.calls
+            .retain(|_, purpose| matches!(purpose, Purpose::Confirm));
+        self.polls.clear();
+        self.ready = false;
+    }
+}
--- a/crates/lagoonhill_core/src/leased/runs.rs
+++ b/crates/lagoonhill_core/src/leased/runs/mod.rs
@@ -1,15 +1,19 @@
 //! State machine for the runs on one leased target: starts, stops, lease
 //! renewal, polls and the interpretation of the target's lists of runs.
 
+mod incarnations;
+
 use std::collections::{BTreeMap, HashMap};
 
 use lagoonhill_protocol::{NotRunReason, Start, Target, TaskResult};
 use lagoonhill_types::prelude::*;
 
+use super::candidates::Candidates;
+use super::present::Present;
 use super::{
-    Announcement, AnnouncementOutcome, AnnouncementReport, CallId, ChangeReason, EndKind, EndedRun,
-    FencingToken, Refusal, RunRef, StartRequest, TargetCall, TargetChange, TargetClock,
-    TargetIncarnation, TargetReply, TargetTimeMs,
+    Announcement, AnnouncementReport, CallId, ChangeReason, EndKind, EndedRun, FencingToken,
+    Refusal, RunRef, StartRequest, TargetCall, TargetChange, TargetClock, TargetIncarnation,
+    TargetReply, TargetTimeMs,
 };
 use crate::agent::TaskKey;
 use crate::on_slow_clock;
@@ -103,7 +107,12 @@
     Start(TaskKey),
     Stop(TaskKey),
     StopForeign,
-    Poll { sent_ms: TimestampMs, observed: u64 },
+    /// Whether an announced incarnation is the present one.
+    Confirm,
+    Poll {
+        sent_ms: TimestampMs,
+        observed: u64,
+    },
 }
 
 /// An action for the owner of [`LeasedRuns`] to carry out.
@@ -145,11 +154,13 @@
 pub struct LeasedRuns {
     timing: LeaseTiming,
     token: FencingToken,
-    /// The newest announcement of the present incarnation.
-    announced: Option<Announcement>,
-    /// The last announcement of an incarnation that has sent its leave message.
-    /// Its earlier announcements may still arrive.
+    /// The incarnation that has answered at the target's address.
+    present: Option<Present>,
+    /// The last announcement of an incarnation that has left. Its earlier
+    /// announcements may still arrive.
     departed: Option<Announcement>,
+    /// Other incarnations that were announced.
+    candidates: Candidates,
     clock: Option<TargetClock>,
     /// When every run has ended on the target if the lease is not renewed.
     lease_expires_ms: TimestampMs,
@@ -186,8 +197,9 @@
         Self {
             timing,
             token,
-            announced: None,
+            present: None,
             departed: None,
+            candidates: Candidates::default(),
             clock: None,
             // A predecessor may have granted a lease just now.
             lease_expires_ms: now + on_slow_clock(timing.hold_ms),
@@ -211,9 +223,7 @@
 
     /// The present incarnation of the target.
     pub fn incarnation(&self) -> Option<&TargetIncarnation> {
-        self.announced
-            .as_ref()
-            .map(|announced| &announced.incarnation)
+        self.present.as_ref().map(|present| &present.incarnation)
     }
 
     /// Whether the target accepts runs.
@@ -226,82 +236,11 @@
         now.since(self.last_reply_ms) < self.timing.silence_ms
     }
 
-    /// Handles an announcement of a target. Another incarnation ends every run
-    /// of the present one. [`LeasedEffect::Announced`] tells what was made of it.
-    pub fn announce(&mut self, announcement: Announcement, now: TimestampMs) {
-        let known = self.announced.as_ref().or(self.departed.as_ref());
-        let is_older = known.is_some_and(|known| announcement.is_older_than(known));
-        let departed = self.departed.as_ref().map(|departed| &departed.incarnation);
-        let has_departed = departed == Some(&announcement.incarnation);
-        let is_new = self.incarnation() != Some(&announcement.incarnation);
-        let outcome = if is_older || has_departed {
-            AnnouncementOutcome::OutOfDate
-        } else if is_new {
-            AnnouncementOutcome::Taken
-        } else {
-            AnnouncementOutcome::Updated
-        };
-        let report = AnnouncementReport::new(outcome, &announcement, self.announced.as_ref());
-        self.effects.push(LeasedEffect::Announced(report));
-        if outcome == AnnouncementOutcome::OutOfDate {
-            return;
-        }
-        if is_new {
-            let present = announcement.incarnation.clone();
-            self.end_incarnation(ChangeReason::Announced, Some(present), now);
-        }
-        self.announced = Some(announcement);
-        if is_new {
-            self.last_reply_ms = now;
-            self.poll(now);
-        }
-        self.report_target();
-    }
-
-    /// Handles the leave message of a target: its runs have ended with it.
-    pub fn target_left(&mut self, incarnation_name: &WorkerId, now: TimestampMs) {
-        if self
-            .incarnation()
-            .is_some_and(|incarnation| incarnation.name == *incarnation_name)
-        {
-            self.departed.clone_from(&self.announced);
-            self.end_incarnation(ChangeReason::Left, None, now);
-        }
-    }
-
-    fn end_incarnation(
-        &mut self,
-        reason: ChangeReason,
-        present: Option<TargetIncarnation>,
-        now: TimestampMs,
-    ) {
-        let interrupted = self.runs.len();
-        self.interrupt_all(&reason.to_string());
-        let replaced = self.announced.take().map(|announced| announced.incarnation);
-        self.effects.push(LeasedEffect::Changed(TargetChange {
-            reason,
-            replaced,
-            present,
-            reply_age_ms: now.since(self.last_reply_ms),
-            interrupted,
-        }));
-        self.clock = None;
-        self.last_end = 0;
-        self.unstored.clear();
-        self.discarding = false;
-        self.foreign.clear();
-        self.calls.clear();
-        self.polls.clear();
-        self.ready = false;
-        self.report_target();
-    }
-
     /// Reports to the owner that the target begins or ceases to accept runs, or
     /// that its announced data changed.
     fn report_target(&mut self) {
-        let announced = self.announced.as_ref();
-        let usable = announced.filter(|announced| self.ready && !announced.draining);
-        let target = usable.map(|announced| announced.target.clone());
+        let present = self.present.as_ref().filter(|_| self.ready);
+        let target = present.and_then(Present::usable_target).cloned();
         if self.reported != target {
             self.reported.clone_from(&target);
             self.effects.push(LeasedEffect::Target(target));
@@ -430,13 +369,23 @@
 
     /// Sends polls until as many as needed are in flight.
     fn refill_polls(&mut self, now: TimestampMs) {
-        while self.announced.is_some() && self.lacks_poll(now) {
+        while self.present.is_some() && self.lacks_poll(now) {
             self.poll(now);
         }
     }
 
     fn call(&mut self, purpose: Purpose, call: TargetCall, limit_ms: DurationMs) -> Option<CallId> {
         let incarnation = self.incarnation()?.clone();
+        Some(self.call_to(incarnation, purpose, call, limit_ms))
+    }
+
+    fn call_to(
+        &mut self,
+        incarnation: TargetIncarnation,
+        purpose: Purpose,
+        call: TargetCall,
+        limit_ms: DurationMs,
+    ) -> CallId {
         self.next_call += 1;
         let id = CallId(self.next_call);
         self.calls.insert(id, purpose);
@@ -447,7 +396,7 @@
             call,
             limit_ms,
         });
-        Some(id)
+        id
     }
 
     /// Handles the result of a call.
@@ -455,12 +404,42 @@
         let Some(purpose) = self.calls.remove(&id) else {
             return;
         };
+        if matches!(reply, TargetReply::Refused(Refusal::Fenced, _)) {
+            self.token.0 += TOKEN_STEP;
+        }
+        if matches!(purpose, Purpose::Confirm) {
+            return self.candidate_answered(id, reply, now);
+        }
         self.polls.retain(|(poll, _)| *poll != id);
-        match &reply {
-            TargetReply::Unanswered(_) => self.lossy_until_ms = now + LOSSY_POLL_MS,
-            TargetReply::OtherIncarnation => {
-                return self.end_incarnation(ChangeReason::OtherAnswered, None, now);
+        if reply == TargetReply::OtherIncarnation {
+            return self.lose_present(ChangeReason::OtherAnswered, now);
+        }
+        if let Purpose::Poll { sent_ms, .. } = purpose
+            && let TargetReply::Polled { born_ms, .. } = reply
+            && let Some(born_ms) = self.other_birth_time(born_ms)
+        {
+            return self.target_restarted(born_ms, sent_ms, reply, now);
+        }
+        self.take_answer(&reply, now);
+        match purpose {
+            Purpose::Start(key) => self.start_answered(key, reply, now),
+            Purpose::Stop(key) => self.stop_answered(key, &reply, now),
+            Purpose::StopForeign | Purpose::Confirm => {}
+            Purpose::Poll { sent_ms, observed } => {
+                self.poll_answered(sent_ms, observed, reply, now);
             }
+        }
+    }
+
+    /// The listed birth time, if it is not that of the present incarnation.
+    fn other_birth_time(&self, listed_ms: Option<u64>) -> Option<u64> {
+        let present_ms = self.incarnation()?.born_ms;
+        listed_ms.filter(|listed_ms| present_ms > 0 && *listed_ms != present_ms)
+    }
+
+    /// Records when the target answered, and the clock that it shows.
+    fn take_answer(&mut self, reply: &TargetReply, now: TimestampMs) {
+        match reply {
             TargetReply::Started(clock_ms)
             | TargetReply::Refused(_, clock_ms)
             | TargetReply::Stopping(clock_ms)
@@ -469,17 +448,8 @@
                 self.last_reply_ms = now;
             }
             TargetReply::Unhealthy | TargetReply::Invalid(_) => self.last_reply_ms = now,
-        }
-        if matches!(reply, TargetReply::Refused(Refusal::Fenced, _)) {
-            self.token.0 += TOKEN_STEP;
-        }
-        match purpose {
-            Purpose::Start(key) => self.start_answered(key, reply, now),
-            Purpose::Stop(key) => self.stop_answered(key, &reply, now),
-            Purpose::StopForeign => {}
-            Purpose::Poll { sent_ms, observed } => {
-                self.poll_answered(sent_ms, observed, reply, now);
-            }
+            TargetReply::Unanswered(_) => self.lossy_until_ms = now + LOSSY_POLL_MS,
+            TargetReply::OtherIncarnation => {}
         }
     }
 
@@ -567,19 +537,9 @@
         reply: TargetReply,
         now: TimestampMs,
     ) {
-        let TargetReply::Polled {
-            born_ms,
-            running,
-            ended,
-            ..
-        } = reply
-        else {
+        let TargetReply::Polled { running, ended, .. } = reply else {
             return;
         };
-        let expected = self.incarnation().map(|incarnation| incarnation.born_ms);
-        if born_ms.is_some() && expected.is_some_and(|born| born > 0 && Some(born) != born_ms) {
-            return self.end_incarnation(ChangeReason::OtherBirthTime, None, now);
-        }
         // A list from before a known end may arrive later and still contain the run.
         let newest = ended.last().map_or(observed, |end| end.number);
         let is_outdated = newest < self.last_end;
@@ -716,7 +676,8 @@
 
     /// Runs the timers. To be called every few tens of milliseconds.
     pub fn tick(&mut self, now: TimestampMs) {
-        if self.announced.is_none() {
+        self.poll_candidates(now);
+        if self.present.is_none() {
             return;
         }
         self.repeat_calls(now);
@@ -765,7 +726,9 @@
         let answers = self.has_recent_reply(now);
         for key in due {
             match self.runs[&key].phase {
-                Phase::Starting { .. } if answers && !self.discarding => self.send_start(key, now),
+                Phase::Starting { .. } if answers && !self.discarding => {
+                    self.send_start(key, now);
+                }
                 Phase::Stopping { .. } => self.send_stop(key, now),
                 Phase::Starting { .. } | Phase::Running { .. } => {}
             }
--- a/crates/lagoonhill_core/src/leased/target_change.rs
+++ b/crates/lagoonhill_core/src/leased/target_change.rs
@@ -24,7 +24,7 @@
 /// What a [`TargetChange`] is based on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ChangeReason {
-    /// An announcement of another incarnation.
+    /// An announcement of another incarnation, confirmed by the target.
     Announced,
     /// A leave message.
     Left,
