Agent: what another writer announces under the target's name does not stay

Entries saw a target under a service of another writer, or none at all, and its drain was never heard: an announcement with the name and birth time of the target was believed whatever it said, and the highest sequence number made all later ones of the target late.

The service and address of an incarnation do not change, and its sequence numbers grow by little. An announcement that does not continue the newest one in this way is ignored, with a warning.

--- a/crates/lagoonhill_core/src/leased/announcement_report.rs
+++ b/crates/lagoonhill_core/src/leased/announcement_report.rs
@@ -47,8 +47,13 @@
 pub enum AnnouncementOutcome {
     /// It updates the present incarnation.
     Updated,
+    /// It replaces the description of the present incarnation, which was of another
+    /// writer.
+    Corrected,
     /// It is late, or of an incarnation that has left.
     OutOfDate,
+    /// It does not fit what the present incarnation has announced before.
+    Contradictory,
     /// It is of another incarnation, which is polled.
     Proposed,
     /// The target is the announced incarnation.
@@ -65,7 +70,9 @@
     pub fn label(self) -> &'static str {
         match self {
             Self::Updated => "updated",
+            Self::Corrected => "corrected",
             Self::OutOfDate => "out-of-date",
+            Self::Contradictory => "contradictory",
             Self::Proposed => "proposed",
             Self::Confirmed => "confirmed",
             Self::Refuted => "refuted",
@@ -80,6 +87,6 @@
 
     /// Whether the announcement is probably of another writer than the target.
     pub fn is_foreign(self) -> bool {
-        matches!(self, Self::Refuted)
+        matches!(self, Self::Corrected | Self::Contradictory | Self::Refuted)
     }
 }
--- a/crates/lagoonhill_core/src/leased/mod.rs
+++ b/crates/lagoonhill_core/src/leased/mod.rs
@@ -6,6 +6,7 @@
 mod call;
 mod candidates;
 mod clock;
+mod description;
 mod present;
 mod runs;
 mod target_change;
--- a/crates/lagoonhill_core/src/leased/present.rs
+++ b/crates/lagoonhill_core/src/leased/present.rs
@@ -1,22 +1,29 @@
 //! The present incarnation of a target.
 
-use super::{Announcement, AnnouncementOutcome, TargetIncarnation};
 use lagoonhill_protocol::Target;
+use lagoonhill_types::prelude::*;
+
+use super::description::Description;
+use super::{Announcement, AnnouncementOutcome, TargetIncarnation};
 
 /// The incarnation that answers at the target's address.
 #[derive(Debug)]
 pub(super) struct Present {
     pub(super) incarnation: TargetIncarnation,
     /// What it has announced; absent if only its answers are known.
-    description: Option<Announcement>,
+    description: Option<Description>,
 }
 
 impl Present {
     /// An incarnation that was announced, then confirmed by the target.
-    pub(super) fn announced(incarnation: TargetIncarnation, announcement: Announcement) -> Self {
+    pub(super) fn announced(
+        incarnation: TargetIncarnation,
+        announcement: Announcement,
+        now: TimestampMs,
+    ) -> Self {
         Self {
             incarnation,
-            description: Some(announcement),
+            description: Some(Description::new(announcement, now)),
         }
     }
 
@@ -29,7 +36,7 @@
     }
 
     pub(super) fn newest_announcement(&self) -> Option<&Announcement> {
-        self.description.as_ref()
+        self.description.as_ref().map(Description::newest)
     }
 
     /// The target that accepts runs, unless it drains.
@@ -46,12 +53,23 @@
     }
 
     /// Handles an announcement that claims to be of this incarnation.
-    pub(super) fn describe(&mut self, announcement: Announcement) -> AnnouncementOutcome {
-        let is_late = |newest: &Announcement| announcement.sequence <= newest.sequence;
-        if self.description.as_ref().is_some_and(is_late) {
-            return AnnouncementOutcome::OutOfDate;
+    pub(super) fn describe(
+        &mut self,
+        announcement: Announcement,
+        now: TimestampMs,
+    ) -> AnnouncementOutcome {
+        let is_verified = announcement.incarnation == self.incarnation;
+        let Some(description) = &mut self.description else {
+            self.description = Some(Description::new(announcement, now));
+            return AnnouncementOutcome::Updated;
+        };
+        match description.newest().incarnation == self.incarnation {
+            true if !is_verified => AnnouncementOutcome::Contradictory,
+            false if is_verified => {
+                *description = Description::new(announcement, now);
+                AnnouncementOutcome::Corrected
+            }
+            _ => description.update(announcement, now),
         }
-        self.description = Some(announcement);
-        AnnouncementOutcome::Updated
     }
 }
--- a/crates/lagoonhill_core/src/leased/runs/incarnations.rs
+++ b/crates/lagoonhill_core/src/leased/runs/incarnations.rs
@@ -25,7 +25,7 @@
         if let Some(present) = &mut self.present
             && present.is_claimed_by(&announcement.incarnation)
         {
-            report.outcome = present.describe(announcement);
+            report.outcome = present.describe(announcement, now);
         } else if !self.has_departed(&announcement) {
             report.outcome = self.candidates.propose(announcement, now);
         }
@@ -99,7 +99,7 @@
             return;
         }
         let polled_ms = candidate.polled_ms;
-        let next = Present::announced(confirmed, candidate.announcement);
+        let next = Present::announced(confirmed, candidate.announcement, now);
         self.replace_present(next, ChangeReason::Announced, now);
         self.take_answer(&reply, now);
         self.poll_answered(polled_ms, 0, reply, now);
