Agent: a leave message ends runs only with their lease

A leave message that is late or of another writer did what a foreign heartbeat did: the agent reported all runs as interrupted at once, and they ran twice. And the target was refused for good afterwards, whatever it announced. A target that does leave may also run tasks for a moment after its message.

The message now ends starts and renewals of the lease. What still runs ends by its end, or when the lease has expired on the slowest clock. Announcements sent after the message propose the incarnation again, once it was given up.

Tests a_leave_message_ends_runs_only_with_their_lease, a_target_that_goes_on_after_a_leave_message_is_used_again and a_leave_message_alone_ends_no_run failed before.

--- a/crates/lagoonhill_core/src/leased/present.rs
+++ b/crates/lagoonhill_core/src/leased/present.rs
@@ -12,6 +12,8 @@
     pub(super) incarnation: TargetIncarnation,
     /// What it has announced; absent if only its answers are known.
     description: Option<Description>,
+    /// Whether its leave message was received.
+    pub(super) has_left: bool,
 }
 
 impl Present {
@@ -24,6 +26,7 @@
         Self {
             incarnation,
             description: Some(Description::new(announcement, now)),
+            has_left: false,
         }
     }
 
@@ -32,6 +35,7 @@
         Self {
             incarnation,
             description: None,
+            has_left: false,
         }
     }
 
@@ -39,10 +43,10 @@
         self.description.as_ref().map(Description::newest)
     }
 
-    /// The target that accepts runs, unless it drains.
+    /// The target that accepts runs, unless it drains or has left.
     pub(super) fn usable_target(&self) -> Option<&Target> {
         let newest = self.newest_announcement()?;
-        (!newest.draining).then_some(&newest.target)
+        (!newest.draining && !self.has_left).then_some(&newest.target)
     }
 
     /// Whether an announcement claims to be of this incarnation. One without a birth
@@ -58,6 +62,9 @@
         announcement: Announcement,
         now: TimestampMs,
     ) -> AnnouncementOutcome {
+        if self.has_left {
+            return AnnouncementOutcome::OutOfDate;
+        }
         let is_verified = announcement.incarnation == self.incarnation;
         let Some(description) = &mut self.description else {
             self.description = Some(Description::new(announcement, now));
--- a/crates/lagoonhill_core/src/leased/runs/incarnations.rs
+++ b/crates/lagoonhill_core/src/leased/runs/incarnations.rs
@@ -1,9 +1,10 @@
 //! Which incarnation of the target is present, and what becomes of its runs when
 //! another one takes its place.
 //!
-//! Announcements may be late or of another writer, so none of them ends a run. An
-//! announced incarnation becomes the present one when the target itself answers a
-//! poll addressed to it.
+//! Announcements and leave messages may be late or of another writer, so none of
+//! them ends a run. An announced incarnation becomes the present one when the
+//! target itself answers a poll addressed to it. Runs of a target that has sent a
+//! leave message end with its lease.
 
 use lagoonhill_types::prelude::*;
 
@@ -26,7 +27,7 @@
             && present.is_claimed_by(&announcement.incarnation)
         {
             report.outcome = present.describe(announcement, now);
-        } else if !self.has_departed(&announcement) {
+        } else if !self.has_departed_since(&announcement) {
             report.outcome = self.candidates.propose(announcement, now);
         }
         self.effects.push(LeasedEffect::Announced(report));
@@ -34,10 +35,12 @@
         self.poll_candidates(now);
     }
 
-    /// Whether an announcement is of an incarnation that has left.
-    fn has_departed(&self, announcement: &Announcement) -> bool {
-        let departed = self.departed.as_ref().map(|departed| &departed.incarnation);
-        departed == Some(&announcement.incarnation)
+    /// Whether an announcement is an earlier one of an incarnation that has left.
+    fn has_departed_since(&self, announcement: &Announcement) -> bool {
+        self.departed.as_ref().is_some_and(|departed| {
+            departed.incarnation == announcement.incarnation
+                && departed.sequence >= announcement.sequence
+        })
     }
 
     /// The newest announcement of the present incarnation.
@@ -111,12 +114,25 @@
         self.effects.push(LeasedEffect::Announced(report));
     }
 
-    /// Handles the leave message of a target: its runs have ended with it.
-    pub fn target_left(&mut self, name: &WorkerId, now: TimestampMs) {
-        if self
-            .incarnation()
-            .is_some_and(|incarnation| incarnation.name == *name)
+    /// Handles the leave message of a target. The message may be of another writer,
+    /// and the target may run tasks for a moment after it, so its runs end with their
+    /// lease, which is not renewed any more.
+    pub fn target_left(&mut self, name: &WorkerId) {
+        if let Some(present) = &mut self.present
+            && present.incarnation.name == *name
         {
+            present.has_left = true;
+            self.report_target();
+        }
+    }
+
+    /// Gives up an incarnation that has left, once its lease has expired.
+    pub(super) fn end_left(&mut self, now: TimestampMs) {
+        let has_left = self
+            .present
+            .as_ref()
+            .is_some_and(|present| present.has_left);
+        if has_left && now >= self.lease_expires_ms {
             self.departed = self.newest_announcement().cloned();
             self.lose_present(ChangeReason::Left, now);
         }
--- a/crates/lagoonhill_core/src/leased/runs/mod.rs
+++ b/crates/lagoonhill_core/src/leased/runs/mod.rs
@@ -256,7 +256,7 @@
                 result: TaskResult::Failed(why),
             });
         };
-        if !self.is_usable() || self.discarding {
+        if !self.is_usable() || !self.accepts_starts() {
             return self.effects.push(LeasedEffect::Ended {
                 key,
                 result: TaskResult::NotRun(NotRunReason::NoTarget),
@@ -331,7 +331,7 @@
 
     fn poll(&mut self, now: TimestampMs) {
         let has_recent_reply = self.has_recent_reply(now);
-        let may_grant = has_recent_reply && self.foreign.is_empty() && !self.discarding;
+        let may_grant = has_recent_reply && self.foreign.is_empty() && self.accepts_starts();
         let clock = self.clock.filter(|_| may_grant);
         let until_ms = clock.map(|clock| self.grant(clock, now));
         // The first poll is answered at once: no run starts before its answer.
@@ -356,6 +356,15 @@
         self.polls.extend(sent.map(|id| (id, now)));
     }
 
+    /// Whether runs may start: the target is not about to end all of them.
+    fn accepts_starts(&self) -> bool {
+        let has_left = self
+            .present
+            .as_ref()
+            .is_some_and(|present| present.has_left);
+        !self.discarding && !has_left
+    }
+
     /// Whether fewer polls are in flight than needed.
     fn lacks_poll(&self, now: TimestampMs) -> bool {
         let late_ms = self.timing.wait_ms + LATE_POLL_MS;
@@ -677,6 +686,7 @@
     /// Runs the timers. To be called every few tens of milliseconds.
     pub fn tick(&mut self, now: TimestampMs) {
         self.poll_candidates(now);
+        self.end_left(now);
         if self.present.is_none() {
             return;
         }
@@ -726,7 +736,7 @@
         let answers = self.has_recent_reply(now);
         for key in due {
             match self.runs[&key].phase {
-                Phase::Starting { .. } if answers && !self.discarding => {
+                Phase::Starting { .. } if answers && self.accepts_starts() => {
                     self.send_start(key, now);
                 }
                 Phase::Stopping { .. } => self.send_stop(key, now),
--- a/crates/lagoonhill_core/src/leased/target_change.rs
+++ b/crates/lagoonhill_core/src/leased/target_change.rs
@@ -26,7 +26,7 @@
 pub enum ChangeReason {
     /// An announcement of another incarnation, confirmed by the target.
     Announced,
-    /// A leave message.
+    /// A leave message, and the end of the lease after it.
     Left,
     /// A call that was answered by another incarnation.
     OtherAnswered,
--- a/crates/lagoonhill_core/tests/leased.rs
+++ b/crates/lagoonhill_core/tests/leased.rs
@@ -574,7 +574,7 @@
         assert_eq!(bench.target, None, "an outdated announcement made the target available again");
         assert_eq!(bench.outcome, Some(AnnouncementOutcome::Refuted));
         assert_eq!(bench.runs.incarnation(), Some(&incarnation("target", 5)));
-        bench.runs.target_left(&incarnation("target", 5).name, bench.now);
+        bench.runs.target_left(&incarnation("target", 5).name);
         bench.collect();
         assert!(!bench.announce(announcement(incarnation("target", 5), 10, false)));
         bench.pass(1_000);
@@ -669,7 +669,7 @@
         let key = bench.started(0);
         bench.answer_polls_as(&target, &[run_ref(0, 1)]);
         let last_grant = bench.now;
-        bench.runs.target_left(&target.name, bench.now);
+        bench.runs.target_left(&target.name);
         bench.collect();
         assert_eq!(bench.target, None, "a target that has left is offered for work");
         bench.calls.clear();
@@ -688,7 +688,7 @@
     a_target_that_goes_on_after_a_leave_message_is_used_again => {
         let mut bench = Bench::ready();
         let target = incarnation("target", 5);
-        bench.runs.target_left(&target.name, bench.now);
+        bench.runs.target_left(&target.name);
         bench.collect();
         bench.pass_answering(1_500, &target, &[]);
         assert_eq!(bench.target, None, "a target that has left is offered for work");
--- a/crates/lagoonhill_core/tests/support/restarting_target.rs
+++ b/crates/lagoonhill_core/tests/support/restarting_target.rs
@@ -338,7 +338,7 @@
     /// The target sends a leave message, or another writer does.
     pub(crate) fn leave(&mut self) {
         self.runs
-            .target_left(&NAME.parse().expect("the name is valid"), self.now);
+            .target_left(&NAME.parse().expect("the name is valid"));
         self.collect();
     }
 
