Agent: runs that a restarted target has received, or may receive, are not over

Tasks ran twice at the same time after a target had started again under its name within the time of a call: starts that were repeated or late were carried out by the new life, while the agent reported their runs as interrupted.

When the target's answer shows a new life of the same name, runs that it lists go on, runs with an unanswered start are stopped there before they are reported, and only the others are over. A run confirmed after the poll was sent is left to the next list.

--- a/crates/lagoonhill_agent/src/control.rs
+++ b/crates/lagoonhill_agent/src/control.rs
@@ -206,6 +206,7 @@
             present,
             reply_age_ms,
             interrupted,
+            kept,
         } = change;
         self.metrics.target_changed(reason.label(), *interrupted);
         let level = if *interrupted > 0 {
@@ -216,7 +217,7 @@
         log!(
             target: "decision",
             level,
-            "target-changed reason={} replaced={} present={} reply_age={reply_age_ms} interrupted={interrupted}",
+            "target-changed reason={} replaced={} present={} reply_age={reply_age_ms} interrupted={interrupted} kept={kept}",
             reason.label(),
             or_none(replaced.as_ref()),
             or_none(present.as_ref()),
--- a/crates/lagoonhill_core/src/leased/runs/incarnations.rs
+++ b/crates/lagoonhill_core/src/leased/runs/incarnations.rs
@@ -6,16 +6,37 @@
 //! target itself answers a poll addressed to it. Runs of a target that has sent a
 //! leave message end with its lease.
 
+use lagoonhill_protocol::TaskResult;
 use lagoonhill_types::prelude::*;
 
-use super::{LeasedEffect, LeasedRuns, Purpose};
+use super::{LeasedEffect, LeasedRuns, Phase, Purpose, Run};
+use crate::agent::TaskKey;
 use crate::leased::candidates::Candidate;
 use crate::leased::present::Present;
 use crate::leased::{
-    Announcement, AnnouncementOutcome, AnnouncementReport, CallId, ChangeReason, TargetCall,
-    TargetChange, TargetIncarnation, TargetReply,
+    Announcement, AnnouncementOutcome, AnnouncementReport, CallId, ChangeReason, EndedRun, RunRef,
+    TargetCall, TargetChange, TargetIncarnation, TargetReply,
 };
 
+/// Lists of runs in the answer to a poll.
+struct Lists<'a> {
+    /// When the poll was sent.
+    polled_ms: TimestampMs,
+    running: &'a [RunRef],
+    ended: &'a [EndedRun],
+}
+
+impl Lists<'_> {
+    fn contains(&self, run: &RunRef) -> bool {
+        self.running.contains(run) || self.ended.iter().any(|end| end.run == *run)
+    }
+
+    /// Whether the lists may be older than the start of a run.
+    fn precede(&self, run: &Run) -> bool {
+        matches!(run.phase, Phase::Running { since_ms } if since_ms >= self.polled_ms)
+    }
+}
+
 impl LeasedRuns {
     /// Handles an announcement of a target. Another incarnation than the present one
     /// is polled first. [`LeasedEffect::Announced`] tells what was made of it.
@@ -103,7 +124,7 @@
         }
         let polled_ms = candidate.polled_ms;
         let next = Present::announced(confirmed, candidate.announcement, now);
-        self.replace_present(next, ChangeReason::Announced, now);
+        self.replace_present(next, ChangeReason::Announced, polled_ms, &reply, now);
         self.take_answer(&reply, now);
         self.poll_answered(polled_ms, 0, reply, now);
     }
@@ -152,18 +173,43 @@
         };
         let name = present.incarnation.name.clone();
         let next = Present::undescribed(TargetIncarnation { name, born_ms });
-        self.replace_present(next, ChangeReason::OtherBirthTime, now);
+        self.replace_present(next, ChangeReason::OtherBirthTime, polled_ms, &reply, now);
         self.take_answer(&reply, now);
         self.poll_answered(polled_ms, 0, reply, now);
     }
 
-    /// Replaces the present incarnation by one that has answered a poll: the runs of the
-    /// replaced one are over.
-    fn replace_present(&mut self, next: Present, reason: ChangeReason, now: TimestampMs) {
+    /// Replaces the present incarnation by one that has answered a poll. Runs of the
+    /// replaced one are over, except for those whose start the new one may have
+    /// received: it has the same name.
+    fn replace_present(
+        &mut self,
+        next: Present,
+        reason: ChangeReason,
+        polled_ms: TimestampMs,
+        reply: &TargetReply,
+        now: TimestampMs,
+    ) {
+        let present = next.incarnation.clone();
+        let has_same_name = self
+            .present
+            .as_ref()
+            .is_some_and(|replaced| replaced.incarnation.name == present.name);
         let replaced = self.present.replace(next);
-        let interrupted = self.runs.len();
-        self.interrupt_all(&reason.to_string());
-        self.report_change(reason, replaced, interrupted, now);
+        let before = self.runs.len();
+        if let TargetReply::Polled { running, ended, .. } = reply
+            && has_same_name
+        {
+            let lists = Lists {
+                polled_ms,
+                running,
+                ended,
+            };
+            self.interrupt_unless_received(&lists, reason, now);
+        } else {
+            self.interrupt_all(&reason.to_string());
+        }
+        let kept = self.runs.len();
+        self.report_change(reason, replaced, before - kept, now);
         self.reset_incarnation();
     }
 
@@ -190,6 +236,7 @@
             present: self.incarnation().cloned(),
             reply_age_ms: now.since(self.last_reply_ms),
             interrupted,
+            kept: self.runs.len(),
         }));
     }
 
@@ -205,4 +252,30 @@
         self.polls.clear();
         self.ready = false;
     }
+
+    /// Interrupts the runs that a new incarnation of the same name has not received
+    /// and will not receive. A run that it may still receive is stopped there first.
+    fn interrupt_unless_received(
+        &mut self,
+        lists: &Lists<'_>,
+        reason: ChangeReason,
+        now: TimestampMs,
+    ) {
+        let keys: Vec<TaskKey> = self.runs.keys().copied().collect();
+        for key in keys {
+            let Some(run) = self.runs.get_mut(&key) else {
+                continue;
+            };
+            let is_stopping = matches!(run.phase, Phase::Stopping { .. });
+            if lists.contains(&run.reference) && !is_stopping {
+                run.phase = Phase::Running { since_ms: now };
+                run.due_ms = None;
+            } else if lists.contains(&run.reference) || run.unanswered_starts > 0 {
+                run.phase = Phase::Stopping { since_ms: None };
+                run.due_ms = Some(now);
+            } else if !lists.precede(run) {
+                self.end(key, TaskResult::Interrupted(reason.to_string()));
+            }
+        }
+    }
 }
--- a/crates/lagoonhill_core/src/leased/runs/mod.rs
+++ b/crates/lagoonhill_core/src/leased/runs/mod.rs
@@ -99,6 +99,8 @@
     phase: Phase,
     /// When the unanswered call for this run is repeated.
     due_ms: Option<TimestampMs>,
+    /// Number of start calls that may still be carried out.
+    unanswered_starts: u32,
 }
 
 /// Context of a call in flight, needed to handle its answer.
@@ -272,6 +274,7 @@
             durable: start.durable,
             phase: Phase::Starting { attempts: 0 },
             due_ms: None,
+            unanswered_starts: 0,
         };
         self.by_reference.insert(reference, key);
         self.runs.insert(key, run);
@@ -302,6 +305,7 @@
             return;
         };
         *attempts += 1;
+        run.unanswered_starts += 1;
         let attempts = u64::from(*attempts);
         run.due_ms = Some(now + START_RETRY_MS * attempts);
         let request = StartRequest {
@@ -466,6 +470,9 @@
         let Some(run) = self.runs.get_mut(&key) else {
             return;
         };
+        if !matches!(reply, TargetReply::Unanswered(_)) {
+            run.unanswered_starts = run.unanswered_starts.saturating_sub(1);
+        }
         let Phase::Starting { attempts } = run.phase else {
             return;
         };
--- a/crates/lagoonhill_core/src/leased/target_change.rs
+++ b/crates/lagoonhill_core/src/leased/target_change.rs
@@ -19,6 +19,8 @@
     pub reply_age_ms: DurationMs,
     /// Number of runs that were reported as interrupted because of the change.
     pub interrupted: usize,
+    /// Number of runs that the present incarnation has received, or may receive.
+    pub kept: usize,
 }
 
 /// What a [`TargetChange`] is based on.
