Agent: do not renew the lease while a stop is unanswered

An entry that loses its session counts its runs as over when their lease must have expired. If the stops of these runs were lost, the agent renewed the lease for other runs, so they went on beside their successors.

Starts meanwhile carry the expiry that was granted before.

Test a_run_whose_stops_are_lost_ends_with_the_lease failed before ("the target runs it 416 ms after it was to be stopped").

--- a/crates/lagoonhill_core/src/leased/runs/mod.rs
+++ b/crates/lagoonhill_core/src/leased/runs/mod.rs
@@ -66,6 +66,10 @@
 /// of attempts. A target ignores the repeated start of a run that it has.
 const START_RETRY_MS: DurationMs = DurationMs(25);
 
+/// Time after which an unanswered stop is sent again. The lease is not renewed
+/// before a stop is answered.
+const STOP_RETRY_MS: DurationMs = DurationMs(25);
+
 /// Time for which [`LOSSY_POLLS`] are kept in flight after an unanswered call.
 const LOSSY_POLL_MS: DurationMs = DurationMs(5_000);
 
@@ -166,6 +170,8 @@
     clock: Option<TargetClock>,
     /// When every run has ended on the target if the lease is not renewed.
     lease_expires_ms: TimestampMs,
+    /// The last expiry that was granted, on the target's clock.
+    granted_until_ms: Option<TargetTimeMs>,
     /// The highest number among the ends received.
     last_end: u64,
     /// Ends that are not stored yet, by number, with the task if the run is of
@@ -205,6 +211,7 @@
             clock: None,
             // A predecessor may have granted a lease just now.
             lease_expires_ms: now + on_slow_clock(timing.hold_ms),
+            granted_until_ms: None,
             last_end: 0,
             unstored: BTreeMap::new(),
             discarding: false,
@@ -296,11 +303,15 @@
         let Some(clock) = self.clock else {
             return;
         };
-        let until_ms = self.grant(clock, now);
+        let until_ms = self.start_lease(clock, now);
         let reply_ms = self.timing.reply_ms;
         let Some(run) = self.runs.get_mut(&key) else {
             return;
         };
+        let Some(until_ms) = until_ms else {
+            run.due_ms = Some(now);
+            return;
+        };
         let Phase::Starting { attempts } = &mut run.phase else {
             return;
         };
@@ -321,7 +332,7 @@
         let Some(run) = self.runs.get_mut(&key) else {
             return;
         };
-        run.due_ms = Some(now + reply_ms);
+        run.due_ms = Some(now + STOP_RETRY_MS);
         let stop = TargetCall::Stop(run.reference.clone());
         self.call(Purpose::Stop(key), stop, reply_ms);
     }
@@ -330,12 +341,25 @@
     fn grant(&mut self, clock: TargetClock, now: TimestampMs) -> TargetTimeMs {
         let hold_ms = self.timing.hold_ms;
         self.lease_expires_ms = self.lease_expires_ms.max(now + on_slow_clock(hold_ms));
-        clock.after(hold_ms, now)
+        let until_ms = clock.after(hold_ms, now);
+        self.granted_until_ms = Some(until_ms);
+        until_ms
+    }
+
+    /// Expiry of the lease that a start carries, on the target's clock. `None` if the
+    /// lease has expired and may not be renewed.
+    fn start_lease(&mut self, clock: TargetClock, now: TimestampMs) -> Option<TargetTimeMs> {
+        if self.may_renew() {
+            return Some(self.grant(clock, now));
+        }
+        let shown_ms = clock.after(DurationMs::ZERO, now);
+        self.granted_until_ms
+            .filter(|until_ms| *until_ms > shown_ms)
     }
 
     fn poll(&mut self, now: TimestampMs) {
         let has_recent_reply = self.has_recent_reply(now);
-        let may_grant = has_recent_reply && self.foreign.is_empty() && self.accepts_starts();
+        let may_grant = has_recent_reply && self.foreign.is_empty() && self.may_renew();
         let clock = self.clock.filter(|_| may_grant);
         let until_ms = clock.map(|clock| self.grant(clock, now));
         // The first poll is answered at once: no run starts before its answer.
@@ -369,6 +393,18 @@
         !self.discarding && !has_left
     }
 
+    /// Whether the lease is to be renewed. A run that can't be stopped ends with the
+    /// lease, since its entry counts it as over by then.
+    fn may_renew(&self) -> bool {
+        self.accepts_starts() && !self.has_unanswered_stop()
+    }
+
+    fn has_unanswered_stop(&self) -> bool {
+        self.runs
+            .values()
+            .any(|run| matches!(run.phase, Phase::Stopping { since_ms: None }))
+    }
+
     /// Whether fewer polls are in flight than needed.
     fn lacks_poll(&self, now: TimestampMs) -> bool {
         let late_ms = self.timing.wait_ms + LATE_POLL_MS;
@@ -540,7 +576,10 @@
         let Some(run) = self.runs.get_mut(&key) else {
             return;
         };
-        if let (Phase::Stopping { since_ms }, TargetReply::Stopping(_)) = (&mut run.phase, reply) {
+        let is_answered = matches!(reply, TargetReply::Stopping(_) | TargetReply::Invalid(_));
+        if let Phase::Stopping { since_ms } = &mut run.phase
+            && is_answered
+        {
             *since_ms = Some(now);
             run.due_ms = None;
         }
