Agent: a poll after a lost call acknowledges no end

After a call without an answer, and beside a poll that is late, polls acknowledge nothing and are answered at once, until the target has answered one. Whether a list is outdated is judged by the ends known when its poll was sent, as before for polls that acknowledge them all.

Test a_poll_after_a_lost_call_acknowledges_no_end failed before (observed: 3). The known red a_poll_to_the_earlier_life_drops_no_end_of_the_new_one stays: a poll that is carried out late, in the new incarnation, can't be recalled.

--- a/crates/lagoonhill_core/src/leased/runs/incarnations.rs
+++ b/crates/lagoonhill_core/src/leased/runs/incarnations.rs
@@ -243,6 +243,7 @@
     /// Resets what is known of an incarnation, except for its runs.
     fn reset_incarnation(&mut self) {
         self.clock = None;
+        self.is_verified = false;
         self.granted_until_ms = None;
         self.last_end = 0;
         self.unstored.clear();
--- a/crates/lagoonhill_core/src/leased/runs/mod.rs
+++ b/crates/lagoonhill_core/src/leased/runs/mod.rs
@@ -120,7 +120,8 @@
     Confirm,
     Poll {
         sent_ms: TimestampMs,
-        observed: u64,
+        /// The highest number among the ends received before.
+        known_end: u64,
     },
 }
 
@@ -191,6 +192,8 @@
     next_call: u64,
     /// Polls in flight, with the time when each was sent.
     polls: Vec<(CallId, TimestampMs)>,
+    /// Whether the target has answered a poll since the last call without an answer.
+    is_verified: bool,
     /// Until when the target counts as losing answers.
     lossy_until_ms: TimestampMs,
     last_poll_ms: TimestampMs,
@@ -224,6 +227,7 @@
             calls: HashMap::new(),
             next_call: 0,
             polls: Vec::new(),
+            is_verified: false,
             lossy_until_ms: TimestampMs(0),
             last_poll_ms: now,
             last_reply_ms: now,
@@ -365,14 +369,14 @@
         let may_grant = has_recent_reply && self.foreign.is_empty() && self.may_renew();
         let clock = self.clock.filter(|_| may_grant);
         let until_ms = clock.map(|clock| self.grant(clock, now));
-        // The first poll is answered at once: no run starts before its answer.
-        let wait_ms = match (until_ms, self.clock) {
-            (Some(_), _) => self.timing.wait_ms,
-            (None, Some(_)) => UNLEASED_POLL_WAIT_MS,
-            (None, None) => DurationMs::ZERO,
+        // A poll that may reach another incarnation acknowledges nothing, as ends are
+        // numbered anew there, and is answered at once.
+        let (observed, wait_ms) = match until_ms {
+            _ if self.may_have_restarted(now) => (0, DurationMs::ZERO),
+            Some(_) => (self.observed(), self.timing.wait_ms),
+            None => (self.observed(), UNLEASED_POLL_WAIT_MS),
         };
         self.last_poll_ms = now;
-        let observed = self.observed();
         let poll = TargetCall::Poll {
             until_ms,
             observed,
@@ -380,13 +384,21 @@
         };
         let purpose = Purpose::Poll {
             sent_ms: now,
-            observed,
+            known_end: self.last_end,
         };
         let limit_ms = wait_ms + self.timing.reply_ms;
         let sent = self.call(purpose, poll, limit_ms);
         self.polls.extend(sent.map(|id| (id, now)));
     }
 
+    /// Whether the target may have started again under its name since its last answer
+    /// to a poll: a call has not been answered.
+    fn may_have_restarted(&self, now: TimestampMs) -> bool {
+        let late_ms = self.timing.wait_ms + LATE_POLL_MS;
+        let is_late = |(_, sent_ms): &(CallId, TimestampMs)| now.since(*sent_ms) > late_ms;
+        !self.is_verified || self.polls.iter().any(is_late)
+    }
+
     /// Whether runs may start: the target is not about to end all of them.
     fn accepts_starts(&self) -> bool {
         let has_left = self
@@ -477,8 +489,8 @@
             Purpose::Start(key) => self.start_answered(key, reply, now),
             Purpose::Stop(key) => self.stop_answered(key, &reply, now),
             Purpose::StopForeign | Purpose::Confirm => {}
-            Purpose::Poll { sent_ms, observed } => {
-                self.poll_answered(sent_ms, observed, reply, now);
+            Purpose::Poll { sent_ms, known_end } => {
+                self.poll_answered(sent_ms, known_end, reply, now);
             }
         }
     }
@@ -500,11 +512,16 @@
                 self.last_reply_ms = now;
             }
             TargetReply::Unhealthy | TargetReply::Invalid(_) => self.last_reply_ms = now,
-            TargetReply::Unanswered(_) => self.lossy_until_ms = now + LOSSY_POLL_MS,
+            TargetReply::Unanswered(_) => self.call_lost(now),
             TargetReply::OtherIncarnation => {}
         }
     }
 
+    fn call_lost(&mut self, now: TimestampMs) {
+        self.is_verified = false;
+        self.lossy_until_ms = now + LOSSY_POLL_MS;
+    }
+
     fn start_answered(&mut self, key: TaskKey, reply: TargetReply, now: TimestampMs) {
         let Some(run) = self.runs.get_mut(&key) else {
             return;
@@ -591,15 +608,16 @@
     fn poll_answered(
         &mut self,
         sent_ms: TimestampMs,
-        observed: u64,
+        known_end: u64,
         reply: TargetReply,
         now: TimestampMs,
     ) {
         let TargetReply::Polled { running, ended, .. } = reply else {
             return;
         };
+        self.is_verified = true;
         // A list from before a known end may arrive later and still contain the run.
-        let newest = ended.last().map_or(observed, |end| end.number);
+        let newest = ended.last().map_or(known_end, |end| end.number);
         let is_outdated = newest < self.last_end;
         let has_more_ends = ended.len() >= ENDS_PAGE_LEN;
         for end in ended {
@@ -773,6 +791,7 @@
         let is_lost = |sent_ms: TimestampMs| now.since(sent_ms) > limit_ms;
         for (id, _) in self.polls.extract_if(.., |(_, sent_ms)| is_lost(*sent_ms)) {
             self.calls.remove(&id);
+            self.is_verified = false;
             self.lossy_until_ms = now + LOSSY_POLL_MS;
         }
     }
--- a/crates/lagoonhill_core/tests/leased.rs
+++ b/crates/lagoonhill_core/tests/leased.rs
@@ -756,4 +756,22 @@
         bench.pass_answering(300, &next, &[]);
         assert!(bench.target.is_some(), "the next incarnation takes no tasks");
     }
+
+    // Guards against a second run of a task that is done: a poll that reached a
+    // restarted target acknowledged ends of the new incarnation by numbers of the old.
+    a_poll_after_a_lost_call_acknowledges_no_end => {
+        let mut bench = Bench::ready();
+        bench.started(0);
+        bench.answer_poll(&[], &[end(3, 0, 1, EndKind::Done)]);
+        let is_poll = |call: &TargetCall| matches!(call, TargetCall::Poll { .. });
+        bench.answer(is_poll, TargetReply::Unanswered("connection reset".to_owned()));
+        bench.pass(30);
+        for call in bench.calls.iter().filter(|call| is_poll(&call.what)) {
+            let is_harmless = matches!(call.what, TargetCall::Poll { observed: 0, wait_ms: DurationMs::ZERO, .. });
+            assert!(is_harmless, "{call:?}");
+        }
+        bench.answer_poll(&[], &[]);
+        let next = bench.answer_poll(&[], &[]);
+        assert!(matches!(next.what, TargetCall::Poll { observed: 3, .. }), "{next:?}");
+    }
 }
