entry: an odd value among the keys of durable jobs ends no entry

What callers could see. Another writer leaves one odd value beside those of the entries under the prefixes of durable jobs.

- a record whose step comes after one that does not exist, or with fewer inputs than tasks, or with more tasks than 16 bits count, ended the control thread of the entry that took it over ("panicked at entry/job.rs:196: index out of bounds: the len is 1 but the index is 9"; job.rs:310; job.rs:204 "attempt to add with overflow", which wraps in release builds).
The entry then answers nothing, and the next owner takes the same record over: LOST, and entries that end one after another.
- a record with the largest epoch ended the task that renews the ownership and takes over ("panicked at durable_store.rs:502: attempt to add with overflow"): the jobs of a departed owner were taken over by nobody ("the sound job is taken over: not within 20s").
- a state that can't be read made a takeover delete the job's record, the only copy of an accepted job ("left: None").
- one owner's odd counts of waiting jobs hid those of all others ("left: 0, right: 3"); counts near 2^64 ended the request ("durable_store.rs:397: attempt to add with overflow").
- a conflict whose items can't be read was retried at once, without a pause and without end.

Cause: a record was deserialized but not checked, and "can't be read" was treated as "is not there".

Change: `JobRecord::decode` checks epoch, order and number of steps, tasks and inputs; what fails is left unchanged with a warning that names the key. An unreadable state leaves the record alone and accepts no job (the outcome is unknown, 503 or 504). Odd counts are skipped with a warning; sums saturate. The unexplained conflict counts as an attempt with its pause. Stored formats are as before.

--- a/crates/lagoonhill_entry/src/client.rs
+++ b/crates/lagoonhill_entry/src/client.rs
@@ -182,7 +182,7 @@
         let request = self
             .control
             .request(|reply| ControlEvent::Waiting { queue, reply });
-        Ok(request.await? + at_peers)
+        Ok(request.await?.saturating_add(at_peers))
     }
 
     /// The rules in force; the receiver is notified of each newer revision.
--- a/crates/lagoonhill_entry/src/durable_store.rs
+++ b/crates/lagoonhill_entry/src/durable_store.rs
@@ -82,6 +82,8 @@
     Stored(StoreOutcome),
     /// This entry owns the job, at another revision than expected.
     Retry,
+    /// The stored state can't be read: who owns the job is unknown.
+    Unreadable,
 }
 
 impl<S: Store> DurableStore<S> {
@@ -155,7 +157,14 @@
                     }
                     return;
                 }
-                TransactionOutcome::Conflict(found) => batch = self.resolve(batch, &found).await,
+                TransactionOutcome::Conflict(found) => {
+                    let count = batch.len();
+                    batch = self.resolve(batch, &found).await;
+                    // The conflict is with an item that can't be read.
+                    if found.is_empty() && batch.len() == count {
+                        batch = self.retry_or_report(batch, StoreOutcome::Unknown).await;
+                    }
+                }
                 TransactionOutcome::LeaseExpired => {
                     self.shared().lease = None;
                     sleep(BACKOFF).await;
@@ -212,6 +221,17 @@
                     }
                     self.report(&write, stored);
                 }
+                // A new job is not accepted, as nobody would run it. The record of
+                // another one stays for the takeover that a mended state allows.
+                ConflictOutcome::Unreadable => {
+                    let is_new = matches!(write.operation, StoreRequest::Accept(_));
+                    let stored = if is_new {
+                        StoreOutcome::Unknown
+                    } else {
+                        StoreOutcome::OwnedElsewhere(DurableJobState::Open)
+                    };
+                    self.report(&write, stored);
+                }
                 ConflictOutcome::Retry => remaining.push(write),
             }
         }
@@ -236,10 +256,11 @@
         let record: StateForm = match serde_json::from_slice(&current.value) {
             Ok(record) => record,
             Err(error) => {
-                warn!("{} can't be read: {error}; left unchanged", current.key);
-                return ConflictOutcome::Stored(StoreOutcome::OwnedElsewhere(
-                    DurableJobState::Open,
-                ));
+                warn!(
+                    "{} is no state: {error}; left unchanged, remove it if it is not of this system",
+                    current.key
+                );
+                return ConflictOutcome::Unreadable;
             }
         };
         let is_own = record.state == RecordedState::Open && record.owner == self.owner;
@@ -391,10 +412,20 @@
         let mut counts: BTreeMap<QueueName, usize> = BTreeMap::new();
         let found = self.store.list(WAITING_COUNTS_PREFIX).await?;
         for found in found.iter().filter(|found| found.key != own) {
-            let peer_counts: BTreeMap<QueueName, usize> = serde_json::from_slice(&found.value)
-                .map_err(|error| StoreUnavailable(format!("{}: {error}", found.key)))?;
+            let peer_counts: BTreeMap<QueueName, usize> = match serde_json::from_slice(&found.value)
+            {
+                Ok(peer_counts) => peer_counts,
+                Err(error) => {
+                    warn!(
+                        "{} holds no counts: {error}; not counted, remove it if it is not of this system",
+                        found.key
+                    );
+                    continue;
+                }
+            };
             for (queue, count) in peer_counts {
-                *counts.entry(queue).or_default() += count;
+                let sum = counts.entry(queue).or_default();
+                *sum = sum.saturating_add(count);
             }
         }
         let count = counts.get(queue).copied().unwrap_or(0);
@@ -470,10 +501,11 @@
     /// Takes a job over from an owner that is gone. Returns the job if this entry
     /// owns it now; the record of a job that has ended is only deleted.
     pub(crate) async fn take_over(&self, found: &Versioned) -> Option<(RequestKey, DurableJob)> {
-        let record: JobRecord = serde_json::from_slice(&found.value)
-            .inspect_err(|error| warn!("{} can't be read: {error}; left unchanged", found.key))
+        let durable_job = JobRecord::decode(&found.value)
+            .inspect_err(|error| {
+                warn!("no takeover, {} is no job: {error}; left unchanged, remove it if it is not of this system", found.key);
+            })
             .ok()?;
-        let durable_job = record.into_job();
         let name = durable_job.submission.name()?;
         let key = state_key(&name);
         let current = match self.store.read(&key).await {
@@ -483,14 +515,19 @@
                 return None;
             }
         };
-        let state = current.as_ref().and_then(|current| {
-            let record: Option<StateForm> = serde_json::from_slice(&current.value).ok();
-            record.filter(|record| record.state == RecordedState::Open)
-        });
-        let Some((current, state)) = current.zip(state) else {
+        let Some(current) = current else {
             self.store.delete(&found.key).await;
             return None;
         };
+        let state: StateForm = serde_json::from_slice(&current.value)
+            .inspect_err(|error| {
+                warn!("no takeover of {name}, {key} is no state: {error}; left unchanged, remove it if the job is not to be run");
+            })
+            .ok()?;
+        if state.state != RecordedState::Open {
+            self.store.delete(&found.key).await;
+            return None;
+        }
         let is_its_owner = found.key == open_key(state.owner, &name);
         let open_key = open_key(self.owner, &name);
         if !is_its_owner {
--- a/crates/lagoonhill_entry/src/job_record.rs
+++ b/crates/lagoonhill_entry/src/job_record.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use lagoonhill_core::entry::{
-    DurableJob, DurableJobState, Needs, Progress, QueueSubmission, Step, Submission,
+    DurableJob, DurableJobState, InvalidSteps, Needs, Progress, QueueSubmission, Step, Submission,
 };
 use lagoonhill_types::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -49,6 +49,29 @@
     }
 }
 
+/// Most owners of a job: each numbers its runs in a range of its own.
+const MAX_EPOCH: u32 = 1_000_000;
+
+/// Why a stored record describes no job. It may be of another writer.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum InvalidRecord {
+    /// A field is missing, has another type or is out of range.
+    #[error(transparent)]
+    Malformed(#[from] serde_json::Error),
+    /// The steps can't be run.
+    #[error(transparent)]
+    Steps(#[from] InvalidSteps),
+    /// There is nothing to run.
+    #[error("it has no tasks")]
+    NoTasks,
+    /// The tasks don't all have an input.
+    #[error("it has {inputs} inputs for {count} tasks")]
+    Inputs { inputs: usize, count: usize },
+    /// The number of owners is out of range.
+    #[error("its epoch {0} is larger than {MAX_EPOCH}")]
+    Epoch(u32),
+}
+
 /// An unfinished job, under its owner and name: all that a takeover needs.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct JobRecord {
@@ -105,16 +128,30 @@
         })
     }
 
+    /// Decodes a stored record and checks it.
+    pub(crate) fn decode(value: &[u8]) -> Result<DurableJob, InvalidRecord> {
+        let record: Self = serde_json::from_slice(value)?;
+        record.into_job()
+    }
+
     /// The job that the record describes.
-    pub(crate) fn into_job(self) -> DurableJob {
+    fn into_job(self) -> Result<DurableJob, InvalidRecord> {
+        if self.epoch > MAX_EPOCH {
+            return Err(InvalidRecord::Epoch(self.epoch));
+        }
         let steps: Vec<Step> = self.steps.into_iter().map(StepRecord::into_step).collect();
-        let count = steps.iter().map(|step| usize::from(step.count)).sum();
+        let count = Step::check_all(&steps)?;
+        if count == 0 {
+            return Err(InvalidRecord::NoTasks);
+        }
         let input = |input: String| Payload::from(input.into_bytes());
-        let tasks = if self.inputs.len() == 1 {
-            let only = self.inputs.into_iter().next().unwrap_or_default();
-            vec![input(only); count]
-        } else {
-            self.inputs.into_iter().map(input).collect()
+        let tasks = match self.inputs.len() {
+            1 => {
+                let only = self.inputs.into_iter().next().unwrap_or_default();
+                vec![input(only); count]
+            }
+            inputs if inputs == count => self.inputs.into_iter().map(input).collect(),
+            inputs => return Err(InvalidRecord::Inputs { inputs, count }),
         };
         let run_time_ms = steps.iter().map(|step| step.estimate_ms).max();
         let submission = Submission {
@@ -131,14 +168,14 @@
                 steps,
             }),
         };
-        DurableJob {
+        Ok(DurableJob {
             submission: Arc::new(submission),
             progress: Progress {
                 done: self.done,
                 failed: self.failed,
             },
             epoch: self.epoch,
-        }
+        })
     }
 }
 
