discovery: an entry address without a port is not contacted

What could be seen: an address of another writer with port 0 under the entries' prefix was taken as an entry, sent to all others, and called every round (tests/odd_records.rs, odd_addresses_hide_no_entry, failed before: "an entry without a port is known"). A port of 99999, other types, deep nesting and bytes that are no text were skipped with a warning already; the others held.

Change: both readers of the list skip it with a warning that names the key.

Measured: the case passes; the sound entries find each other beside six odd values.

--- a/crates/lagoonhill_agent/src/discovery.rs
+++ b/crates/lagoonhill_agent/src/discovery.rs
@@ -92,9 +92,22 @@
 }
 
 fn parse_address(found: &Versioned) -> Option<EntryAddress> {
-    serde_json::from_slice(&found.value)
-        .inspect_err(|error| warn!("value of {} is not an entry address: {error}", found.key))
-        .ok()
+    let address: EntryAddress = serde_json::from_slice(&found.value)
+        .inspect_err(|error| {
+            warn!(
+                "value of {} is not an entry address: {error}; remove it if it is not of this system",
+                found.key
+            );
+        })
+        .ok()?;
+    if !address.has_ports() {
+        warn!(
+            "value of {} is not an entry address: a port is 0; remove it if it is not of this system",
+            found.key
+        );
+        return None;
+    }
+    Some(address)
 }
 
 async fn query_balancer(http: &HttpClient, balancer: SocketAddr) -> Option<PeersResponse> {
--- a/crates/lagoonhill_entry/src/announcement.rs
+++ b/crates/lagoonhill_entry/src/announcement.rs
@@ -1,4 +1,5 @@
 use lagoonhill_platform::{ENTRIES_PREFIX, LeaseId, Store, StoreUnavailable, WriteOutcome};
+use lagoonhill_protocol::EntryAddress;
 use lagoonhill_types::prelude::*;
 use log::{info, warn};
 
@@ -64,9 +65,16 @@
             self.lease = announce(store, peers).await?;
         }
         for found in store.list(ENTRIES_PREFIX).await? {
-            match serde_json::from_slice(&found.value) {
-                Ok(address) => peers.add_address(address),
-                Err(error) => warn!("{} is not a valid entry address: {error}", found.key),
+            match serde_json::from_slice::<EntryAddress>(&found.value) {
+                Ok(address) if address.has_ports() => peers.add_address(address),
+                Ok(_) => warn!(
+                    "{} is not a valid entry address: a port is 0; remove it if it is not of this system",
+                    found.key
+                ),
+                Err(error) => warn!(
+                    "{} is not a valid entry address: {error}; remove it if it is not of this system",
+                    found.key
+                ),
             }
         }
         Ok(())
--- a/crates/lagoonhill_protocol/src/address.rs
+++ b/crates/lagoonhill_protocol/src/address.rs
@@ -13,3 +13,10 @@
     /// Address to which callers and other entries send HTTP requests.
     pub http: SocketAddr,
 }
+
+impl EntryAddress {
+    /// Whether both addresses can be connected to.
+    pub fn has_ports(&self) -> bool {
+        self.inbox.port() > 0 && self.http.port() > 0
+    }
+}
