jobs: bound the steps of a job, not only its tasks

What could happen: a body of 4 MiB holds more than a million empty steps. Steps are numbered with 16 bits: with 65,536 of them, `Job::new` overflows (a panic of the control thread with debug assertions, wrong numbers in release builds).

Change: callers' bodies, on both interfaces, pass the check of stored records, `Step::check_all`: at most 10,000 steps and 10,000 tasks, each step after earlier ones. The texts of the refusals name the remedy; their status is as before.

--- a/crates/lagoonhill_entry/src/queue_api.rs
+++ b/crates/lagoonhill_entry/src/queue_api.rs
@@ -10,9 +10,6 @@
 
 use crate::client::{EntryClient, JobStatus};
 
-/// Most tasks of a durable job.
-const MAX_TASKS: usize = 10_000;
-
 /// The body of `PUT /v1/queues/QUEUE/jobs/NAME`.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -70,22 +67,10 @@
         name: RequestKey,
         service: ServiceName,
     ) -> Result<Submission, String> {
-        let mut steps = Vec::with_capacity(self.steps.len());
-        for (position, step) in self.steps.into_iter().enumerate() {
-            if step
-                .after
-                .iter()
-                .any(|earlier| usize::from(*earlier) >= position)
-            {
-                return Err("a step comes after a later one: order the steps".to_owned());
-            }
-            steps.push(step.into_step());
-        }
-        let count: usize = steps.iter().map(|step| usize::from(step.count)).sum();
-        if count == 0 || count > MAX_TASKS {
-            return Err(format!(
-                "a job has 1 to {MAX_TASKS} tasks, this one has {count}"
-            ));
+        let steps: Vec<Step> = self.steps.into_iter().map(StepRequest::into_step).collect();
+        let count = Step::check_all(&steps).map_err(|error| error.to_string())?;
+        if count == 0 {
+            return Err("the job has no tasks: send at least 1".to_owned());
         }
         let team = queue.as_str().parse();
         let team = team.map_err(|error: lagoonhill_types::InvalidName| error.to_string())?;
