--- a/crates/lagoonhill_entry/src/ownership.rs
+++ b/crates/lagoonhill_entry/src/ownership.rs
@@ -282,10 +282,7 @@
             // No cancel to continue from: start at a recent revision of the store.
             newest = self.newest().await?;
         }
-        let mut events = self
-            .store
-            .watch(prefix, StoreRevision(newest.0 + 1))
-            .await?;
+        let mut events = self.store.watch(prefix, newest.next()).await?;
         while let Ok(Some(event)) = timeout(WATCH_TIMEOUT, events.recv()).await {
             if let WatchEvent::Put(found) = event {
                 self.cancel(prefix, &found.key);
--- a/crates/lagoonhill_entry/src/rules_watch.rs
+++ b/crates/lagoonhill_entry/src/rules_watch.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use lagoonhill_platform::{RULES_KEY, Store, StoreRevision, StoreUnavailable};
+use lagoonhill_platform::{RULES_KEY, Store, StoreUnavailable};
 use lagoonhill_rules::{RuleSet, StoredRules};
 use log::{info, warn};
 use tokio::time::{sleep, timeout};
@@ -70,7 +70,7 @@
 ) -> Result<(), StoreUnavailable> {
     let listing = store.list_at_revision(source.prefix).await?;
     follower.replace(&listing);
-    let from = StoreRevision(listing.revision.0 + 1);
+    let from = listing.revision.next();
     let mut events = store.watch(source.prefix, from).await?;
     if std::mem::take(is_store_lost) {
         info!(
--- a/crates/lagoonhill_platform/src/store.rs
+++ b/crates/lagoonhill_platform/src/store.rs
@@ -20,6 +20,12 @@
 impl StoreRevision {
     /// The revision of a key that does not exist.
     pub const ABSENT: Self = Self(0);
+
+    /// The next revision; the largest one has none.
+    #[must_use]
+    pub const fn next(self) -> Self {
+        Self(self.0.saturating_add(1))
+    }
 }
 
 impl fmt::Display for StoreRevision {
