core: numbers out of range in a packet end no process

What could happen: a packet with odd numbers, of another program that speaks the format or of a process at fault, ended the control thread of the entry or agent that received it. crates/lagoonhill_core/tests/odd_packets.rs, on the code before:

- a frame whose first message has the largest sequence number: "panicked at frame.rs:18:14: attempt to add with overflow"
- a time of sending of 2^64 - 1, then the age of any later message: "panicked at session.rs:206:22: attempt to subtract with overflow"
- a load with 32,768 overdue tasks or more: "panicked at worker.rs:316:45: attempt to multiply with overflow"
- a welcome with a heartbeat interval of 0: the agent sent heartbeats without end into memory (an_agent_goes_on_after_odd_packets ran for more than 60 s and was ended by SIGKILL; the same in release builds)

The first three wrap in release builds: numbers are wrong, nothing ends.

Change: the sums saturate or are wider; a session's heartbeat interval is at least the shortest that an entry sends. `PeerLoad::processors_of` saturates too, found by reading. Formats are as before.

--- a/crates/lagoonhill_core/src/entry/peer_load.rs
+++ b/crates/lagoonhill_core/src/entry/peer_load.rs
@@ -39,7 +39,7 @@
 
     /// Processors that the share amounts to on a target.
     pub fn processors_of(self, processors: MilliProcessors) -> MilliProcessors {
-        let part = u64::from(processors.0) * self.processors_permille / PERMILLE;
+        let part = u64::from(processors.0).saturating_mul(self.processors_permille) / PERMILLE;
         MilliProcessors(u32::try_from(part).unwrap_or(u32::MAX))
     }
 
--- a/crates/lagoonhill_core/src/entry/worker.rs
+++ b/crates/lagoonhill_core/src/entry/worker.rs
@@ -313,7 +313,8 @@
 
     /// Whether its agent reports at least half of its tasks as overdue.
     pub fn reports_overdue(&self) -> bool {
-        self.load.overdue >= MIN_OVERDUE && self.load.overdue * 2 >= self.load.total_tasks
+        self.load.overdue >= MIN_OVERDUE
+            && u32::from(self.load.overdue) * 2 >= u32::from(self.load.total_tasks)
     }
 
     /// Tasks that have been there far longer than expected and are not withdrawn.
--- a/crates/lagoonhill_core/src/session.rs
+++ b/crates/lagoonhill_core/src/session.rs
@@ -76,7 +76,7 @@
         Self {
             id,
             timing,
-            heartbeat_ms,
+            heartbeat_ms: heartbeat_ms.max(timing.min_heartbeat_ms),
             unacked: VecDeque::new(),
             acked: Sequence(0),
             transmitted: Sequence(0),
@@ -137,9 +137,10 @@
         self.unacked.is_empty()
     }
 
-    /// Changes the heartbeat interval of an idle session.
+    /// Changes the heartbeat interval of an idle session. A shorter one than any
+    /// entry sends would make a heartbeat due at all times.
     pub fn set_heartbeat_interval(&mut self, heartbeat_ms: DurationMs) {
-        self.heartbeat_ms = heartbeat_ms;
+        self.heartbeat_ms = heartbeat_ms.max(self.timing.min_heartbeat_ms);
     }
 
     /// Queues a message.
@@ -203,7 +204,7 @@
         let offset_ms = self
             .min_offset_ms
             .unwrap_or_else(|| signed(now) - signed(at));
-        let age_ms = signed(now) - signed(at) - offset_ms;
+        let age_ms = (signed(now) - signed(at)).saturating_sub(offset_ms);
         DurationMs(u64::try_from(age_ms).unwrap_or(0))
     }
 
--- a/crates/lagoonhill_protocol/src/frame.rs
+++ b/crates/lagoonhill_protocol/src/frame.rs
@@ -12,10 +12,10 @@
 pub struct Sequence(pub u64);
 
 impl Sequence {
-    /// The next sequence number.
+    /// The next sequence number; the largest one has none.
     #[must_use]
     pub const fn next(self) -> Self {
-        Self(self.0 + 1)
+        Self(self.0.saturating_add(1))
     }
 }
 
