store and HTTP clients: odd items cost no other, answers are bounded

- an odd item (a revision of 2^63 or 1e400, a key that is no text, deep nesting) failed the whole list: "the platform's store does not answer (number too large to fit in target type at line 1 column 149)"
- an odd event took all events of its line with it, without a word in the log: the sound one before it was never reported ("None")
- an answer of any size was read into memory; one of 65 MiB was accepted
- a grant without an id counted as lease 0, under which a key never expires

Change: items and events are decoded one by one, an odd one is skipped with a warning that quotes it; a line of a watch that can't be read is skipped with a warning. Answers and lines of a watch are at most 64 MiB, as packets between processes are. A grant without an id is an error. Formats are as before.

--- a/crates/lagoonhill_http/src/client.rs
+++ b/crates/lagoonhill_http/src/client.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::{HeaderMap, Method, Request, StatusCode};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -15,6 +15,10 @@
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Largest body of an answer: enough for the results of a job, and as much as a
+/// packet between entries and agents.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+
 /// Why a request got no answer.
 #[derive(Debug, thiserror::Error)]
 pub enum ClientError {
@@ -97,7 +101,7 @@
                 }
             })?;
             let (head, body) = answer.into_parts();
-            let body = body
+            let body = Limited::new(body, MAX_ANSWER_BYTES)
                 .collect()
                 .await
                 .map_err(|error| no_answer(error.to_string()))?;
--- a/crates/lagoonhill_platform/src/etcd.rs
+++ b/crates/lagoonhill_platform/src/etcd.rs
@@ -5,12 +5,12 @@
 
 use http_body_util::BodyExt;
 use lagoonhill_types::DurationMs;
-use log::debug;
+use log::{debug, warn};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::sync::mpsc;
 
-use crate::http::JsonClient;
+use crate::http::{JsonClient, MAX_RESPONSE_BYTES};
 use crate::wire::{
     Base64, Compare, DeleteRequest, Event, Int64, KeepAliveResponse, KeyValue, Lease, PutRequest,
     RangeRequest, RangeResponse, RequestOp, TxnRequest, TxnResponse, WatchCreate, WatchLine,
@@ -54,18 +54,21 @@
 
     async fn range(&self, request: RangeRequest) -> Result<Listing, StoreUnavailable> {
         let response: RangeResponse = self.call(CallKind::Read, "/v3/kv/range", &request).await?;
-        let values: Result<Vec<Versioned>, _> = response.kvs.into_iter().map(versioned).collect();
         Ok(Listing {
-            values: values?,
+            values: response.kvs.into_iter().filter_map(versioned).collect(),
             revision: StoreRevision(response.header.revision.0),
         })
     }
 }
 
-fn versioned(kv: KeyValue) -> Result<Versioned, StoreUnavailable> {
+/// Skips a key that is not text: this system writes none.
+fn versioned(kv: KeyValue) -> Option<Versioned> {
     let key = String::from_utf8(kv.key.0)
-        .map_err(|_| StoreUnavailable("it holds a key that is not text".to_owned()))?;
-    Ok(Versioned {
+        .inspect_err(|error| {
+            warn!("skipped a key of the store that is not text: {error}; remove it");
+        })
+        .ok()?;
+    Some(Versioned {
         key,
         value: kv.value.0,
         revision: StoreRevision(kv.mod_revision.0),
@@ -74,7 +77,7 @@
 
 fn watch_event(event: Event) -> Option<WatchEvent> {
     let deleted = event.kind == "DELETE";
-    let value = versioned(event.kv).ok()?;
+    let value = versioned(event.kv)?;
     Some(if deleted {
         WatchEvent::Deleted {
             key: value.key,
@@ -154,7 +157,7 @@
                     .into_iter()
                     .filter_map(|op| op.response_range);
                 let found = ranges.flat_map(|range| range.kvs);
-                TransactionOutcome::Conflict(found.filter_map(|kv| versioned(kv).ok()).collect())
+                TransactionOutcome::Conflict(found.filter_map(versioned).collect())
             }
             Err(error) => {
                 debug!("the outcome of a transaction is unknown: {error}");
@@ -172,6 +175,10 @@
         let lease: Lease = self
             .call(CallKind::Lease, "/v3/lease/grant", &request)
             .await?;
+        // Fields that are missing are 0, and a write with lease 0 would never expire.
+        if lease.id == Int64(0) {
+            return Err(StoreUnavailable("it granted no lease".to_owned()));
+        }
         Ok(LeaseId(lease.id.0))
     }
 
@@ -218,6 +225,9 @@
             let mut pending = Vec::new();
             while let Some(Ok(frame)) = body.frame().await {
                 pending.extend_from_slice(frame.data_ref().map_or(&[], |data| data.as_ref()));
+                if pending.len() > MAX_RESPONSE_BYTES {
+                    return warn!("watch ended: a line has more than {MAX_RESPONSE_BYTES} bytes");
+                }
                 for event in take_events(&mut pending) {
                     if sender.send(event).await.is_err() {
                         return;
@@ -234,8 +244,9 @@
     let mut events = Vec::new();
     while let Some(end) = pending.iter().position(|byte| *byte == b'\n') {
         let line: Vec<u8> = pending.drain(..=end).collect();
-        if let Ok(line) = serde_json::from_slice::<WatchLine>(&line) {
-            events.extend(line.result.events.into_iter().filter_map(watch_event));
+        match serde_json::from_str::<WatchLine>(&String::from_utf8_lossy(&line)) {
+            Ok(line) => events.extend(line.result.events.into_iter().filter_map(watch_event)),
+            Err(error) => warn!("skipped a line of a watch that can't be read: {error}"),
         }
     }
     events
--- a/crates/lagoonhill_platform/src/http.rs
+++ b/crates/lagoonhill_platform/src/http.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use hyper_util::client::legacy::Client;
@@ -18,6 +18,9 @@
 /// Time limit for connecting, for the response head, and for the response body.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Largest body of a response, and largest line of a watch.
+pub(crate) const MAX_RESPONSE_BYTES: usize = 64 << 20;
+
 /// A JSON-over-HTTP client for one address.
 #[derive(Clone, Debug)]
 pub(crate) struct JsonClient {
@@ -66,11 +69,14 @@
         body: &Q,
     ) -> Result<A, StoreUnavailable> {
         let response = self.open(path, body).await?;
-        let bytes = tokio::time::timeout(CALL_TIMEOUT, response.into_body().collect())
+        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
+        let bytes = tokio::time::timeout(CALL_TIMEOUT, body.collect())
             .await
             .map_err(|_| StoreUnavailable("timed out".to_owned()))?
             .map_err(|error| StoreUnavailable(error.to_string()))?
             .to_bytes();
-        serde_json::from_slice(&bytes).map_err(|error| StoreUnavailable(error.to_string()))
+        // Bytes that are no text spoil only the item that they are in.
+        serde_json::from_str(&String::from_utf8_lossy(&bytes))
+            .map_err(|error| StoreUnavailable(error.to_string()))
     }
 }
--- a/crates/lagoonhill_platform/src/wire.rs
+++ b/crates/lagoonhill_platform/src/wire.rs
@@ -4,7 +4,10 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
+use log::warn;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
+use serde_json::value::RawValue;
 
 /// Bytes, encoded in base64 on the wire.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -54,6 +57,28 @@
     }
 }
 
+/// Reads elements one by one; an odd one of another writer is logged and skipped.
+fn readable<'de, T, D>(deserializer: D) -> Result<Vec<T>, D::Error>
+where
+    T: DeserializeOwned,
+    D: Deserializer<'de>,
+{
+    let elements: Vec<Box<RawValue>> = Vec::deserialize(deserializer)?;
+    let read = |element: Box<RawValue>| {
+        let decoded = serde_json::from_str(element.get());
+        decoded
+            .inspect_err(|error| {
+                let quoted: String = element.get().chars().take(MAX_QUOTED).collect();
+                warn!("skipped an odd item of the store: {quoted}: {error}; remove it if it is not of this system");
+            })
+            .ok()
+    };
+    Ok(elements.into_iter().filter_map(read).collect())
+}
+
+/// Number of characters of an item that a warning quotes.
+const MAX_QUOTED: usize = 160;
+
 /// `RangeRequest`.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(default)]
@@ -94,6 +119,7 @@
     /// The response header.
     pub header: Header,
     /// The values found in the range.
+    #[serde(deserialize_with = "readable")]
     pub kvs: Vec<KeyValue>,
 }
 
@@ -239,6 +265,7 @@
     /// Set on the first response, which confirms the watch.
     pub created: bool,
     /// The changes.
+    #[serde(deserialize_with = "readable")]
     pub events: Vec<Event>,
 }
 
