agent: a target without a port is refused; test odd bodies

What could happen: `PUT /v1/target` took an address with port 0, and every task sent to the worker failed to connect (lagoonhill_entry/tests/odd_bodies.rs, an_agent_refuses_odd_targets_and_goes_on, before: "204 No Content: {"address":"127.0.0.1:0",...}").

Change: 400 with the remedy. The other three cases send 20,000 nested lists and objects, numbers out of range, other types and bytes that are no text to the HTTP interfaces of entry and agent; they held before too.

--- a/crates/lagoonhill_agent/src/api.rs
+++ b/crates/lagoonhill_agent/src/api.rs
@@ -117,6 +117,12 @@
                 "the target has 0 slots: announce at least 1".to_owned(),
             ));
         }
+        if announced.address.port() == 0 {
+            return Err(bad_request(format!(
+                "the target's address {} has no port: announce the port that it listens on",
+                announced.address
+            )));
+        }
         let target = Target {
             service: announced.service,
             address: announced.address,
