Agent: an incomplete list does not show that a run is missing

The same held for a full page of ends.

Test a_run_is_not_over_because_an_incomplete_list_lacks_it; without the field there is no version of it for the code before.

--- a/crates/lagoonhill_core/src/leased/call.rs
+++ b/crates/lagoonhill_core/src/leased/call.rs
@@ -141,6 +141,9 @@
         running: Vec<RunRef>,
         /// Ends not yet acknowledged, by ascending number.
         ended: Vec<EndedRun>,
+        /// Whether the lists lack nothing: there are no further ends, and no row that
+        /// can't be read.
+        is_complete: bool,
     },
     /// The target is unhealthy and has done nothing.
     Unhealthy,
--- a/crates/lagoonhill_core/src/leased/runs/incarnations.rs
+++ b/crates/lagoonhill_core/src/leased/runs/incarnations.rs
@@ -24,6 +24,7 @@
     polled_ms: TimestampMs,
     running: &'a [RunRef],
     ended: &'a [EndedRun],
+    is_complete: bool,
 }
 
 impl Lists<'_> {
@@ -31,9 +32,12 @@
         self.running.contains(run) || self.ended.iter().any(|end| end.run == *run)
     }
 
-    /// Whether the lists may be older than the start of a run.
-    fn precede(&self, run: &Run) -> bool {
-        matches!(run.phase, Phase::Running { since_ms } if since_ms >= self.polled_ms)
+    /// Whether a run that the lists lack is not there: they are complete, and not
+    /// older than the confirmation of its start.
+    fn rule_out(&self, run: &Run) -> bool {
+        let is_newer =
+            matches!(run.phase, Phase::Running { since_ms } if since_ms >= self.polled_ms);
+        self.is_complete && !is_newer
     }
 }
 
@@ -196,13 +200,19 @@
             .is_some_and(|replaced| replaced.incarnation.name == present.name);
         let replaced = self.present.replace(next);
         let before = self.runs.len();
-        if let TargetReply::Polled { running, ended, .. } = reply
+        if let TargetReply::Polled {
+            running,
+            ended,
+            is_complete,
+            ..
+        } = reply
             && has_same_name
         {
             let lists = Lists {
                 polled_ms,
                 running,
                 ended,
+                is_complete: *is_complete,
             };
             self.interrupt_unless_received(&lists, reason, now);
         } else {
@@ -275,7 +285,7 @@
             } else if lists.contains(&run.reference) || run.unanswered_starts > 0 {
                 run.phase = Phase::Stopping { since_ms: None };
                 run.due_ms = Some(now);
-            } else if !lists.precede(run) {
+            } else if lists.rule_out(run) {
                 self.end(key, TaskResult::Interrupted(reason.to_string()));
             }
         }
--- a/crates/lagoonhill_core/src/leased/runs/mod.rs
+++ b/crates/lagoonhill_core/src/leased/runs/mod.rs
@@ -70,9 +70,6 @@
 /// before a stop is answered.
 const STOP_RETRY_MS: DurationMs = DurationMs(25);
 
-/// Number of ends that a target may list at a time. A longer list has further pages.
-const ENDS_PAGE_LEN: usize = 500;
-
 /// Time for which [`LOSSY_POLLS`] are kept in flight after an unanswered call.
 const LOSSY_POLL_MS: DurationMs = DurationMs(5_000);
 
@@ -612,18 +609,23 @@
         reply: TargetReply,
         now: TimestampMs,
     ) {
-        let TargetReply::Polled { running, ended, .. } = reply else {
+        let TargetReply::Polled {
+            running,
+            ended,
+            is_complete,
+            ..
+        } = reply
+        else {
             return;
         };
         self.is_verified = true;
         // A list from before a known end may arrive later and still contain the run.
         let newest = ended.last().map_or(known_end, |end| end.number);
         let is_outdated = newest < self.last_end;
-        let has_more_ends = ended.len() >= ENDS_PAGE_LEN;
         for end in ended {
             self.take_end(&end, now);
         }
-        if !is_outdated && !has_more_ends {
+        if !is_outdated && is_complete {
             self.reconcile(&running, sent_ms);
         }
         if !is_outdated {
--- a/crates/lagoonhill_core/tests/leased.rs
+++ b/crates/lagoonhill_core/tests/leased.rs
@@ -192,6 +192,7 @@
             born_ms: Some(5),
             running: running.to_vec(),
             ended: ended.to_vec(),
+            is_complete: true,
         }
     }
 
@@ -214,6 +215,7 @@
                     born_ms: Some(target.born_ms),
                     running: running.to_vec(),
                     ended: Vec::new(),
+                    is_complete: true,
                 }
             } else {
                 TargetReply::OtherIncarnation
@@ -555,6 +557,7 @@
             born_ms: Some(6),
             running: Vec::new(),
             ended: Vec::new(),
+            is_complete: true,
         };
         // This poll was sent after the start was confirmed.
         bench.pass(130);
@@ -774,4 +777,31 @@
         let next = bench.answer_poll(&[], &[]);
         assert!(matches!(next.what, TargetCall::Poll { observed: 3, .. }), "{next:?}");
     }
+
+    // Guards against two runs of a task at once: a row that can't be read may stand for
+    // any run.
+    a_run_is_not_over_because_an_incomplete_list_lacks_it => {
+        let mut bench = Bench::ready();
+        let key = bench.started(0);
+        bench.answer_poll(&[run_ref(0, 1)], &[]);
+        bench.pass(130);
+        let incomplete = |bench: &Bench, born_ms| TargetReply::Polled {
+            clock_ms: bench.clock(),
+            born_ms: Some(born_ms),
+            running: Vec::new(),
+            ended: Vec::new(),
+            is_complete: false,
+        };
+        let is_poll = |call: &TargetCall| matches!(call, TargetCall::Poll { .. });
+        let reply = incomplete(&bench, 5);
+        bench.answer(is_poll, reply);
+        assert_eq!(bench.result_of(key), None);
+        bench.pass(130);
+        let reply = incomplete(&bench, 6);
+        bench.answer(is_poll, reply);
+        assert_eq!(bench.result_of(key), None, "a restart may have received the run");
+        bench.pass(130);
+        bench.answer_polls_as(&incarnation("target", 6), &[]);
+        assert!(matches!(bench.result_of(key), Some(TaskResult::Interrupted(_))));
+    }
 }
--- a/crates/lagoonhill_core/tests/support/restarting_target.rs
+++ b/crates/lagoonhill_core/tests/support/restarting_target.rs
@@ -25,7 +25,7 @@
 /// Name of all lives of the target.
 const NAME: &str = "target";
 
-/// Longest lease that the target grants: `hold-max-ms` of the sites.
+/// Longest lease that the target grants.
 const MAX_HOLD_MS: u64 = 1_000;
 
 /// Most ends that the target lists at a time.
@@ -138,6 +138,7 @@
                     born_ms: Some(self.born_ms),
                     running: self.running.clone(),
                     ended: self.ended.iter().take(MAX_LISTED_ENDS).cloned().collect(),
+                    is_complete: self.ended.len() <= MAX_LISTED_ENDS,
                 }
             }
         }
