--- a/crates/lagoonhill_agent/src/control.rs
+++ b/crates/lagoonhill_agent/src/control.rs
@@ -217,10 +217,11 @@
         log!(
             target: "decision",
             level,
-            "target-changed reason={} replaced={} present={} reply_age={reply_age_ms} interrupted={interrupted} kept={kept}",
+            "target-changed reason={} replaced={} present={} reply_age={} interrupted={interrupted} kept={kept}",
             reason.label(),
             or_none(replaced.as_ref()),
             or_none(present.as_ref()),
+            or_none(replaced.as_ref().map(|_| reply_age_ms)),
         );
     }
 
--- a/crates/lagoonhill_core/src/leased/target_change.rs
+++ b/crates/lagoonhill_core/src/leased/target_change.rs
@@ -15,7 +15,7 @@
     pub replaced: Option<TargetIncarnation>,
     /// The incarnation that is present now.
     pub present: Option<TargetIncarnation>,
-    /// Time since the replaced incarnation last answered.
+    /// Time since the replaced incarnation last answered; meaningless if there was none.
     pub reply_age_ms: DurationMs,
     /// Number of runs that were reported as interrupted because of the change.
     pub interrupted: usize,
