--- a/crates/lagoonhill_agent/src/leased_runner.rs
+++ b/crates/lagoonhill_agent/src/leased_runner.rs
@@ -139,7 +139,7 @@
             }
             LeasedEvent::Left(name) => {
                 info!("the target {name} has sent its leave message");
-                self.runs.target_left(&name);
+                self.runs.target_left(&name, now);
             }
             LeasedEvent::Answered(id, reply) => self.runs.answered(id, reply, now),
         }
--- a/crates/lagoonhill_core/src/leased/candidates.rs
+++ b/crates/lagoonhill_core/src/leased/candidates.rs
@@ -84,6 +84,21 @@
         }
     }
 
+    /// Makes a poll due again at once.
+    pub(super) fn forget_poll(&mut self, poll: CallId) {
+        let polled = self.0.iter_mut().find(|known| known.poll == Some(poll));
+        if let Some(known) = polled {
+            known.poll = None;
+        }
+    }
+
+    /// Makes all polls due again at once.
+    pub(super) fn forget_polls(&mut self) {
+        for known in &mut self.0 {
+            known.poll = None;
+        }
+    }
+
     /// Removes the candidate that a poll is addressed to.
     pub(super) fn take(&mut self, poll: CallId) -> Option<Candidate> {
         let position = self.0.iter().position(|known| known.poll == Some(poll))?;
--- a/crates/lagoonhill_core/src/leased/clock.rs
+++ b/crates/lagoonhill_core/src/leased/clock.rs
@@ -22,6 +22,7 @@
 
     /// The reading expected `wait_ms` after `now`, not corrected for drift.
     pub fn after(&self, wait_ms: DurationMs, now: TimestampMs) -> TargetTimeMs {
-        TargetTimeMs(self.shown_ms.0 + now.since(self.read_at_ms).0 + wait_ms.0)
+        let elapsed_ms = now.since(self.read_at_ms).0 + wait_ms.0;
+        TargetTimeMs(self.shown_ms.0.saturating_add(elapsed_ms))
     }
 }
--- a/crates/lagoonhill_core/src/leased/description.rs
+++ b/crates/lagoonhill_core/src/leased/description.rs
@@ -9,10 +9,14 @@
 /// millisecond: announcements that nobody has received have numbers too.
 const SEQUENCE_SLACK: u64 = 1_000;
 
-/// Shortest time between two announcements that confirm each other. Delayed ones
-/// arrive together.
+/// Shortest time between two announcements that confirm each other: several that were
+/// held up may arrive together.
 const MIN_CONFIRMATION_GAP_MS: DurationMs = DurationMs(250);
 
+/// Time without an announcement that continues the newest one, after which earlier
+/// ones count as contradictions: two intervals between announcements.
+const SILENCE_MS: DurationMs = DurationMs(3_000);
+
 /// Most contradicting announcements that are remembered.
 const MAX_CONTRADICTIONS: usize = 4;
 
@@ -87,6 +91,9 @@
         let is_late = announcement.incarnation == newest.incarnation
             && announcement.sequence <= newest.sequence
             && is_same_target(&announcement.target, &newest.target);
+        if is_late && now.since(self.newest.at_ms) < SILENCE_MS {
+            return AnnouncementOutcome::OutOfDate;
+        }
         if self.contradictions.len() == MAX_CONTRADICTIONS {
             self.contradictions.remove(0);
         }
--- a/crates/lagoonhill_core/src/leased/present.rs
+++ b/crates/lagoonhill_core/src/leased/present.rs
@@ -6,14 +6,18 @@
 use super::description::Description;
 use super::{Announcement, AnnouncementOutcome, TargetIncarnation};
 
+/// Longest time from the sending of an announcement to its arrival: a target gives up
+/// waiting for its acknowledgement after that.
+const MAX_ANNOUNCEMENT_DELAY_MS: DurationMs = DurationMs(1_000);
+
 /// The incarnation that answers at the target's address.
 #[derive(Debug)]
 pub(super) struct Present {
     pub(super) incarnation: TargetIncarnation,
     /// What it has announced; absent if only its answers are known.
     description: Option<Description>,
-    /// Whether its leave message was received.
-    pub(super) has_left: bool,
+    /// When its leave message was received.
+    left_ms: Option<TimestampMs>,
 }
 
 impl Present {
@@ -26,7 +30,7 @@
         Self {
             incarnation,
             description: Some(Description::new(announcement, now)),
-            has_left: false,
+            left_ms: None,
         }
     }
 
@@ -35,7 +39,7 @@
         Self {
             incarnation,
             description: None,
-            has_left: false,
+            left_ms: None,
         }
     }
 
@@ -46,7 +50,17 @@
     /// The target that accepts runs, unless it drains or has left.
     pub(super) fn usable_target(&self) -> Option<&Target> {
         let newest = self.newest_announcement()?;
-        (!newest.draining && !self.has_left).then_some(&newest.target)
+        (!newest.draining && !self.has_left()).then_some(&newest.target)
+    }
+
+    /// Whether it counts as leaving.
+    pub(super) fn has_left(&self) -> bool {
+        self.left_ms.is_some()
+    }
+
+    /// Records its leave message.
+    pub(super) fn leave(&mut self, now: TimestampMs) {
+        self.left_ms.get_or_insert(now);
     }
 
     /// Whether an announcement claims to be of this incarnation. One without a birth
@@ -62,21 +76,36 @@
         announcement: Announcement,
         now: TimestampMs,
     ) -> AnnouncementOutcome {
-        if self.has_left {
+        let is_on_its_way = |left_ms| now.since(left_ms) < MAX_ANNOUNCEMENT_DELAY_MS;
+        if self.left_ms.is_some_and(is_on_its_way) {
             return AnnouncementOutcome::OutOfDate;
         }
-        let is_verified = announcement.incarnation == self.incarnation;
+        let outcome = self.update_description(announcement, now);
+        if outcome == AnnouncementOutcome::Updated {
+            // The leave message was of another writer.
+            self.left_ms = None;
+        }
+        outcome
+    }
+
+    fn update_description(
+        &mut self,
+        announcement: Announcement,
+        now: TimestampMs,
+    ) -> AnnouncementOutcome {
         let Some(description) = &mut self.description else {
             self.description = Some(Description::new(announcement, now));
             return AnnouncementOutcome::Updated;
         };
-        match description.newest().incarnation == self.incarnation {
-            true if !is_verified => AnnouncementOutcome::Contradictory,
-            false if is_verified => {
-                *description = Description::new(announcement, now);
-                AnnouncementOutcome::Corrected
-            }
-            _ => description.update(announcement, now),
+        let is_of_present = announcement.incarnation == self.incarnation;
+        let was_of_present = description.newest().incarnation == self.incarnation;
+        if was_of_present && !is_of_present {
+            return AnnouncementOutcome::Contradictory;
+        }
+        if is_of_present && !was_of_present {
+            *description = Description::new(announcement, now);
+            return AnnouncementOutcome::Corrected;
         }
+        description.update(announcement, now)
     }
 }
--- a/crates/lagoonhill_core/src/leased/runs/incarnations.rs
+++ b/crates/lagoonhill_core/src/leased/runs/incarnations.rs
@@ -3,8 +3,7 @@
 //!
 //! Announcements and leave messages may be late or of another writer, so none of
 //! them ends a run. An announced incarnation becomes the present one when the
-//! target itself answers a poll addressed to it. Runs of a target that has sent a
-//! leave message end with its lease.
+//! target itself answers a poll addressed to it.
 
 use lagoonhill_protocol::TaskResult;
 use lagoonhill_types::prelude::*;
@@ -14,8 +13,8 @@
 use crate::leased::candidates::Candidate;
 use crate::leased::present::Present;
 use crate::leased::{
-    Announcement, AnnouncementOutcome, AnnouncementReport, CallId, ChangeReason, EndedRun, RunRef,
-    TargetCall, TargetChange, TargetIncarnation, TargetReply,
+    Announcement, AnnouncementOutcome, AnnouncementReport, CallId, ChangeReason, EndedRun, Refusal,
+    RunRef, TargetCall, TargetChange, TargetIncarnation, TargetReply,
 };
 
 /// Lists of runs in the answer to a poll.
@@ -101,6 +100,10 @@
                 }
                 return;
             }
+            TargetReply::Refused(Refusal::Fenced, _) => {
+                self.candidates.forget_poll(id);
+                return self.poll_candidates(now);
+            }
             // The poll is repeated.
             _ => return,
         };
@@ -139,25 +142,23 @@
         self.effects.push(LeasedEffect::Announced(report));
     }
 
-    /// Handles the leave message of a target. The message may be of another writer,
-    /// and the target may run tasks for a moment after it, so its runs end with their
-    /// lease, which is not renewed any more.
-    pub fn target_left(&mut self, name: &WorkerId) {
+    /// Handles the leave message of a target: no run starts there any more. The message
+    /// may be of another writer, and the target may run tasks for a moment after it, so
+    /// runs end with the target's answers or their lease.
+    pub fn target_left(&mut self, name: &WorkerId, now: TimestampMs) {
         if let Some(present) = &mut self.present
             && present.incarnation.name == *name
         {
-            present.has_left = true;
+            present.leave(now);
             self.report_target();
         }
     }
 
-    /// Gives up an incarnation that has left, once its lease has expired.
+    /// Gives up an incarnation that has left, once it is silent and its lease has
+    /// expired.
     pub(super) fn end_left(&mut self, now: TimestampMs) {
-        let has_left = self
-            .present
-            .as_ref()
-            .is_some_and(|present| present.has_left);
-        if has_left && now >= self.lease_expires_ms {
+        let has_left = self.present.as_ref().is_some_and(Present::has_left);
+        if has_left && !self.has_recent_reply(now) && now >= self.lease_expires_ms {
             self.departed = self.newest_announcement().cloned();
             self.lose_present(ChangeReason::Left, now);
         }
@@ -199,6 +200,12 @@
             .as_ref()
             .is_some_and(|replaced| replaced.incarnation.name == present.name);
         let replaced = self.present.replace(next);
+        // Polls of other candidates may have been answered by the replaced incarnation.
+        self.candidates.forget_polls();
+        if has_same_name {
+            // Bars the calls to the replaced incarnation that are still on their way.
+            self.token.0 += 1;
+        }
         let before = self.runs.len();
         if let TargetReply::Polled {
             running,
@@ -253,8 +260,7 @@
     /// Resets what is known of an incarnation, except for its runs.
     fn reset_incarnation(&mut self) {
         self.clock = None;
-        self.is_verified = false;
-        self.granted_until_ms = None;
+        self.verified_ms = None;
         self.last_end = 0;
         self.unstored.clear();
         self.discarding = false;
@@ -283,7 +289,10 @@
                 run.phase = Phase::Running { since_ms: now };
                 run.due_ms = None;
             } else if lists.contains(&run.reference) || run.unanswered_starts > 0 {
-                run.phase = Phase::Stopping { since_ms: None };
+                run.phase = Phase::Stopping {
+                    asked_ms: now,
+                    since_ms: None,
+                };
                 run.due_ms = Some(now);
             } else if lists.rule_out(run) {
                 self.end(key, TaskResult::Interrupted(reason.to_string()));
--- a/crates/lagoonhill_core/src/leased/runs/mod.rs
+++ b/crates/lagoonhill_core/src/leased/runs/mod.rs
@@ -66,8 +66,8 @@
 /// of attempts. A target ignores the repeated start of a run that it has.
 const START_RETRY_MS: DurationMs = DurationMs(25);
 
-/// Time after which an unanswered stop is sent again. The lease is not renewed
-/// before a stop is answered.
+/// Time after which an unanswered stop is sent again: often before the lease ends,
+/// which is not renewed for longer until the stop is accepted.
 const STOP_RETRY_MS: DurationMs = DurationMs(25);
 
 /// Time for which [`LOSSY_POLLS`] are kept in flight after an unanswered call.
@@ -91,7 +91,10 @@
     /// Accepted by the target.
     Running { since_ms: TimestampMs },
     /// Being stopped; `since_ms` is when the target accepted the stop.
-    Stopping { since_ms: Option<TimestampMs> },
+    Stopping {
+        asked_ms: TimestampMs,
+        since_ms: Option<TimestampMs>,
+    },
 }
 
 #[derive(Debug)]
@@ -171,8 +174,6 @@
     clock: Option<TargetClock>,
     /// When every run has ended on the target if the lease is not renewed.
     lease_expires_ms: TimestampMs,
-    /// The last expiry that was granted, on the target's clock.
-    granted_until_ms: Option<TargetTimeMs>,
     /// The highest number among the ends received.
     last_end: u64,
     /// Ends that are not stored yet, by number, with the task if the run is of
@@ -189,8 +190,8 @@
     next_call: u64,
     /// Polls in flight, with the time when each was sent.
     polls: Vec<(CallId, TimestampMs)>,
-    /// Whether the target has answered a poll since the last call without an answer.
-    is_verified: bool,
+    /// When the target last answered a poll; `None` since a call without an answer.
+    verified_ms: Option<TimestampMs>,
     /// Until when the target counts as losing answers.
     lossy_until_ms: TimestampMs,
     last_poll_ms: TimestampMs,
@@ -214,7 +215,6 @@
             clock: None,
             // A predecessor may have granted a lease just now.
             lease_expires_ms: now + on_slow_clock(timing.hold_ms),
-            granted_until_ms: None,
             last_end: 0,
             unstored: BTreeMap::new(),
             discarding: false,
@@ -224,7 +224,7 @@
             calls: HashMap::new(),
             next_call: 0,
             polls: Vec::new(),
-            is_verified: false,
+            verified_ms: None,
             lossy_until_ms: TimestampMs(0),
             last_poll_ms: now,
             last_reply_ms: now,
@@ -298,7 +298,10 @@
             return;
         };
         if !matches!(run.phase, Phase::Stopping { .. }) {
-            run.phase = Phase::Stopping { since_ms: None };
+            run.phase = Phase::Stopping {
+                asked_ms: now,
+                since_ms: None,
+            };
             self.send_stop(key, now);
         }
     }
@@ -307,7 +310,7 @@
         let Some(clock) = self.clock else {
             return;
         };
-        let until_ms = self.start_lease(clock, now);
+        let until_ms = self.grant(clock, now);
         let reply_ms = self.timing.reply_ms;
         let Some(run) = self.runs.get_mut(&key) else {
             return;
@@ -341,31 +344,50 @@
         self.call(Purpose::Stop(key), stop, reply_ms);
     }
 
-    /// Extends the lease and returns its expiry on the target's clock.
-    fn grant(&mut self, clock: TargetClock, now: TimestampMs) -> TargetTimeMs {
+    /// Extends the lease and returns its expiry on the target's clock. While a stop is
+    /// unanswered, the lease ends no later than if it had been renewed last when that
+    /// run was to be stopped, since the run's entry counts on it.
+    fn grant(&mut self, clock: TargetClock, now: TimestampMs) -> Option<TargetTimeMs> {
         let hold_ms = self.timing.hold_ms;
-        self.lease_expires_ms = self.lease_expires_ms.max(now + on_slow_clock(hold_ms));
-        let until_ms = clock.after(hold_ms, now);
-        self.granted_until_ms = Some(until_ms);
-        until_ms
+        let renewed_ms = self.oldest_open_stop().unwrap_or(now);
+        let left_ms = hold_ms.0.checked_sub(now.since(renewed_ms).0)?;
+        let expires_ms = renewed_ms + on_slow_clock(hold_ms);
+        self.lease_expires_ms = self.lease_expires_ms.max(expires_ms);
+        Some(clock.after(DurationMs(left_ms), now))
+    }
+
+    /// When the first of the runs was to be stopped whose stop is not accepted yet.
+    fn oldest_open_stop(&self) -> Option<TimestampMs> {
+        let asked_ms = |run: &Run| match run.phase {
+            Phase::Stopping {
+                asked_ms,
+                since_ms: None,
+            } => Some(asked_ms),
+            _ => None,
+        };
+        self.runs.values().filter_map(asked_ms).min()
     }
 
-    /// Expiry of the lease that a start carries, on the target's clock. `None` if the
-    /// lease has expired and may not be renewed.
-    fn start_lease(&mut self, clock: TargetClock, now: TimestampMs) -> Option<TargetTimeMs> {
-        if self.may_renew() {
-            return Some(self.grant(clock, now));
+    /// Ends runs whose stop the target does not accept, once they have ended there with
+    /// their lease.
+    fn end_unstoppable(&mut self, now: TimestampMs) {
+        if now < self.lease_expires_ms {
+            return;
+        }
+        let is_open = |run: &Run| matches!(run.phase, Phase::Stopping { since_ms: None, .. });
+        let open = self.runs.iter().filter(|(_, run)| is_open(run));
+        let keys: Vec<TaskKey> = open.map(|(key, _)| *key).collect();
+        for key in keys {
+            let why = "its stop was not accepted and its lease has lapsed".to_owned();
+            self.end(key, TaskResult::Interrupted(why));
         }
-        let shown_ms = clock.after(DurationMs::ZERO, now);
-        self.granted_until_ms
-            .filter(|until_ms| *until_ms > shown_ms)
     }
 
     fn poll(&mut self, now: TimestampMs) {
         let has_recent_reply = self.has_recent_reply(now);
-        let may_grant = has_recent_reply && self.foreign.is_empty() && self.may_renew();
+        let may_grant = has_recent_reply && self.foreign.is_empty() && !self.discarding;
         let clock = self.clock.filter(|_| may_grant);
-        let until_ms = clock.map(|clock| self.grant(clock, now));
+        let until_ms = clock.and_then(|clock| self.grant(clock, now));
         // A poll that may reach another incarnation acknowledges nothing, as ends are
         // numbered anew there, and is answered at once.
         let (observed, wait_ms) = match until_ms {
@@ -389,41 +411,28 @@
     }
 
     /// Whether the target may have started again under its name since its last answer
-    /// to a poll: a call has not been answered.
+    /// to a poll: a call was not answered, or a poll sent since is late.
     fn may_have_restarted(&self, now: TimestampMs) -> bool {
-        let late_ms = self.timing.wait_ms + LATE_POLL_MS;
-        let is_late = |(_, sent_ms): &(CallId, TimestampMs)| now.since(*sent_ms) > late_ms;
-        !self.is_verified || self.polls.iter().any(is_late)
+        let Some(verified_ms) = self.verified_ms else {
+            return true;
+        };
+        self.polls
+            .iter()
+            .any(|(_, sent_ms)| *sent_ms >= verified_ms && is_late(self.timing, *sent_ms, now))
     }
 
     /// Whether runs may start: the target is not about to end all of them.
     fn accepts_starts(&self) -> bool {
-        let has_left = self
-            .present
-            .as_ref()
-            .is_some_and(|present| present.has_left);
+        let has_left = self.present.as_ref().is_some_and(Present::has_left);
         !self.discarding && !has_left
     }
 
-    /// Whether the lease is to be renewed. A run that can't be stopped ends with the
-    /// lease, since its entry counts it as over by then.
-    fn may_renew(&self) -> bool {
-        self.accepts_starts() && !self.has_unanswered_stop()
-    }
-
-    fn has_unanswered_stop(&self) -> bool {
-        self.runs
-            .values()
-            .any(|run| matches!(run.phase, Phase::Stopping { since_ms: None }))
-    }
-
     /// Whether fewer polls are in flight than needed.
     fn lacks_poll(&self, now: TimestampMs) -> bool {
-        let late_ms = self.timing.wait_ms + LATE_POLL_MS;
         match self.polls.as_slice() {
             [] => true,
             polls if now < self.lossy_until_ms => polls.len() < LOSSY_POLLS,
-            [(_, sent_ms)] => now.since(*sent_ms) > late_ms,
+            [(_, sent_ms)] => is_late(self.timing, *sent_ms, now),
             _ => false,
         }
     }
@@ -515,7 +524,7 @@
     }
 
     fn call_lost(&mut self, now: TimestampMs) {
-        self.is_verified = false;
+        self.verified_ms = None;
         self.lossy_until_ms = now + LOSSY_POLL_MS;
     }
 
@@ -594,11 +603,17 @@
             return;
         };
         let is_answered = matches!(reply, TargetReply::Stopping(_) | TargetReply::Invalid(_));
-        if let Phase::Stopping { since_ms } = &mut run.phase
+        if let Phase::Stopping { since_ms, .. } = &mut run.phase
             && is_answered
         {
             *since_ms = Some(now);
             run.due_ms = None;
+            // The lease may have been renewed for a short time only.
+            if self.oldest_open_stop().is_none()
+                && now + self.timing.hold_ms / 2 > self.lease_expires_ms
+            {
+                self.poll(now);
+            }
         }
     }
 
@@ -618,7 +633,7 @@
         else {
             return;
         };
-        self.is_verified = true;
+        self.verified_ms = Some(now);
         // A list from before a known end may arrive later and still contain the run.
         let newest = ended.last().map_or(known_end, |end| end.number);
         let is_outdated = newest < self.last_end;
@@ -714,7 +729,7 @@
             let certain_since_ms = match run.phase {
                 Phase::Starting { .. } => return None,
                 Phase::Running { since_ms } => Some(since_ms),
-                Phase::Stopping { since_ms } => since_ms,
+                Phase::Stopping { since_ms, .. } => since_ms,
             };
             let is_known = certain_since_ms.is_some_and(|since_ms| since_ms < polled_ms);
             (is_known && !running.contains(&run.reference)).then_some(*key)
@@ -759,6 +774,7 @@
     pub fn tick(&mut self, now: TimestampMs) {
         self.poll_candidates(now);
         self.end_left(now);
+        self.end_unstoppable(now);
         if self.present.is_none() {
             return;
         }
@@ -793,7 +809,7 @@
         let is_lost = |sent_ms: TimestampMs| now.since(sent_ms) > limit_ms;
         for (id, _) in self.polls.extract_if(.., |(_, sent_ms)| is_lost(*sent_ms)) {
             self.calls.remove(&id);
-            self.is_verified = false;
+            self.verified_ms = None;
             self.lossy_until_ms = now + LOSSY_POLL_MS;
         }
     }
@@ -823,3 +839,8 @@
         std::mem::take(&mut self.effects)
     }
 }
+
+/// Whether the answer to a poll has probably been lost.
+fn is_late(timing: LeaseTiming, sent_ms: TimestampMs, now: TimestampMs) -> bool {
+    now.since(sent_ms) > timing.wait_ms + LATE_POLL_MS
+}
--- a/crates/lagoonhill_core/tests/leased.rs
+++ b/crates/lagoonhill_core/tests/leased.rs
@@ -577,7 +577,7 @@
         assert_eq!(bench.target, None, "an outdated announcement made the target available again");
         assert_eq!(bench.outcome, Some(AnnouncementOutcome::Refuted));
         assert_eq!(bench.runs.incarnation(), Some(&incarnation("target", 5)));
-        bench.runs.target_left(&incarnation("target", 5).name);
+        bench.runs.target_left(&incarnation("target", 5).name, bench.now);
         bench.collect();
         assert!(!bench.announce(announcement(incarnation("target", 5), 10, false)));
         bench.pass(1_000);
@@ -665,25 +665,32 @@
 
     // Guards against two runs of a task at once: a leave message may be of another
     // writer, and a target that sends one may run tasks for a moment after it.
-    a_leave_message_ends_runs_only_with_their_lease => {
+    a_leave_message_ends_no_run_before_its_target_is_silent_and_its_lease_has_expired => {
         let mut bench = Bench::ready();
         let target = incarnation("target", 5);
         let timing = LeaseTiming::default();
-        let key = bench.started(0);
-        bench.answer_polls_as(&target, &[run_ref(0, 1)]);
-        let last_grant = bench.now;
-        bench.runs.target_left(&target.name);
+        let (ending, lost) = (bench.started(0), bench.started(1));
+        bench.runs.target_left(&target.name, bench.now);
         bench.collect();
         assert_eq!(bench.target, None, "a target that has left is offered for work");
+        bench.pass_answering(1_000, &target, &[run_ref(0, 1), run_ref(1, 1)]);
+        assert_eq!(bench.result_of(ending), None, "the target runs it");
+        bench.pass(50);
+        bench.answer_poll(&[run_ref(1, 1)], &[end(1, 0, 1, EndKind::Done)]);
+        assert!(matches!(bench.result_of(ending), Some(TaskResult::Done(_))));
+        let silent_since = bench.now;
+        let mut last_grant = silent_since;
         bench.calls.clear();
-        while bench.result_of(key).is_none() {
+        while bench.result_of(lost).is_none() {
             bench.pass(10);
-            let renews = |call: &Call| matches!(call.what, TargetCall::Poll { until_ms: Some(_), .. });
-            assert!(!bench.calls.iter().any(renews), "the lease was renewed");
-            bench.answer_polls_as(&target, &[run_ref(0, 1)]);
+            let renews = |call: Call| matches!(call.what, TargetCall::Poll { until_ms: Some(_), .. });
+            if bench.calls.drain(..).any(renews) {
+                last_grant = bench.now;
+            }
         }
         let slow_ms = timing.hold_ms.0 * 102 / 100;
         assert!(bench.now.since(last_grant).0 >= slow_ms, "the run ended before its lease");
+        assert!(bench.now.since(silent_since).0 < 1_000, "the run ended long after its lease");
     }
 
     // Guards against a target that is lost for good: after a leave message of another
@@ -691,7 +698,7 @@
     a_target_that_goes_on_after_a_leave_message_is_used_again => {
         let mut bench = Bench::ready();
         let target = incarnation("target", 5);
-        bench.runs.target_left(&target.name);
+        bench.runs.target_left(&target.name, bench.now);
         bench.collect();
         bench.pass_answering(1_500, &target, &[]);
         assert_eq!(bench.target, None, "a target that has left is offered for work");
--- a/crates/lagoonhill_core/tests/support/restarting_target.rs
+++ b/crates/lagoonhill_core/tests/support/restarting_target.rs
@@ -339,7 +339,7 @@
     /// The target sends a leave message, or another writer does.
     pub(crate) fn leave(&mut self) {
         self.runs
-            .target_left(&NAME.parse().expect("the name is valid"));
+            .target_left(&NAME.parse().expect("the name is valid"), self.now);
         self.collect();
     }
 
