--- a/crates/lagoonhill_core/src/leased/runs/incarnations.rs
+++ b/crates/lagoonhill_core/src/leased/runs/incarnations.rs
@@ -131,9 +131,7 @@
         }
         let polled_ms = candidate.polled_ms;
         let next = Present::announced(confirmed, candidate.announcement, now);
-        self.replace_present(next, ChangeReason::Announced, polled_ms, &reply, now);
-        self.take_answer(&reply, now);
-        self.poll_answered(polled_ms, 0, reply, now);
+        self.adopt(next, ChangeReason::Announced, polled_ms, reply, now);
     }
 
     fn report_candidate(&mut self, outcome: AnnouncementOutcome, candidate: &Candidate) {
@@ -178,7 +176,19 @@
         };
         let name = present.incarnation.name.clone();
         let next = Present::undescribed(TargetIncarnation { name, born_ms });
-        self.replace_present(next, ChangeReason::OtherBirthTime, polled_ms, &reply, now);
+        self.adopt(next, ChangeReason::OtherBirthTime, polled_ms, reply, now);
+    }
+
+    /// Handles the answer to a poll by an incarnation that is not the present one yet.
+    fn adopt(
+        &mut self,
+        next: Present,
+        reason: ChangeReason,
+        polled_ms: TimestampMs,
+        reply: TargetReply,
+        now: TimestampMs,
+    ) {
+        self.replace_present(next, reason, polled_ms, &reply, now);
         self.take_answer(&reply, now);
         self.poll_answered(polled_ms, 0, reply, now);
     }
--- a/crates/lagoonhill_core/src/leased/runs/mod.rs
+++ b/crates/lagoonhill_core/src/leased/runs/mod.rs
@@ -806,11 +806,11 @@
     /// Abandons polls whose answers are overdue.
     fn drop_lost_polls(&mut self, now: TimestampMs) {
         let limit_ms = self.timing.wait_ms + self.timing.reply_ms;
-        let is_lost = |sent_ms: TimestampMs| now.since(sent_ms) > limit_ms;
-        for (id, _) in self.polls.extract_if(.., |(_, sent_ms)| is_lost(*sent_ms)) {
+        let is_lost = |(_, sent_ms): &mut (CallId, TimestampMs)| now.since(*sent_ms) > limit_ms;
+        let lost: Vec<(CallId, TimestampMs)> = self.polls.extract_if(.., is_lost).collect();
+        for (id, _) in lost {
             self.calls.remove(&id);
-            self.verified_ms = None;
-            self.lossy_until_ms = now + LOSSY_POLL_MS;
+            self.call_lost(now);
         }
     }
 
--- a/crates/lagoonhill_entry/src/durable_store.rs
+++ b/crates/lagoonhill_entry/src/durable_store.rs
@@ -257,7 +257,7 @@
             Ok(record) => record,
             Err(error) => {
                 warn!(
-                    "{} is no state: {error}; left unchanged, remove it if it is not of this system",
+                    "{} is not a job state: {error}; left unchanged, remove it if it is not of this system",
                     current.key
                 );
                 return ConflictOutcome::Unreadable;
@@ -417,7 +417,7 @@
                 Ok(peer_counts) => peer_counts,
                 Err(error) => {
                     warn!(
-                        "{} holds no counts: {error}; not counted, remove it if it is not of this system",
+                        "{} holds no valid counts: {error}; not counted, remove it if it is not of this system",
                         found.key
                     );
                     continue;
@@ -503,7 +503,7 @@
     pub(crate) async fn take_over(&self, found: &Versioned) -> Option<(RequestKey, DurableJob)> {
         let durable_job = JobRecord::decode(&found.value)
             .inspect_err(|error| {
-                warn!("no takeover, {} is no job: {error}; left unchanged, remove it if it is not of this system", found.key);
+                warn!("no takeover, {} is not a job record: {error}; left unchanged, remove it if it is not of this system", found.key);
             })
             .ok()?;
         let name = durable_job.submission.name()?;
@@ -521,7 +521,7 @@
         };
         let state: StateForm = serde_json::from_slice(&current.value)
             .inspect_err(|error| {
-                warn!("no takeover of {name}, {key} is no state: {error}; left unchanged, remove it if the job is not to be run");
+                warn!("no takeover of {name}, {key} is not a job state: {error}; left unchanged, remove it if the job is not to be run");
             })
             .ok()?;
         if state.state != RecordedState::Open {
--- a/crates/lagoonhill_platform/src/http.rs
+++ b/crates/lagoonhill_platform/src/http.rs
@@ -75,7 +75,7 @@
             .map_err(|_| StoreUnavailable("timed out".to_owned()))?
             .map_err(|error| StoreUnavailable(error.to_string()))?
             .to_bytes();
-        // Bytes that are no text spoil only the item that they are in.
+        // Bytes that are not UTF-8 invalidate only the item that they are in.
         serde_json::from_str(&String::from_utf8_lossy(&bytes))
             .map_err(|error| StoreUnavailable(error.to_string()))
     }
--- a/crates/lagoonhill_platform/src/wire.rs
+++ b/crates/lagoonhill_platform/src/wire.rs
@@ -57,7 +57,7 @@
     }
 }
 
-/// Reads elements one by one; an odd one of another writer is logged and skipped.
+/// Reads elements one by one; a malformed one is logged and skipped.
 fn readable<'de, T, D>(deserializer: D) -> Result<Vec<T>, D::Error>
 where
     T: DeserializeOwned,
@@ -69,7 +69,7 @@
         decoded
             .inspect_err(|error| {
                 let quoted: String = element.get().chars().take(MAX_QUOTED).collect();
-                warn!("skipped an odd item of the store: {quoted}: {error}; remove it if it is not of this system");
+                warn!("skipped a malformed item of the store: {quoted}: {error}; remove it if it is not of this system");
             })
             .ok()
     };
