Agent: log and count what becomes of the ends of durable runs

The log of an agent told that a run had ended, but not whether its entry had stored or discarded the end, so a target that lists an end for ever could not be traced to the agent or to the entry. Each resolved end is now a decision line, end-stored or end-discarded, with the run, the time since its report and the number of ends that are still open; a counter and a gauge go with them.

--- a/crates/lagoonhill_agent/src/control.rs
+++ b/crates/lagoonhill_agent/src/control.rs
@@ -5,7 +5,7 @@
 use std::ops::ControlFlow;
 use std::sync::mpsc::Sender;
 
-use lagoonhill_core::agent::{Agent, AgentEffect, TaskKey};
+use lagoonhill_core::agent::{Agent, AgentEffect, TaskKey, UnstoredEnd};
 use lagoonhill_core::leased::{AnnouncementReport, TargetChange};
 use lagoonhill_daemon::ControlState;
 use lagoonhill_link::Link;
@@ -25,6 +25,7 @@
     pub(crate) leaving: bool,
     pub(crate) held: usize,
     pub(crate) running: u16,
+    pub(crate) unstored_ends: usize,
     pub(crate) sessions: usize,
     pub(crate) entries: Vec<EntryAddress>,
     pub(crate) rules_revision: Revision,
@@ -118,8 +119,14 @@
                     info!(target: "decision", "{} stopping", self.describe_run(key));
                     self.runner.stop(key, now);
                 }
-                AgentEffect::EndStored { key } => self.runner.end_stored(key, now),
-                AgentEffect::DiscardEnd { key } => self.runner.end_discarded(key),
+                AgentEffect::EndStored { end } => {
+                    self.log_resolved_end(&end, "end-stored", now);
+                    self.runner.end_stored(end.key, now);
+                }
+                AgentEffect::DiscardEnd { end } => {
+                    self.log_resolved_end(&end, "end-discarded", now);
+                    self.runner.end_discarded(end.key);
+                }
                 AgentEffect::ZoneDrain { drain } => {
                     info!(target: "decision", "{drain} source=entry");
                 }
@@ -140,6 +147,7 @@
             leaving: self.agent.is_leaving(),
             held: self.agent.held(),
             running: self.agent.running(),
+            unstored_ends: self.agent.unstored_ends(),
             sessions: self.agent.entries().filter(|(_, open)| *open).count(),
             entries: self.agent.entries().map(|(address, _)| *address).collect(),
             rules_revision: self.agent.rules().revision,
@@ -176,6 +184,18 @@
         }
     }
 
+    /// Logs what became of a durable run's end, and how many ends are still unstored.
+    fn log_resolved_end(&self, end: &UnstoredEnd, event: &'static str, now: TimestampMs) {
+        let waited_ms = now.since(end.reported_ms);
+        self.metrics.end_resolved(event);
+        info!(
+            target: "decision",
+            "{end} {event} run={} waited={waited_ms} unstored={}",
+            end.run,
+            self.agent.unstored_ends()
+        );
+    }
+
     fn take_reports(&mut self, now: TimestampMs) {
         for report in self.runner.poll_reports() {
             match report {
--- a/crates/lagoonhill_agent/src/metrics.rs
+++ b/crates/lagoonhill_agent/src/metrics.rs
@@ -15,7 +15,9 @@
     announcements: IntCounterVec,
     target_changes: IntCounterVec,
     interrupted: IntCounterVec,
+    resolved_ends: IntCounterVec,
     held: IntGauge,
+    unstored_ends: IntGauge,
     running: IntGauge,
     sessions: IntGauge,
     rules_revision: IntGauge,
@@ -56,6 +58,15 @@
                 "Runs reported as interrupted when the target's incarnation changed, by what told so.",
                 "reason",
             ),
+            resolved_ends: meters.counters(
+                "lagoonhill_resolved_ends_total",
+                "Ends of durable jobs' runs that their entries have resolved, by what became of them.",
+                "outcome",
+            ),
+            unstored_ends: meters.gauge(
+                "lagoonhill_unstored_ends",
+                "Ends of durable jobs' runs that their entries have not stored yet. The target keeps listing them.",
+            ),
             held: meters.gauge("lagoonhill_held_tasks", "Tasks waiting or running here."),
             running: meters.gauge("lagoonhill_running_tasks", "Tasks at the target."),
             sessions: meters.gauge("lagoonhill_sessions", "Entries with an open session."),
@@ -88,6 +99,11 @@
             .observe(ran_ms.as_secs_f64());
     }
 
+    /// Counts the end of a durable run that its entry has stored or discarded.
+    pub(crate) fn end_resolved(&self, outcome: &str) {
+        self.resolved_ends.with_label_values(&[outcome]).inc();
+    }
+
     /// Counts an announcement of a target.
     pub(crate) fn announced(&self, outcome: &str) {
         self.announcements.with_label_values(&[outcome]).inc();
@@ -106,6 +122,7 @@
         let gauge =
             |gauge: &IntGauge, value: usize| gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
         gauge(&self.held, status.held);
+        gauge(&self.unstored_ends, status.unstored_ends);
         gauge(&self.running, usize::from(status.running));
         gauge(&self.sessions, status.sessions);
         self.rules_revision
--- a/crates/lagoonhill_core/src/agent/effect.rs
+++ b/crates/lagoonhill_core/src/agent/effect.rs
@@ -5,7 +5,7 @@
 use lagoonhill_protocol::{Packet, Start, Target};
 use lagoonhill_rules::ZoneDrain;
 
-use super::TaskKey;
+use super::{TaskKey, UnstoredEnd};
 
 /// An action for the agent's daemon to carry out.
 #[derive(Debug)]
@@ -43,13 +43,13 @@
     },
     /// Acknowledge the end of a run, which is stored; the target may drop it.
     EndStored {
-        /// The run.
-        key: TaskKey,
+        /// The end.
+        end: UnstoredEnd,
     },
     /// Discard the end of a run, which will never be stored and must not count.
     DiscardEnd {
-        /// The run.
-        key: TaskKey,
+        /// The end.
+        end: UnstoredEnd,
     },
     /// The drain of the agent's zone came into force, or ended.
     ZoneDrain {
--- a/crates/lagoonhill_core/src/agent/machine/mod.rs
+++ b/crates/lagoonhill_core/src/agent/machine/mod.rs
@@ -9,13 +9,15 @@
 use std::net::SocketAddr;
 
 use lagoonhill_protocol::{
-    EntryAddress, Load, Message, NotRunReason, Packet, SessionId, Speed, Start, Target,
+    EntryAddress, Load, Message, NotRunReason, Packet, Speed, Start, Target,
 };
 use lagoonhill_rules::RuleSet;
 use lagoonhill_types::prelude::*;
 use slotmap::SlotMap;
 
-use super::{AgentEffect, EntryKey, EntryLink, HeldTask, TargetSpeed, TaskKey, TaskPhase};
+use super::{
+    AgentEffect, EntryKey, EntryLink, HeldTask, TargetSpeed, TaskKey, TaskPhase, UnstoredEnd,
+};
 use crate::{
     DrainSync, FrameHeader, Heartbeat, RulesSync, Session, Timing, estimated_slowness,
     overdue_after,
@@ -148,6 +150,11 @@
         self.tasks.len()
     }
 
+    /// Number of ends of durable jobs' runs that their entries have not stored yet.
+    pub fn unstored_ends(&self) -> usize {
+        self.unstored_ends.len()
+    }
+
     /// The known entries, each with whether its session is open.
     pub fn entries(&self) -> impl Iterator<Item = (&EntryAddress, bool)> {
         self.entries
@@ -312,9 +319,3 @@
         }
     }
 }
-
-#[derive(Clone, Copy, Debug)]
-struct UnstoredEnd {
-    key: TaskKey,
-    session: SessionId,
-}
--- a/crates/lagoonhill_core/src/agent/machine/tasks.rs
+++ b/crates/lagoonhill_core/src/agent/machine/tasks.rs
@@ -3,9 +3,9 @@
 use lagoonhill_protocol::{Message, NotRunReason, Outcome, Start, Target, TaskResult};
 use lagoonhill_types::prelude::*;
 
-use super::{Agent, UnstoredEnd};
+use super::Agent;
 use crate::Session;
-use crate::agent::{AgentEffect, EntryKey, HeldTask, TaskKey, TaskPhase};
+use crate::agent::{AgentEffect, EntryKey, HeldTask, TaskKey, TaskPhase, UnstoredEnd};
 
 /// Most failed jobs that are counted.
 const MAX_FAILED_JOBS: usize = 16;
@@ -34,38 +34,37 @@
             TaskResult::NotRun(_) => DurationMs::ZERO,
             _ => now.since(started_ms),
         };
-        self.track_end(key, &task, &result);
+        self.track_end(key, &task, &result, now);
         self.report(&task, run_ms, result);
         self.start_waiting(now);
     }
 
     /// Records the end of a durable job's run until its entry has stored it.
     /// Without the session that dispatched it, it is never stored: it is discarded.
-    fn track_end(&mut self, key: TaskKey, task: &HeldTask, result: &TaskResult) {
+    fn track_end(&mut self, key: TaskKey, task: &HeldTask, result: &TaskResult, now: TimestampMs) {
         let must_store = matches!(result, TaskResult::Done(_) | TaskResult::Failed(_));
         if !task.start.durable || !must_store {
             return;
         }
+        let end = UnstoredEnd::new(key, task.session, &task.start, now);
         let session = self
             .entries
             .get(task.entry)
             .and_then(|link| link.session.as_ref());
         if session.is_some_and(|open| open.id() == task.session) {
-            let session = task.session;
-            self.unstored_ends
-                .insert(task.start.task, UnstoredEnd { key, session });
+            self.unstored_ends.insert(task.start.task, end);
         } else {
-            self.effects.push(AgentEffect::DiscardEnd { key });
+            self.effects.push(AgentEffect::DiscardEnd { end });
         }
     }
 
     pub(super) fn resolve_ends(&mut self, tasks: &[TaskId], is_stored: bool) {
         for task in tasks {
-            if let Some(UnstoredEnd { key, .. }) = self.unstored_ends.remove(task) {
+            if let Some(end) = self.unstored_ends.remove(task) {
                 self.effects.push(if is_stored {
-                    AgentEffect::EndStored { key }
+                    AgentEffect::EndStored { end }
                 } else {
-                    AgentEffect::DiscardEnd { key }
+                    AgentEffect::DiscardEnd { end }
                 });
             }
         }
--- a/crates/lagoonhill_core/src/agent/mod.rs
+++ b/crates/lagoonhill_core/src/agent/mod.rs
@@ -5,9 +5,11 @@
 mod link;
 mod machine;
 mod target_speed;
+mod unstored_end;
 
 pub use effect::AgentEffect;
 pub use held_task::{HeldTask, TaskKey, TaskPhase};
 pub use link::{EntryKey, EntryLink};
 pub use machine::{Agent, AgentConfig};
 pub use target_speed::TargetSpeed;
+pub use unstored_end::UnstoredEnd;
--- a/crates/lagoonhill_standin/src/world.rs
+++ b/crates/lagoonhill_standin/src/world.rs
@@ -961,13 +961,13 @@
             AgentEffect::Disconnect { .. }
             | AgentEffect::Drained
             | AgentEffect::ZoneDrain { .. } => {}
-            AgentEffect::EndStored { key } => {
-                if let Some(payload) = self.run_payloads.remove(&(index, key)) {
+            AgentEffect::EndStored { end } => {
+                if let Some(payload) = self.run_payloads.remove(&(index, end.key)) {
                     *self.acknowledged_ends.entry(payload).or_default() += 1;
                 }
             }
-            AgentEffect::DiscardEnd { key } => {
-                if let Some(payload) = self.run_payloads.remove(&(index, key)) {
+            AgentEffect::DiscardEnd { end } => {
+                if let Some(payload) = self.run_payloads.remove(&(index, end.key)) {
                     *self.discarded_ends.entry(payload).or_default() += 1;
                 }
             }
