Agent: resolve the ends of a task in the order of their reports

Cause: ends that wait to be stored were kept by task. The second end of a task replaced the first; the entry's answer to the first, which names the task, resolved the second, and the answer to the second resolved nothing. The first end was held for ever, and no later one was acknowledged. A second effect was hidden by this: the second end counted as stored before it was.

The agent now keeps all ends of a task and resolves the oldest. An entry answers each reported end of a session once, those of a task in order, and a session delivers exactly once and in order, so this is the end that was stored. No message changes.

--- a/crates/lagoonhill_core/src/agent/machine/mod.rs
+++ b/crates/lagoonhill_core/src/agent/machine/mod.rs
@@ -16,7 +16,7 @@
 use slotmap::SlotMap;
 
 use super::{
-    AgentEffect, EntryKey, EntryLink, HeldTask, TargetSpeed, TaskKey, TaskPhase, UnstoredEnd,
+    AgentEffect, EntryKey, EntryLink, HeldTask, TargetSpeed, TaskKey, TaskPhase, UnstoredEnds,
 };
 use crate::{
     DrainSync, FrameHeader, Heartbeat, RulesSync, Session, Timing, estimated_slowness,
@@ -62,7 +62,7 @@
     /// Resources of the target that the running tasks use.
     used: Resources,
     /// Ends of durable jobs' runs that their entries have not stored yet.
-    unstored_ends: HashMap<TaskId, UnstoredEnd>,
+    unstored_ends: UnstoredEnds,
     rules: RulesSync,
     drains: DrainSync,
     rules_installed_ms: TimestampMs,
@@ -90,7 +90,7 @@
             waiting: VecDeque::new(),
             running: 0,
             used: Resources::default(),
-            unstored_ends: HashMap::new(),
+            unstored_ends: UnstoredEnds::default(),
             rules: RulesSync::default(),
             drains: DrainSync::default(),
             rules_installed_ms: TimestampMs(0),
--- a/crates/lagoonhill_core/src/agent/machine/sessions.rs
+++ b/crates/lagoonhill_core/src/agent/machine/sessions.rs
@@ -232,12 +232,9 @@
         for task_key in ended {
             self.drop_or_stop(task_key);
         }
-        let unstored = self.unstored_ends.iter();
-        let discarded: Vec<TaskId> = unstored
-            .filter(|(_, end)| end.session == id)
-            .map(|(task, _)| *task)
-            .collect();
-        self.resolve_ends(&discarded, false);
+        let discarded = self.unstored_ends.remove_session(id).into_iter();
+        self.effects
+            .extend(discarded.map(|end| AgentEffect::DiscardEnd { end }));
         self.start_waiting(now);
     }
 
--- a/crates/lagoonhill_core/src/agent/machine/tasks.rs
+++ b/crates/lagoonhill_core/src/agent/machine/tasks.rs
@@ -52,15 +52,17 @@
             .get(task.entry)
             .and_then(|link| link.session.as_ref());
         if session.is_some_and(|open| open.id() == task.session) {
-            self.unstored_ends.insert(task.start.task, end);
+            self.unstored_ends.push(end);
         } else {
             self.effects.push(AgentEffect::DiscardEnd { end });
         }
     }
 
+    /// Handles that an entry has stored, or will never store, the oldest open end of
+    /// each of these tasks.
     pub(super) fn resolve_ends(&mut self, tasks: &[TaskId], is_stored: bool) {
         for task in tasks {
-            if let Some(end) = self.unstored_ends.remove(task) {
+            if let Some(end) = self.unstored_ends.pop_oldest(*task) {
                 self.effects.push(if is_stored {
                     AgentEffect::EndStored { end }
                 } else {
--- a/crates/lagoonhill_core/src/agent/mod.rs
+++ b/crates/lagoonhill_core/src/agent/mod.rs
@@ -6,6 +6,7 @@
 mod machine;
 mod target_speed;
 mod unstored_end;
+mod unstored_ends;
 
 pub use effect::AgentEffect;
 pub use held_task::{HeldTask, TaskKey, TaskPhase};
@@ -13,3 +14,4 @@
 pub use machine::{Agent, AgentConfig};
 pub use target_speed::TargetSpeed;
 pub use unstored_end::UnstoredEnd;
+pub use unstored_ends::UnstoredEnds;
