Entry: tell abandoned ends by their dispatched tasks, not by a bounded list

Entries told such ends by a list of 20,000 abandoned jobs; an entry that lost its ownership with more open jobs than that would have answered ends of the oldest as stored. Not reproduced: the simulated world takes over ten minutes for that many jobs.

Abandoning a job now marks its dispatched tasks, which the entry holds until their outcomes in any case, so there is no limit and no list. The test an_end_that_crosses_the_abandonment_of_its_job_is_discarded guards the behaviour; it passed before, with few jobs.

--- a/crates/lagoonhill_core/src/entry/machine/dispatch.rs
+++ b/crates/lagoonhill_core/src/entry/machine/dispatch.rs
@@ -307,6 +307,7 @@
             declared_ms,
             is_withdrawn: false,
             durable: self.jobs[key].is_durable(),
+            is_abandoned: false,
         };
         let nominal_ms = expected_ms;
         let work = Work::of(1, nominal_ms, next.needs.processors);
--- a/crates/lagoonhill_core/src/entry/machine/durable_jobs.rs
+++ b/crates/lagoonhill_core/src/entry/machine/durable_jobs.rs
@@ -18,10 +18,6 @@
 };
 use crate::on_slow_clock;
 
-/// Abandoned jobs that are remembered, so that late ends of their tasks are
-/// discarded and not acknowledged.
-const MAX_ABANDONED_JOBS: usize = 20_000;
-
 /// Delay before ends are stored together. Most jobs are over by then, which saves
 /// one call to the store.
 const SAVE_DELAY_MS: DurationMs = DurationMs(80);
@@ -291,9 +287,15 @@
         self.store_next(key);
     }
 
-    /// Answers a task's end whose job is no longer at this entry.
-    pub(super) fn answer_unknown_end(&mut self, task: TaskId, worker: WorkerKey) {
-        let message = if self.abandoned_jobs.contains(&task.job) {
+    /// Answers a task's end whose job is no longer at this entry: it is over, or was
+    /// abandoned before its end was stored.
+    pub(super) fn answer_unknown_end(
+        &mut self,
+        task: TaskId,
+        worker: WorkerKey,
+        is_abandoned: bool,
+    ) {
+        let message = if is_abandoned {
             Message::EndsDiscarded(vec![task])
         } else {
             Message::EndsStored(vec![task])
@@ -399,26 +401,24 @@
         };
         let kind = DecisionKind::Abandoned { state };
         self.log_decision_for_request(now, Some(job.plan.id), job.name(), None, kind);
+        let is_open = state == DurableJobState::Open;
+        if is_open {
+            for worker in job.workers() {
+                if let Some(worker) = self.fleet.get_mut(worker) {
+                    worker.mark_abandoned(job.plan.id);
+                }
+            }
+        }
         let Some(durable) = job.durable else {
             return;
         };
-        if state == DurableJobState::Open {
-            self.remember_abandoned(job.plan.id);
-        }
         for (task, worker) in durable
             .pending_ends
             .into_iter()
             .chain(durable.unstored_ends)
         {
-            self.answer_unknown_end(task, worker);
-        }
-    }
-
-    fn remember_abandoned(&mut self, id: JobId) {
-        if self.abandoned_jobs.len() >= MAX_ABANDONED_JOBS {
-            self.abandoned_jobs.pop_first();
+            self.answer_unknown_end(task, worker, is_open);
         }
-        self.abandoned_jobs.insert(id);
     }
 
     /// Abandons all accepted durable jobs once the confirmed ownership has expired:
--- a/crates/lagoonhill_core/src/entry/machine/mod.rs
+++ b/crates/lagoonhill_core/src/entry/machine/mod.rs
@@ -55,8 +55,6 @@
     durable_jobs: HashMap<RequestKey, JobKey>,
     /// Durable jobs whose progress is to be stored, by due time.
     saves_due: BTreeSet<(TimestampMs, JobKey)>,
-    /// Durable jobs abandoned because another entry owns them or may own them.
-    abandoned_jobs: BTreeSet<JobId>,
     /// Until when the store has confirmed that this entry owns its durable jobs.
     owned_until_ms: TimestampMs,
     usage: HashMap<TeamName, TeamUsage>,
@@ -95,7 +93,6 @@
             in_doubt: BTreeSet::new(),
             durable_jobs: HashMap::new(),
             saves_due: BTreeSet::new(),
-            abandoned_jobs: BTreeSet::new(),
             owned_until_ms: TimestampMs(0),
             usage: HashMap::new(),
             last_rush_ms: HashMap::new(),
--- a/crates/lagoonhill_core/src/entry/machine/outcomes.rs
+++ b/crates/lagoonhill_core/src/entry/machine/outcomes.rs
@@ -31,7 +31,7 @@
             dispatched.durable && matches!(result, TaskResult::Done(_) | TaskResult::Failed(_));
         let Some(&job_key) = self.by_job.get(&task.job) else {
             if must_store {
-                self.answer_unknown_end(task, key);
+                self.answer_unknown_end(task, key, dispatched.is_abandoned);
             }
             return;
         };
--- a/crates/lagoonhill_core/src/entry/worker.rs
+++ b/crates/lagoonhill_core/src/entry/worker.rs
@@ -64,6 +64,8 @@
     pub is_withdrawn: bool,
     /// Whether its job is durable, so that its end must be stored.
     pub durable: bool,
+    /// Whether this entry has abandoned its job, so that its end is never stored.
+    pub is_abandoned: bool,
 }
 
 /// Multiple of the expected run time after which a task is late.
@@ -204,6 +206,13 @@
         Some(dispatched)
     }
 
+    /// Marks the tasks of a job as abandoned.
+    pub fn mark_abandoned(&mut self, job: JobId) {
+        for (task, dispatched) in &mut self.dispatched_tasks {
+            dispatched.is_abandoned |= task.job == job;
+        }
+    }
+
     /// Marks a task as withdrawn.
     pub fn mark_withdrawn(&mut self, task: TaskId) {
         if let Some(dispatched) = self.dispatched_tasks.get_mut(&task) {
--- a/crates/lagoonhill_core/tests/durable_jobs.rs
+++ b/crates/lagoonhill_core/tests/durable_jobs.rs
@@ -237,6 +237,26 @@
         assert_eq!(world.started_after_stored_end, 0);
     }
 
+    // Guards against a task that runs again although its successful end was
+    // acknowledged: it ends while the order to stop it is on its way, after its entry
+    // has lost its ownership.
+    an_end_that_crosses_the_abandonment_of_its_job_is_discarded => {
+        let mut world = fleet(2, 1, 11);
+        let lapse_ms = 2_000;
+        world.extend_ownership(0, lapse_ms);
+        world.run_for(5);
+        for number in 0..4 {
+            let run_ms = lapse_ms - 10 + 2 * number;
+            world.submit_durable(0, simple(&format!("crossing{number}"), 1, run_ms));
+        }
+        world.run_for(lapse_ms + 600);
+        let discarded = world.discarded_ends.len();
+        assert!(discarded > 0, "no run ended while it was abandoned");
+        world.take_over(0, 1);
+        world.run_for(30_000);
+        assert_eq!(world.started_after_stored_end, 0, "a task with an acknowledged end ran again");
+    }
+
     a_cancelled_job_stops_and_stays_cancelled => {
         let mut world = fleet(2, 1, 8);
         world.submit_durable(0, simple("cancelled", 6, 2_000));
