Entry: tell its own attempt to store a job from an earlier request

Cause: when the store had a job of the name already, open and this entry's, the entry took that for an earlier attempt of the same write whose answer had been lost. The stored state named only the owner, so a job that the entry had abandoned when its ownership expired, and had not searched for since, looked the same.

Evidence: the log of the case admits the job and places its first task under the run number that it had before.

Each write that makes an entry the owner of a job now carries a random claim in the state key. Only the same claim is an earlier attempt; otherwise the caller is told that the job is accepted, and the entry searches for its own jobs within a second and goes on from the stored progress. The field is optional: states of earlier releases are read, and earlier releases ignore it.

The same symptom had a second path: the answer to a write of an abandoned job was taken for that of the next job of the name, and such a write was sent with the newest known revision, so it could replace what the entry had stored since. Requests to the store have numbers now, and a write is dropped unless its owner's epoch still holds.

--- a/crates/lagoonhill_core/src/entry/durable_job.rs
+++ b/crates/lagoonhill_core/src/entry/durable_job.rs
@@ -5,7 +5,7 @@
 
 use lagoonhill_types::prelude::*;
 
-use super::{Submission, WorkerKey};
+use super::{StoreWriteId, Submission, WorkerKey};
 
 /// State of a durable job in the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -76,15 +76,13 @@
     Unknown,
 }
 
-/// Kind of the request about a job that is in flight.
+/// The request about a job that is in flight.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PendingWrite {
-    /// No request is in flight.
-    Nothing,
-    /// The new job or its progress.
-    Progress,
-    /// The final state.
-    End,
+pub struct PendingWrite {
+    /// Identifies the request.
+    pub id: StoreWriteId,
+    /// Whether it stores the final state, rather than the new job or its progress.
+    pub is_end: bool,
 }
 
 /// State of a durable job at its owner.
@@ -96,8 +94,8 @@
     pub epoch: u32,
     /// Whether the job has been stored.
     pub is_stored: bool,
-    /// Request that is in flight.
-    pub pending_write: PendingWrite,
+    /// Request that is in flight, if any.
+    pub pending_write: Option<PendingWrite>,
     /// Whether there is progress that no request covers.
     pub dirty: bool,
     /// Final state, once it is decided.
@@ -115,7 +113,7 @@
             submission,
             epoch,
             is_stored,
-            pending_write: PendingWrite::Nothing,
+            pending_write: None,
             dirty: false,
             final_state: None,
             unstored_ends: Vec::new(),
--- a/crates/lagoonhill_core/src/entry/effect.rs
+++ b/crates/lagoonhill_core/src/entry/effect.rs
@@ -5,7 +5,7 @@
 use lagoonhill_protocol::{EntryAddress, Packet};
 use lagoonhill_types::prelude::*;
 
-use super::{Answer, CallerId, Decision, StoreRequest};
+use super::{Answer, CallerId, Decision, StoreWrite};
 
 /// Action that the entry asks its daemon to carry out.
 #[derive(Debug)]
@@ -49,12 +49,7 @@
     },
     /// Store something about a durable job, and report the outcome with
     /// [`super::Entry::on_stored`].
-    Store {
-        /// Name that the caller gave to the job.
-        name: RequestKey,
-        /// What to store.
-        request: StoreRequest,
-    },
+    Store(StoreWrite),
     /// Log a decision.
     LogDecision(Decision),
 }
--- a/crates/lagoonhill_core/src/entry/machine/durable_jobs.rs
+++ b/crates/lagoonhill_core/src/entry/machine/durable_jobs.rs
@@ -14,7 +14,7 @@
 use crate::entry::{
     Answer, CallerId, Cause, DecisionKind, DurableJob, DurableJobState, DurableState, EntryEffect,
     Job, JobFailure, JobKey, PendingWrite, Placement, RunCertainty, StoreOutcome, StoreRequest,
-    Submission, WorkerKey,
+    StoreWrite, StoreWriteId, Submission, WorkerKey,
 };
 use crate::on_slow_clock;
 
@@ -110,8 +110,15 @@
         }
     }
 
-    /// Handles the result of a request to the store.
-    pub fn on_stored(&mut self, name: &RequestKey, outcome: StoreOutcome, now: TimestampMs) {
+    /// Handles the result of a request to the store. That of an earlier job of the same
+    /// name, which this entry has abandoned, is ignored.
+    pub fn on_stored(
+        &mut self,
+        name: &RequestKey,
+        id: StoreWriteId,
+        outcome: StoreOutcome,
+        now: TimestampMs,
+    ) {
         let Some(&key) = self.durable_jobs.get(name) else {
             return;
         };
@@ -119,8 +126,10 @@
         let Some(durable) = &mut job.durable else {
             return;
         };
-        let is_end = std::mem::replace(&mut durable.pending_write, PendingWrite::Nothing)
-            == PendingWrite::End;
+        let Some(PendingWrite { is_end, .. }) = durable.pending_write.take_if(|it| it.id == id)
+        else {
+            return;
+        };
         if !durable.is_stored {
             return self.on_accept_stored(key, outcome, now);
         }
@@ -331,27 +340,34 @@
         let (Some(durable), Some(name)) = (&mut job.durable, name) else {
             return;
         };
-        if durable.pending_write != PendingWrite::Nothing || durable.is_stored && !durable.dirty {
+        if durable.pending_write.is_some() || durable.is_stored && !durable.dirty {
             return;
         }
-        durable.pending_write = if durable.is_stored && durable.final_state.is_some() {
-            PendingWrite::End
-        } else {
-            PendingWrite::Progress
-        };
+        self.store_writes += 1;
+        let id = StoreWriteId(self.store_writes);
+        durable.pending_write = Some(PendingWrite {
+            id,
+            is_end: durable.is_stored && durable.final_state.is_some(),
+        });
         durable.dirty = false;
         durable.pending_ends.append(&mut durable.unstored_ends);
+        let epoch = durable.epoch;
         let record = DurableJob {
             submission: Arc::clone(&durable.submission),
             progress,
-            epoch: durable.epoch,
+            epoch,
         };
         let request = match durable.final_state {
             _ if !durable.is_stored => StoreRequest::Accept(record),
             Some(state) => StoreRequest::Finish(state),
             None => StoreRequest::Save(record),
         };
-        self.effects.push(EntryEffect::Store { name, request });
+        self.effects.push(EntryEffect::Store(StoreWrite {
+            id,
+            name,
+            epoch,
+            request,
+        }));
     }
 
     fn push_message(&mut self, worker: WorkerKey, message: Message) {
--- a/crates/lagoonhill_core/src/entry/machine/mod.rs
+++ b/crates/lagoonhill_core/src/entry/machine/mod.rs
@@ -53,6 +53,8 @@
     in_doubt: BTreeSet<(TimestampMs, JobKey, TaskIndex)>,
     /// Durable jobs, by the names that their callers gave them.
     durable_jobs: HashMap<RequestKey, JobKey>,
+    /// Number of requests to the store so far.
+    store_writes: u64,
     /// Durable jobs whose progress is to be stored, by due time.
     saves_due: BTreeSet<(TimestampMs, JobKey)>,
     /// Until when the store has confirmed that this entry owns its durable jobs.
@@ -92,6 +94,7 @@
             due: BTreeSet::new(),
             in_doubt: BTreeSet::new(),
             durable_jobs: HashMap::new(),
+            store_writes: 0,
             saves_due: BTreeSet::new(),
             owned_until_ms: TimestampMs(0),
             usage: HashMap::new(),
--- a/crates/lagoonhill_core/tests/durable_jobs.rs
+++ b/crates/lagoonhill_core/tests/durable_jobs.rs
@@ -257,6 +257,31 @@
         assert_eq!(world.started_after_stored_end, 0, "a task with an acknowledged end ran again");
     }
 
+    // Guards against a second run of tasks that are done: the owner abandons a job while
+    // the answer to its last write is on its way, and the caller submits the job again.
+    the_answer_to_an_abandoned_jobs_write_does_not_accept_the_next_submission => {
+        let mut world = fleet(1, 1, 12);
+        world.extend_ownership(0, 1_000);
+        let steps = || vec![step(1, &[], 100), step(1, &[0], 3_000)];
+        world.submit_durable(0, job("repeated", steps()));
+        world.run_for(50);
+        // The progress of the first step is stored in time, its answer comes late.
+        world.durable_jobs.answer_delay_ms = 1_500;
+        world.run_for(1_200);
+        world.extend_ownership(0, 600_000);
+        let caller = world.submit_durable(0, job("repeated", steps()));
+        world.run_for(3_000);
+        assert!(is_complete(&world, caller), "the repeated submission was not answered");
+        world.durable_jobs.answer_delay_ms = 0;
+        world.take_over(0, 0);
+        world.run_for(20_000);
+        assert_eq!(world.durable_jobs.state(&name("repeated")), Some(DurableJobState::Complete));
+        let first_step = world.starts.iter().filter(|(payload, _)| {
+            String::from_utf8_lossy(payload.as_slice()).contains("repeated 0")
+        });
+        assert!(first_step.into_iter().all(|(_, count)| *count == 1), "a task that is done ran again");
+    }
+
     a_cancelled_job_stops_and_stays_cancelled => {
         let mut world = fleet(2, 1, 8);
         world.submit_durable(0, simple("cancelled", 6, 2_000));
--- a/crates/lagoonhill_entry/src/control.rs
+++ b/crates/lagoonhill_entry/src/control.rs
@@ -4,7 +4,7 @@
 
 use lagoonhill_core::entry::{
     Answer, CallerId, Decision, DrainSource, DurableJob, Entry, EntryEffect, EntryStatus,
-    KeyBinding, Placement, StoreOutcome, StoreRequest, Submission,
+    KeyBinding, Placement, StoreOutcome, StoreWrite, StoreWriteId, Submission,
 };
 use lagoonhill_daemon::ControlState;
 use lagoonhill_link::Link;
@@ -67,6 +67,7 @@
     },
     Stored {
         name: RequestKey,
+        id: StoreWriteId,
         stored: StoreOutcome,
     },
     OwnedUntil(TimestampMs),
@@ -112,7 +113,7 @@
     link: L,
     metrics: Metrics,
     keys_to_bind: mpsc::UnboundedSender<RequestKey>,
-    durable_writes: mpsc::UnboundedSender<(RequestKey, StoreRequest)>,
+    durable_writes: mpsc::UnboundedSender<StoreWrite>,
     callers: HashMap<CallerId, oneshot::Sender<CallerReply>>,
     decisions: VecDeque<Decision>,
     rules: watch::Sender<Arc<RuleSet>>,
@@ -152,7 +153,9 @@
                 let _ = reply.send(self.entry.issue_tickets(count, now));
             }
             ControlEvent::KeyBound { key, binding } => self.entry.on_key_bound(key, binding, now),
-            ControlEvent::Stored { name, stored } => self.entry.on_stored(&name, stored, now),
+            ControlEvent::Stored { name, id, stored } => {
+                self.entry.on_stored(&name, id, stored, now);
+            }
             ControlEvent::OwnedUntil(until_ms) => self.entry.set_ownership_expiry(until_ms),
             ControlEvent::TakeOver { name, job } => self.entry.take_over(&name, &job, now),
             ControlEvent::CancelledAtPeer(name) => {
@@ -217,8 +220,8 @@
                 EntryEffect::BindKey { key } => {
                     let _ = self.keys_to_bind.send(key);
                 }
-                EntryEffect::Store { name, request } => {
-                    let _ = self.durable_writes.send((name, request));
+                EntryEffect::Store(write) => {
+                    let _ = self.durable_writes.send(write);
                 }
                 EntryEffect::LogDecision(decision) => self.record(decision),
             }
@@ -233,7 +236,7 @@
         link: L,
         metrics: Metrics,
         keys_to_bind: mpsc::UnboundedSender<RequestKey>,
-        durable_writes: mpsc::UnboundedSender<(RequestKey, StoreRequest)>,
+        durable_writes: mpsc::UnboundedSender<StoreWrite>,
         rules: watch::Sender<Arc<RuleSet>>,
     ) -> Self {
         let (callers, decisions) = (HashMap::new(), VecDeque::new());
--- a/crates/lagoonhill_entry/src/durable_jobs.rs
+++ b/crates/lagoonhill_entry/src/durable_jobs.rs
@@ -1,4 +1,4 @@
-use lagoonhill_core::entry::StoreRequest;
+use lagoonhill_core::entry::StoreWrite;
 use lagoonhill_platform::Store;
 use lagoonhill_types::prelude::*;
 use tokio::sync::{mpsc, watch};
@@ -26,7 +26,7 @@
         owner: Incarnation,
         clock: Clock,
         control: &ControlHandle,
-        orders: mpsc::UnboundedReceiver<(RequestKey, StoreRequest)>,
+        orders: mpsc::UnboundedReceiver<StoreWrite>,
     ) -> (Self, Vec<JoinHandle<()>>) {
         let (requests, request_queue) = mpsc::unbounded_channel();
         let (is_needed, owner_needed) = watch::channel(false);
--- a/crates/lagoonhill_entry/src/durable_store.rs
+++ b/crates/lagoonhill_entry/src/durable_store.rs
@@ -4,20 +4,20 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use lagoonhill_core::entry::{DurableJob, DurableJobState, StoreOutcome, StoreRequest};
+use lagoonhill_core::entry::{DurableJob, DurableJobState, StoreOutcome, StoreRequest, StoreWrite};
 use lagoonhill_platform::{
     CANCEL_REQUESTS_PREFIX, JOBS_PREFIX, LeaseId, OPEN_JOBS_PREFIX, OWNERS_PREFIX, Put, Store,
     StoreRevision, StoreUnavailable, Transaction, TransactionOutcome, Versioned,
     WAITING_COUNTS_PREFIX,
 };
 use lagoonhill_types::prelude::*;
-use log::{debug, warn};
+use log::{debug, info, warn};
 use tokio::sync::{Semaphore, mpsc};
 use tokio::time::{sleep, timeout_at};
 
 use crate::control::ControlEvent;
 use crate::handle::ControlHandle;
-use crate::job_record::{JobRecord, RecordedState, StateForm};
+use crate::job_record::{ClaimId, JobRecord, RecordedState, StateForm};
 
 /// Limit of the platform's store on the keys that one transaction names.
 const MAX_KEYS_PER_TRANSACTION: usize = 32;
@@ -53,11 +53,43 @@
 /// A write that the store has not confirmed yet.
 #[derive(Clone, Debug)]
 struct PendingWrite {
-    name: RequestKey,
-    operation: StoreRequest,
+    write: StoreWrite,
+    /// The claim that the write makes if it is to store a new job. All attempts share it.
+    claim: ClaimId,
     attempts: u32,
 }
 
+impl PendingWrite {
+    fn new(write: StoreWrite) -> Self {
+        Self {
+            write,
+            claim: ClaimId::random(),
+            attempts: 0,
+        }
+    }
+
+    fn is_new_job(&self) -> bool {
+        matches!(self.write.request, StoreRequest::Accept(_))
+    }
+
+    /// Number of keys that the write names, at most [`MAX_KEYS_PER_WRITE`].
+    fn keys(&self) -> usize {
+        match self.write.request {
+            StoreRequest::Save(_) => 2,
+            StoreRequest::Accept(_) | StoreRequest::Finish(_) => 3,
+        }
+    }
+}
+
+/// A job that this entry owns.
+#[derive(Clone, Copy, Debug)]
+struct OwnedJob {
+    epoch: u32,
+    claim: ClaimId,
+    /// Last seen revision of the job's state key.
+    revision: StoreRevision,
+}
+
 /// Writes durable jobs to the platform's store, several writes in one transaction.
 #[derive(Clone, Debug)]
 pub(crate) struct DurableStore<S> {
@@ -70,8 +102,10 @@
 
 #[derive(Debug, Default)]
 struct Shared {
-    /// Last seen revision of the state key of each job that this entry owns.
-    revisions: HashMap<RequestKey, StoreRevision>,
+    /// Whether the store may hold a job of this entry that its control thread does not
+    /// know.
+    must_search_own: bool,
+    owned: HashMap<RequestKey, OwnedJob>,
     lease: Option<(LeaseId, TimestampMs)>,
     /// Waiting jobs at other owners, by queue, and when the counts were read.
     waiting: Option<(BTreeMap<QueueName, usize>, TimestampMs)>,
@@ -79,9 +113,15 @@
 
 /// What a conflict of a transaction means for one of its writes.
 enum ConflictOutcome {
-    Stored(StoreOutcome),
-    /// This entry owns the job, at another revision than expected.
+    /// An earlier attempt of this write took effect.
+    Done(StoreRevision),
+    /// This entry owns the job as the write expects: another write has conflicted.
     Retry,
+    /// This entry owns the job, but not since a request that this write knows of: the
+    /// job was stored before, or taken over again.
+    Superseded,
+    /// The job has another owner, or has ended.
+    Elsewhere(DurableJobState),
     /// The stored state can't be read: who owns the job is unknown.
     Unreadable,
 }
@@ -102,24 +142,16 @@
     }
 
     /// Carries out writes until the sender is dropped.
-    pub(crate) async fn run(self, mut writes: mpsc::UnboundedReceiver<(RequestKey, StoreRequest)>) {
+    pub(crate) async fn run(self, mut writes: mpsc::UnboundedReceiver<StoreWrite>) {
         let in_flight = Arc::new(Semaphore::new(MAX_TRANSACTIONS_IN_FLIGHT));
-        while let Some((name, write)) = writes.recv().await {
-            let mut batch = vec![PendingWrite {
-                name,
-                operation: write,
-                attempts: 0,
-            }];
+        while let Some(write) = writes.recv().await {
+            let mut batch = vec![PendingWrite::new(write)];
             let deadline = tokio::time::Instant::now() + BATCH_DELAY;
             let mut keys = batch[0].keys();
             while keys + MAX_KEYS_PER_WRITE <= MAX_KEYS_PER_TRANSACTION
-                && let Ok(Some((name, write))) = timeout_at(deadline, writes.recv()).await
+                && let Ok(Some(write)) = timeout_at(deadline, writes.recv()).await
             {
-                let write = PendingWrite {
-                    name,
-                    operation: write,
-                    attempts: 0,
-                };
+                let write = PendingWrite::new(write);
                 keys += write.keys();
                 batch.push(write);
             }
@@ -136,7 +168,11 @@
 
     /// Retries a batch until the outcome of each of its writes is known.
     async fn write_batch(&self, mut batch: Vec<PendingWrite>) {
-        while !batch.is_empty() {
+        loop {
+            batch = self.report_superseded(batch);
+            if batch.is_empty() {
+                return;
+            }
             let lease = match self.end_lease(&batch).await {
                 Ok(lease) => lease,
                 Err(error) => {
@@ -190,12 +226,13 @@
         let mut remaining = Vec::with_capacity(batch.len());
         for mut write in batch {
             write.attempts += 1;
-            let is_new = matches!(write.operation, StoreRequest::Accept(_));
+            let is_new = write.is_new_job();
             // An earlier attempt without an answer may have taken effect.
             let may_be_stored = write.attempts > 1;
             if is_new && why == StoreOutcome::Rejected && !may_be_stored {
                 self.report(&write, StoreOutcome::Rejected);
             } else if is_new && write.attempts >= MAX_ACCEPT_ATTEMPTS {
+                self.shared().must_search_own = true;
                 self.report(&write, StoreOutcome::Unknown);
             } else {
                 remaining.push(write);
@@ -207,32 +244,65 @@
         remaining
     }
 
+    /// Reports the writes about jobs that this entry has abandoned or taken over again
+    /// since, and returns the others. They must not change what the new owner stores.
+    fn report_superseded(&self, batch: Vec<PendingWrite>) -> Vec<PendingWrite> {
+        let (remaining, superseded): (Vec<_>, Vec<_>) = batch
+            .into_iter()
+            .partition(|write| write.is_new_job() || self.owned_job(write).is_some());
+        for write in superseded {
+            debug!(
+                "a write of an earlier owner of {} is dropped",
+                write.write.name
+            );
+            self.report(&write, StoreOutcome::OwnedElsewhere(DurableJobState::Open));
+        }
+        remaining
+    }
+
+    /// The job of a write, if this entry owns it in the write's epoch.
+    fn owned_job(&self, write: &PendingWrite) -> Option<OwnedJob> {
+        let shared = self.shared();
+        let owned = shared.owned.get(&write.write.name).copied();
+        owned.filter(|owned| owned.epoch == write.write.epoch)
+    }
+
     /// After a conflict: reports the writes that can't succeed and returns the
     /// others to be retried.
     async fn resolve(&self, batch: Vec<PendingWrite>, found: &[Versioned]) -> Vec<PendingWrite> {
         let mut remaining = Vec::with_capacity(batch.len());
         for write in batch {
-            let key = state_key(&write.name);
+            let key = state_key(&write.write.name);
             let current = found.iter().find(|found| found.key == key);
             match self.conflict_outcome(&write, current) {
-                ConflictOutcome::Stored(stored) => {
-                    if !matches!(write.operation, StoreRequest::Accept(_)) {
-                        self.remove_copy(&write.name).await;
+                ConflictOutcome::Done(revision) => {
+                    self.record_revision(&write, revision);
+                    if !write.is_new_job() {
+                        self.remove_copy(&write.write.name).await;
                     }
-                    self.report(&write, stored);
+                    self.report(&write, StoreOutcome::Done);
+                }
+                ConflictOutcome::Retry => remaining.push(write),
+                ConflictOutcome::Superseded => {
+                    self.shared().must_search_own = true;
+                    self.report(&write, StoreOutcome::OwnedElsewhere(DurableJobState::Open));
+                }
+                ConflictOutcome::Elsewhere(state) => {
+                    if !write.is_new_job() {
+                        self.remove_copy(&write.write.name).await;
+                    }
+                    self.report(&write, StoreOutcome::OwnedElsewhere(state));
                 }
                 // A new job is not accepted, as nobody would run it. The record of
                 // another one stays for the takeover that a mended state allows.
                 ConflictOutcome::Unreadable => {
-                    let is_new = matches!(write.operation, StoreRequest::Accept(_));
-                    let stored = if is_new {
+                    let stored = if write.is_new_job() {
                         StoreOutcome::Unknown
                     } else {
                         StoreOutcome::OwnedElsewhere(DurableJobState::Open)
                     };
                     self.report(&write, stored);
                 }
-                ConflictOutcome::Retry => remaining.push(write),
             }
         }
         remaining
@@ -243,14 +313,13 @@
         write: &PendingWrite,
         current: Option<&Versioned>,
     ) -> ConflictOutcome {
-        let is_new = matches!(write.operation, StoreRequest::Accept(_));
         let Some(current) = current else {
             // No state is stored: expected for a new job; of any other job the
             // end was stored and its retention time is over.
-            return if is_new {
+            return if write.is_new_job() {
                 ConflictOutcome::Retry
             } else {
-                ConflictOutcome::Stored(StoreOutcome::OwnedElsewhere(DurableJobState::Complete))
+                ConflictOutcome::Elsewhere(DurableJobState::Complete)
             };
         };
         let record: StateForm = match serde_json::from_slice(&current.value) {
@@ -264,62 +333,113 @@
             }
         };
         let is_own = record.state == RecordedState::Open && record.owner == self.owner;
-        match &write.operation {
-            // An earlier attempt did take effect.
-            StoreRequest::Accept(_) if is_own => {
-                self.record_revision(write, current.revision);
-                ConflictOutcome::Stored(StoreOutcome::Done)
+        match &write.write.request {
+            StoreRequest::Accept(_) => {
+                let is_earlier_attempt = is_own && record.claim == Some(write.claim);
+                self.log_stored_before(write, &record, is_earlier_attempt);
+                if is_earlier_attempt {
+                    ConflictOutcome::Done(current.revision)
+                } else if is_own {
+                    ConflictOutcome::Superseded
+                } else {
+                    ConflictOutcome::Elsewhere(record.state.into())
+                }
             }
             StoreRequest::Finish(state) if record.state == RecordedState::from(*state) => {
-                ConflictOutcome::Stored(StoreOutcome::Done)
+                ConflictOutcome::Done(current.revision)
             }
             StoreRequest::Save(_) | StoreRequest::Finish(_) if is_own => {
-                // The revision has changed, or another write of the batch conflicted.
-                let name = write.name.clone();
-                self.shared().revisions.insert(name, current.revision);
-                ConflictOutcome::Retry
+                match self.owned_job(write) {
+                    Some(owned) if record.claim == Some(owned.claim) => {
+                        // Another write has conflicted, or the store gave the state key
+                        // another revision than the transaction that wrote it.
+                        self.record_owned(&write.write, owned.claim, current.revision);
+                        ConflictOutcome::Retry
+                    }
+                    _ => ConflictOutcome::Superseded,
+                }
+            }
+            StoreRequest::Save(_) | StoreRequest::Finish(_) => {
+                ConflictOutcome::Elsewhere(record.state.into())
             }
-            _ => ConflictOutcome::Stored(StoreOutcome::OwnedElsewhere(record.state.into())),
         }
     }
 
+    /// Logs that a new job was not stored because the store has a job of its name.
+    fn log_stored_before(
+        &self,
+        write: &PendingWrite,
+        record: &StateForm,
+        is_earlier_attempt: bool,
+    ) {
+        let by = if is_earlier_attempt {
+            "attempt"
+        } else if record.owner == self.owner {
+            "entry"
+        } else {
+            "other"
+        };
+        info!(
+            target: "decision",
+            "request={} stored-before by={by} owner={} state={} attempts={}",
+            write.write.name,
+            record.owner,
+            DurableJobState::from(record.state),
+            write.attempts
+        );
+    }
+
+    /// Records the revision of the state key that a write has set.
     fn record_revision(&self, write: &PendingWrite, revision: StoreRevision) {
-        let mut shared = self.shared();
-        match write.operation {
-            StoreRequest::Accept(_) => {
-                shared.revisions.insert(write.name.clone(), revision);
-            }
+        match write.write.request {
+            StoreRequest::Accept(_) => self.record_owned(&write.write, write.claim, revision),
             StoreRequest::Save(_) => {}
             StoreRequest::Finish(_) => {
-                shared.revisions.remove(&write.name);
+                self.shared().owned.remove(&write.write.name);
             }
         }
     }
 
+    fn record_owned(&self, write: &StoreWrite, claim: ClaimId, revision: StoreRevision) {
+        let owned = OwnedJob {
+            epoch: write.epoch,
+            claim,
+            revision,
+        };
+        self.shared().owned.insert(write.name.clone(), owned);
+    }
+
+    /// Whether the store may hold a job of this entry that its control thread does not
+    /// know, since the last call.
+    pub(crate) fn take_must_search_own(&self) -> bool {
+        std::mem::take(&mut self.shared().must_search_own)
+    }
+
     /// Deletes this entry's record of a job that has ended or has another owner.
     /// If the delete fails, a later takeover search removes the record.
     async fn remove_copy(&self, name: &RequestKey) {
-        self.shared().revisions.remove(name);
+        self.shared().owned.remove(name);
         let result = self.store.delete(&open_key(self.owner, name)).await;
         debug!("deleting this entry's record of job {name}: {result:?}");
     }
 
     fn report(&self, write: &PendingWrite, stored: StoreOutcome) {
-        let name = write.name.clone();
-        self.control.send(ControlEvent::Stored { name, stored });
+        let (name, id) = (write.write.name.clone(), write.write.id);
+        self.control.send(ControlEvent::Stored { name, id, stored });
     }
 
     /// The store transaction of one write.
     fn transaction_for(&self, write: &PendingWrite, lease: Option<LeaseId>) -> Transaction {
-        let state_key = state_key(&write.name);
-        let open_key = open_key(self.owner, &write.name);
-        let known_revision = self.shared().revisions.get(&write.name).copied();
-        let expected = vec![(state_key.clone(), known_revision.unwrap_or_default())];
-        match &write.operation {
+        let state_key = state_key(&write.write.name);
+        let open_key = open_key(self.owner, &write.write.name);
+        let owned = self.owned_job(write);
+        let known_revision = owned.map(|owned| owned.revision).unwrap_or_default();
+        let expected = vec![(state_key.clone(), known_revision)];
+        match &write.write.request {
             StoreRequest::Accept(durable_job) => Transaction {
                 expected: vec![(state_key.clone(), StoreRevision::default())],
                 puts: vec![
-                    self.state_put(state_key, DurableJobState::Open, None),
+                    self.state_put(state_key, DurableJobState::Open, Some(write.claim), None),
                     job_put(open_key, durable_job),
                 ],
                 removes: Vec::new(),
@@ -331,16 +451,23 @@
             },
             StoreRequest::Finish(state) => Transaction {
                 expected,
-                puts: vec![self.state_put(state_key, *state, lease)],
+                puts: vec![self.state_put(state_key, *state, None, lease)],
                 removes: vec![open_key],
             },
         }
     }
 
-    fn state_put(&self, key: String, state: DurableJobState, lease: Option<LeaseId>) -> Put {
+    fn state_put(
+        &self,
+        key: String,
+        state: DurableJobState,
+        claim: Option<ClaimId>,
+        lease: Option<LeaseId>,
+    ) -> Put {
         let record = StateForm {
             owner: self.owner,
             state: state.into(),
+            claim,
         };
         let value = serde_json::to_vec(&record).expect("a state always serializes");
         Put { key, value, lease }
@@ -348,7 +475,7 @@
 
     /// The lease for stored ends, if the batch has any.
     async fn end_lease(&self, batch: &[PendingWrite]) -> Result<Option<LeaseId>, StoreUnavailable> {
-        let is_end = |write: &PendingWrite| matches!(write.operation, StoreRequest::Finish(_));
+        let is_end = |write: &PendingWrite| matches!(write.write.request, StoreRequest::Finish(_));
         if !batch.iter().any(is_end) {
             return Ok(None);
         }
@@ -468,7 +595,7 @@
             }
             let lease = Some(self.lease().await?);
             let key = state_key(name);
-            let mut put = self.state_put(key.clone(), DurableJobState::Cancelled, lease);
+            let mut put = self.state_put(key.clone(), DurableJobState::Cancelled, None, lease);
             let cancelled = StateForm {
                 state: RecordedState::Cancelled,
                 ..record.clone()
@@ -540,13 +667,14 @@
             ..durable_job.clone()
         };
         let is_own = found.key == open_key;
+        let claim = ClaimId::random();
         let transaction = Transaction {
             expected: vec![
                 (key.clone(), current.revision),
                 (found.key.clone(), found.revision),
             ],
             puts: vec![
-                self.state_put(key, DurableJobState::Open, None),
+                self.state_put(key, DurableJobState::Open, Some(claim), None),
                 job_put(open_key, &next_epoch),
             ],
             removes: if is_own {
@@ -557,10 +685,18 @@
         };
         match self.store.transact(&transaction).await {
             TransactionOutcome::Done(revision) => {
-                self.shared().revisions.insert(name.clone(), revision);
+                let owned = OwnedJob {
+                    epoch: next_epoch.epoch,
+                    claim,
+                    revision,
+                };
+                self.shared().owned.insert(name.clone(), owned);
                 Some((name, durable_job))
             }
             outcome => {
+                if outcome == TransactionOutcome::Unknown {
+                    self.shared().must_search_own = true;
+                }
                 debug!("{name} was not taken over: {outcome:?}");
                 None
             }
@@ -571,15 +707,6 @@
 /// Most keys that one write names.
 const MAX_KEYS_PER_WRITE: usize = 3;
 
-impl PendingWrite {
-    fn keys(&self) -> usize {
-        match self.operation {
-            StoreRequest::Save(_) => 2,
-            StoreRequest::Accept(_) | StoreRequest::Finish(_) => 3,
-        }
-    }
-}
-
 /// The key that exists while an owner is alive.
 pub(crate) fn owner_key(owner: Incarnation) -> String {
     format!("{OWNERS_PREFIX}{owner}")
--- a/crates/lagoonhill_entry/src/job_record.rs
+++ b/crates/lagoonhill_entry/src/job_record.rs
@@ -8,6 +8,17 @@
 use lagoonhill_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
+/// Identifies the write by which an owner came to own a job: it stored the new job, or
+/// took it over. Drawn at random, so no two writes of any process share one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ClaimId(u64);
+
+impl ClaimId {
+    pub(crate) fn random() -> Self {
+        Self(fastrand::u64(..))
+    }
+}
+
 /// The stored state of a durable job, under the job's name.
 // The type name is part of error messages sent to callers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -15,6 +26,9 @@
     /// The owner's incarnation.
     pub(crate) owner: Incarnation,
     pub(crate) state: RecordedState,
+    /// How the owner came to own the job; earlier releases don't write it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) claim: Option<ClaimId>,
 }
 
 /// A [`DurableJobState`] in stored format.
--- a/crates/lagoonhill_entry/src/ownership.rs
+++ b/crates/lagoonhill_entry/src/ownership.rs
@@ -196,7 +196,8 @@
             // searches its own.
             let is_first = live_owners.first() == Some(&self.key());
             polls += 1;
-            let is_due = polls.is_multiple_of(POLLS_PER_SEARCH);
+            let is_due =
+                self.durable_store.take_must_search_own() || polls.is_multiple_of(POLLS_PER_SEARCH);
             if self.must_search.swap(false, Ordering::Relaxed) || is_first && is_due {
                 self.take_over(OPEN_JOBS_PREFIX, &live_owners).await;
             } else {
--- a/crates/lagoonhill_standin/src/durable_job_store.rs
+++ b/crates/lagoonhill_standin/src/durable_job_store.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 
-use lagoonhill_core::entry::{DurableJob, DurableJobState, StoreOutcome, StoreRequest};
+use lagoonhill_core::entry::{DurableJob, DurableJobState, StoreOutcome, StoreRequest, StoreWrite};
 use lagoonhill_types::prelude::*;
 
 /// The platform's store of durable jobs in a [`World`](crate::World); each job
@@ -10,6 +10,8 @@
     jobs: BTreeMap<RequestKey, Record>,
     /// Refuses every operation.
     pub is_down: bool,
+    /// How much later than usual the answers to operations arrive.
+    pub answer_delay_ms: u64,
 }
 
 #[derive(Debug)]
@@ -21,33 +23,35 @@
 
 impl DurableJobStore {
     /// Executes a store operation of the entry `owner`.
-    pub fn execute(
-        &mut self,
-        owner: usize,
-        name: &RequestKey,
-        request: StoreRequest,
-    ) -> StoreOutcome {
+    pub fn execute(&mut self, owner: usize, write: StoreWrite) -> StoreOutcome {
         if self.is_down {
             return StoreOutcome::Rejected;
         }
-        let record = self.jobs.get_mut(name);
+        let StoreWrite {
+            name,
+            epoch,
+            request,
+            ..
+        } = write;
+        let is_own = |record: &Record| {
+            record.owner == owner
+                && record.job.epoch == epoch
+                && record.state == DurableJobState::Open
+        };
+        let record = self.jobs.get_mut(&name);
         match (request, record) {
             (StoreRequest::Accept(job), None) => {
                 let state = DurableJobState::Open;
                 let record = Record { owner, job, state };
-                self.jobs.insert(name.clone(), record);
+                self.jobs.insert(name, record);
                 StoreOutcome::Done
             }
             (StoreRequest::Accept(_), Some(record)) => StoreOutcome::OwnedElsewhere(record.state),
-            (StoreRequest::Save(job), Some(record))
-                if record.owner == owner && record.state == DurableJobState::Open =>
-            {
+            (StoreRequest::Save(job), Some(record)) if is_own(record) => {
                 record.job = job;
                 StoreOutcome::Done
             }
-            (StoreRequest::Finish(state), Some(record))
-                if record.owner == owner && record.state == DurableJobState::Open =>
-            {
+            (StoreRequest::Finish(state), Some(record)) if is_own(record) => {
                 record.state = state;
                 StoreOutcome::Done
             }
--- a/crates/lagoonhill_standin/src/world.rs
+++ b/crates/lagoonhill_standin/src/world.rs
@@ -6,7 +6,7 @@
 use lagoonhill_core::agent::{Agent, AgentConfig, AgentEffect, TaskKey};
 use lagoonhill_core::entry::{
     Answer, CallerId, Cause, Decision, DecisionKind, Entry, EntryConfig, EntryEffect, JobFailure,
-    KeyBinding, Placement, RunCertainty, StoreOutcome, Submission,
+    KeyBinding, Placement, RunCertainty, StoreOutcome, StoreWriteId, Submission,
 };
 use lagoonhill_protocol::{EntryAddress, Message, Packet, Target, TaskResult};
 use lagoonhill_rules::RuleSet;
@@ -123,6 +123,7 @@
         entry: usize,
         generation: u64,
         name: RequestKey,
+        id: StoreWriteId,
         stored: StoreOutcome,
     },
     Resubmit {
@@ -776,10 +777,13 @@
                 entry,
                 generation,
                 name,
+                id,
                 stored,
             } => {
                 if self.entries[entry].generation == generation {
-                    self.with_entry(entry, |machine, now| machine.on_stored(&name, stored, now));
+                    self.with_entry(entry, |machine, now| {
+                        machine.on_stored(&name, id, stored, now);
+                    });
                 }
             }
             Event::Resubmit {
@@ -858,16 +862,19 @@
             }
             EntryEffect::Forward { caller, owner } => self.forward(caller, owner),
             EntryEffect::BindKey { key } => self.bind_key(index, key),
-            EntryEffect::Store { name, request } => {
-                let stored = self.durable_jobs.execute(index, &name, request);
+            EntryEffect::Store(write) => {
+                let (id, name) = (write.id, write.name.clone());
+                let stored = self.durable_jobs.execute(index, write);
                 let generation = self.entries[index].generation;
                 let event = Event::Stored {
                     entry: index,
                     generation,
                     name,
+                    id,
                     stored,
                 };
-                self.schedule(STORE_MS, event);
+                let answer_ms = STORE_MS + self.durable_jobs.answer_delay_ms;
+                self.schedule(answer_ms, event);
             }
             EntryEffect::LogDecision(decision) => self.on_decision(decision),
         }
