Entry: watch the owners, so that none comes and leaves unnoticed

Cause: an entry that knows of no durable job read the owners' keys every 5 s and, after its first look, no longer the open jobs. An owner that leaves within the pause is seen by nobody, and nobody looks for its jobs.

Such an entry now lists owners and open jobs, then watches the owners from that revision on; a key that appears or disappears makes it an owner, and a lost watch makes it list both again. Owners watch each other beside their polls: a departure is handled at once, a missed change makes the first owner search all jobs, and a search that the store did not answer is repeated at the next poll. Since successors notice sooner, an entry that leaves tells its agents before it deletes its key.

--- a/crates/lagoonhill_entry/src/daemon.rs
+++ b/crates/lagoonhill_entry/src/daemon.rs
@@ -207,8 +207,11 @@
             );
         }
         self.state.peers.leave();
-        self.durable_jobs.requests.leave().await;
+        // Agents stop the runs of durable jobs before other entries take these over.
         self.control.send(ControlEvent::Depart);
+        let departed = self.control.request(ControlEvent::Status);
+        let _ = timeout(LEAVE_MESSAGE_DELAY, departed).await;
+        self.durable_jobs.requests.leave().await;
         sleep(LEAVE_MESSAGE_DELAY).await;
         answered
     }
--- a/crates/lagoonhill_entry/src/durable_store.rs
+++ b/crates/lagoonhill_entry/src/durable_store.rs
@@ -22,6 +22,9 @@
 /// Limit of the platform's store on the keys that one transaction names.
 const MAX_KEYS_PER_TRANSACTION: usize = 32;
 
+/// Most keys that one write names.
+const MAX_KEYS_PER_WRITE: usize = 3;
+
 /// How long a write waits for others to join its transaction.
 const BATCH_DELAY: Duration = Duration::from_millis(8);
 
@@ -111,6 +114,20 @@
     waiting: Option<(BTreeMap<QueueName, usize>, TimestampMs)>,
 }
 
+/// What became of the takeover of a job.
+#[derive(Debug)]
+pub(crate) enum Takeover {
+    /// This entry owns the job now.
+    Done {
+        name: RequestKey,
+        job: Box<DurableJob>,
+    },
+    /// The job has ended or has an owner, or its record can't be read.
+    NotNeeded,
+    /// The store did not answer or refused the call: the takeover must be tried again.
+    Postponed,
+}
+
 /// What a conflict of a transaction means for one of its writes.
 enum ConflictOutcome {
     /// An earlier attempt of this write took effect.
@@ -232,7 +249,7 @@
             if is_new && why == StoreOutcome::Rejected && !may_be_stored {
                 self.report(&write, StoreOutcome::Rejected);
             } else if is_new && write.attempts >= MAX_ACCEPT_ATTEMPTS {
-                self.shared().must_search_own = true;
+                self.search_own();
                 self.report(&write, StoreOutcome::Unknown);
             } else {
                 remaining.push(write);
@@ -284,7 +301,7 @@
                 }
                 ConflictOutcome::Retry => remaining.push(write),
                 ConflictOutcome::Superseded => {
-                    self.shared().must_search_own = true;
+                    self.search_own();
                     self.report(&write, StoreOutcome::OwnedElsewhere(DurableJobState::Open));
                 }
                 ConflictOutcome::Elsewhere(state) => {
@@ -415,6 +432,12 @@
         std::mem::take(&mut self.shared().must_search_own)
     }
 
+    /// Notes that the store may hold a job of this entry that its control thread does not
+    /// know.
+    pub(crate) fn search_own(&self) {
+        self.shared().must_search_own = true;
+    }
+
     /// Deletes this entry's record of a job that has ended or has another owner.
     /// If the delete fails, a later takeover search removes the record.
     async fn remove_copy(&self, name: &RequestKey) {
@@ -625,43 +648,47 @@
         }
     }
 
-    /// Takes a job over from an owner that is gone. Returns the job if this entry
-    /// owns it now; the record of a job that has ended is only deleted.
-    pub(crate) async fn take_over(&self, found: &Versioned) -> Option<(RequestKey, DurableJob)> {
-        let durable_job = JobRecord::decode(&found.value)
-            .inspect_err(|error| {
-                warn!("no takeover, {} is not a job record: {error}; left unchanged, remove it if it is not of this system", found.key);
-            })
-            .ok()?;
-        let name = durable_job.submission.name()?;
+    /// Takes a job over from an owner that is gone. The record of a job that has ended
+    /// is only deleted.
+    pub(crate) async fn take_over(&self, found: &Versioned) -> Takeover {
+        let durable_job = match JobRecord::decode(&found.value) {
+            Ok(durable_job) => durable_job,
+            Err(error) => {
+                warn!(
+                    "no takeover, {} is not a job record: {error}; left unchanged, remove it if it is not of this system",
+                    found.key
+                );
+                return Takeover::NotNeeded;
+            }
+        };
+        let Some(name) = durable_job.submission.name() else {
+            return Takeover::NotNeeded;
+        };
         let key = state_key(&name);
         let current = match self.store.read(&key).await {
             Ok(current) => current,
             Err(error) => {
                 debug!("takeover postponed, the store can't be read: {error}");
-                return None;
+                return Takeover::Postponed;
             }
         };
         let Some(current) = current else {
-            self.store.delete(&found.key).await;
-            return None;
+            return self.delete_record(found).await;
         };
-        let state: StateForm = serde_json::from_slice(&current.value)
-            .inspect_err(|error| {
-                warn!("no takeover of {name}, {key} is not a job state: {error}; left unchanged, remove it if the job is not to be run");
-            })
-            .ok()?;
-        if state.state != RecordedState::Open {
-            self.store.delete(&found.key).await;
-            return None;
+        let state: StateForm = match serde_json::from_slice(&current.value) {
+            Ok(state) => state,
+            Err(error) => {
+                warn!(
+                    "no takeover of {name}, {key} is not a job state: {error}; left unchanged, remove it if the job is not to be run"
+                );
+                return Takeover::NotNeeded;
+            }
+        };
+        // An earlier owner's record is deleted too; the current owner has its own.
+        if state.state != RecordedState::Open || found.key != open_key(state.owner, &name) {
+            return self.delete_record(found).await;
         }
-        let is_its_owner = found.key == open_key(state.owner, &name);
         let open_key = open_key(self.owner, &name);
-        if !is_its_owner {
-            // A record of an earlier owner; the current owner has its own.
-            self.store.delete(&found.key).await;
-            return None;
-        }
         let next_epoch = DurableJob {
             epoch: durable_job.epoch + 1,
             ..durable_job.clone()
@@ -691,21 +718,30 @@
                     revision,
                 };
                 self.shared().owned.insert(name.clone(), owned);
-                Some((name, durable_job))
+                Takeover::Done {
+                    name,
+                    job: Box::new(durable_job),
+                }
+            }
+            TransactionOutcome::Conflict(_) => {
+                debug!("{name} was not taken over: its state or record has changed");
+                Takeover::NotNeeded
             }
             outcome => {
-                if outcome == TransactionOutcome::Unknown {
-                    self.shared().must_search_own = true;
-                }
-                debug!("{name} was not taken over: {outcome:?}");
-                None
+                // It may have taken effect, so that the job is stored as this entry's.
+                self.search_own();
+                debug!("takeover of {name} postponed: {outcome:?}");
+                Takeover::Postponed
             }
         }
     }
-}
 
-/// Most keys that one write names.
-const MAX_KEYS_PER_WRITE: usize = 3;
+    async fn delete_record(&self, found: &Versioned) -> Takeover {
+        let result = self.store.delete(&found.key).await;
+        debug!("deleting {}: {result:?}", found.key);
+        Takeover::NotNeeded
+    }
+}
 
 /// The key that exists while an owner is alive.
 pub(crate) fn owner_key(owner: Incarnation) -> String {
--- a/crates/lagoonhill_entry/src/ownership.rs
+++ b/crates/lagoonhill_entry/src/ownership.rs
@@ -10,12 +10,12 @@
 };
 use lagoonhill_types::prelude::*;
 use log::{debug, info, warn};
-use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::control::ControlEvent;
 use crate::durable_job_requests::DurableJobRequests;
-use crate::durable_store::{DurableStore, owner_key};
+use crate::durable_store::{DurableStore, Takeover, owner_key};
 use crate::handle::ControlHandle;
 
 /// An owner without a renewal for this long is gone. Longer than usual outages of
@@ -26,8 +26,13 @@
 /// lease, as clocks may run at different rates.
 const OWNERSHIP_DURATION_MS: DurationMs = DurationMs(5_400);
 
-/// Time between two polls for owners while no durable job is known.
-const IDLE_POLL_INTERVAL: Duration = Duration::from_secs(5);
+/// Time between two searches for durable jobs by an entry that knows of none, beside its
+/// watch of the owners, which tells of all owners since the last search.
+const IDLE_SEARCH_INTERVAL: Duration = Duration::from_secs(60);
+
+/// Wait of one call of a watch of the owners. A connection that falls silent delays the
+/// takeover of a first job by so much.
+const OWNERS_WATCH_WAIT_MS: DurationMs = DurationMs::from_secs(5);
 
 /// Time between two renewals, and between two polls of the other owners.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
@@ -35,9 +40,26 @@
 /// Polls between two searches for jobs of owners that this one never saw.
 const POLLS_PER_SEARCH: u32 = 8;
 
+/// Time for further owners to leave before the owners are polled because one has left.
+const DEPARTURE_DELAY: Duration = Duration::from_millis(20);
+
+/// Changes of the owners that wait to be handled.
+const OWNER_CHANGES_BUFFER: usize = 64;
+
 /// A watch of cancels is opened anew after this long without an event.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// What a watch tells about the owners.
+#[derive(Debug)]
+enum OwnerChange {
+    /// The owner of this key has come.
+    Came(String),
+    /// The owner of this key has left, or its lease has ended.
+    Left(String),
+    /// The watch was interrupted: other changes may have been missed.
+    Missed,
+}
+
 /// Renews this entry's lease as an owner of durable jobs, and takes over the jobs
 /// of owners that are gone.
 pub(crate) struct Ownership<S> {
@@ -69,37 +91,58 @@
     }
 
     /// Waits until there are durable jobs, here or at another owner, then runs
-    /// for ever. Without durable jobs the cost is one store call every 5 s.
+    /// for ever. Without durable jobs it keeps one watch open.
     pub(crate) async fn run(
         self,
-        needed: watch::Receiver<bool>,
+        mut needed: watch::Receiver<bool>,
         requests: DurableJobRequests,
         is_owner: watch::Sender<bool>,
     ) {
-        self.wait_until_needed(needed).await;
+        tokio::select! {
+            _ = needed.wait_for(|is_needed| *is_needed) => {}
+            () = self.find_durable_jobs() => {}
+        }
         requests.need_owner();
         info!("durable jobs found: this entry becomes an owner");
+        let (sender, changes) = mpsc::channel(OWNER_CHANGES_BUFFER);
         tokio::join!(
             self.renew(is_owner),
-            self.monitor_owners(),
+            self.follow_owners(sender),
+            self.monitor_owners(changes),
             self.follow_cancels()
         );
     }
 
-    async fn wait_until_needed(&self, mut needed: watch::Receiver<bool>) {
-        let mut prefix = OPEN_JOBS_PREFIX;
+    /// Waits until the store has a durable job or an owner, or has had an owner since.
+    async fn find_durable_jobs(&self) {
         loop {
-            match self.store.list(prefix).await {
-                Ok(found) if !found.is_empty() => return,
-                // Jobs of an earlier fleet have been searched for by now.
-                Ok(_) => prefix = OWNERS_PREFIX,
+            match self.find_durable_jobs_once().await {
+                Ok(true) => return,
+                Ok(false) => {}
                 Err(error) => debug!("can't search for durable jobs: {error}"),
             }
-            let is_needed = needed.wait_for(|is_needed| *is_needed);
-            if timeout(IDLE_POLL_INTERVAL, is_needed).await.is_ok() {
-                return;
-            }
+            sleep(RENEWAL_INTERVAL).await;
+        }
+    }
+
+    /// Returns whether this entry must be an owner, once the store shows that it must, or
+    /// when a new search is due because the watch is lost or old.
+    ///
+    /// An owner may accept a job and leave again before any other entry looks, so it is
+    /// the watch that counts: it tells of all owners since the lists were read, and jobs of
+    /// earlier ones are in the list.
+    async fn find_durable_jobs_once(&self) -> Result<bool, StoreUnavailable> {
+        let owners = self.store.list_at_revision(OWNERS_PREFIX).await?;
+        if !owners.values.is_empty() || !self.store.list(OPEN_JOBS_PREFIX).await?.is_empty() {
+            return Ok(true);
         }
+        let from = owners.revision.next();
+        let mut events = self
+            .store
+            .watch_with_wait(OWNERS_PREFIX, from, OWNERS_WATCH_WAIT_MS)
+            .await?;
+        let event = timeout(IDLE_SEARCH_INTERVAL, events.recv()).await;
+        Ok(matches!(event, Ok(Some(_))))
     }
 
     fn key(&self) -> String {
@@ -174,11 +217,48 @@
         }
     }
 
-    async fn monitor_owners(&self) {
+    /// Watches the owners, so that none can come and leave between two polls unnoticed.
+    async fn follow_owners(&self, changes: mpsc::Sender<OwnerChange>) {
+        while !changes.is_closed() {
+            if let Err(error) = self.follow_owners_once(&changes).await {
+                debug!("can't watch the owners: {error}");
+            }
+            sleep(RENEWAL_INTERVAL).await;
+            let _ = changes.send(OwnerChange::Missed).await;
+        }
+    }
+
+    async fn follow_owners_once(
+        &self,
+        changes: &mpsc::Sender<OwnerChange>,
+    ) -> Result<(), StoreUnavailable> {
+        let owners = self.store.list_at_revision(OWNERS_PREFIX).await?;
+        for found in owners.values {
+            let _ = changes.send(OwnerChange::Came(found.key)).await;
+        }
+        let from = owners.revision.next();
+        let mut events = self
+            .store
+            .watch_with_wait(OWNERS_PREFIX, from, OWNERS_WATCH_WAIT_MS)
+            .await?;
+        while let Some(event) = events.recv().await {
+            let change = match event {
+                WatchEvent::Put(found) => OwnerChange::Came(found.key),
+                WatchEvent::Deleted { key, .. } => OwnerChange::Left(key),
+            };
+            let _ = changes.send(change).await;
+        }
+        Ok(())
+    }
+
+    /// Polls the owners, and takes over the jobs of those that have left since the last
+    /// poll, whether an earlier poll had seen them or only the watch.
+    async fn monitor_owners(&self, mut changes: mpsc::Receiver<OwnerChange>) {
         let mut known: BTreeSet<String> = BTreeSet::new();
+        let mut was_first = false;
         let mut polls: u32 = 0;
         loop {
-            sleep(RENEWAL_INTERVAL).await;
+            let mut must_search = self.wait_for_poll(&mut changes, &mut known).await;
             let live_owners = match self.store.list(OWNERS_PREFIX).await {
                 Ok(live_owners) => live_owners,
                 Err(error) => {
@@ -191,36 +271,75 @@
             if !live_owners.contains(&self.key()) {
                 continue;
             }
-            let departed: Vec<&String> = known.difference(&live_owners).collect();
-            // The first owner searches all jobs every few polls; each owner
-            // searches its own.
+            // The first owner searches all jobs every few polls, and as soon as it is the
+            // first or has missed a change; each owner searches its own.
             let is_first = live_owners.first() == Some(&self.key());
             polls += 1;
-            let is_due =
-                self.durable_store.take_must_search_own() || polls.is_multiple_of(POLLS_PER_SEARCH);
-            if self.must_search.swap(false, Ordering::Relaxed) || is_first && is_due {
-                self.take_over(OPEN_JOBS_PREFIX, &live_owners).await;
-            } else {
-                if is_due {
-                    self.take_over(&format!("{OPEN_JOBS_PREFIX}{}/", self.owner), &live_owners)
-                        .await;
+            must_search |= is_first && !was_first;
+            must_search |= polls.is_multiple_of(POLLS_PER_SEARCH);
+            must_search |= self.durable_store.take_must_search_own();
+            if self.must_search.swap(false, Ordering::Relaxed) || is_first && must_search {
+                let is_done = self.take_over(OPEN_JOBS_PREFIX, &live_owners).await;
+                self.must_search.fetch_or(!is_done, Ordering::Relaxed);
+                was_first = is_first;
+                known = live_owners;
+                continue;
+            }
+            was_first = is_first;
+            if must_search {
+                let own = format!("{OPEN_JOBS_PREFIX}{}/", self.owner);
+                if !self.take_over(&own, &live_owners).await {
+                    self.durable_store.search_own();
                 }
-                for owner in departed {
-                    let owner = owner.trim_start_matches(OWNERS_PREFIX);
-                    self.take_over(&format!("{OPEN_JOBS_PREFIX}{owner}/"), &live_owners)
-                        .await;
+            }
+            let mut remaining = BTreeSet::new();
+            for key in known.difference(&live_owners) {
+                let owner = key.trim_start_matches(OWNERS_PREFIX);
+                let jobs = format!("{OPEN_JOBS_PREFIX}{owner}/");
+                if !self.take_over(&jobs, &live_owners).await {
+                    remaining.insert(key.clone());
                 }
             }
             known = live_owners;
+            known.append(&mut remaining);
+        }
+    }
+
+    /// Waits until the next poll is due: a moment after an owner has left, or at the
+    /// usual interval. Adds the owners that have come or left to `known`, and returns
+    /// whether changes may have been missed.
+    async fn wait_for_poll(
+        &self,
+        changes: &mut mpsc::Receiver<OwnerChange>,
+        known: &mut BTreeSet<String>,
+    ) -> bool {
+        let mut due = Instant::now() + RENEWAL_INTERVAL;
+        let mut has_missed = false;
+        while let Ok(Some(change)) = timeout_at(due, changes.recv()).await {
+            match change {
+                OwnerChange::Came(key) => {
+                    known.insert(key);
+                }
+                OwnerChange::Left(key) => {
+                    known.insert(key);
+                    due = due.min(Instant::now() + DEPARTURE_DELAY);
+                }
+                OwnerChange::Missed => has_missed = true,
+            }
         }
+        has_missed
     }
 
     /// Takes over the jobs under a prefix whose owner is not alive, and those of
-    /// this owner that its control thread does not know.
-    async fn take_over(&self, prefix: &str, live_owners: &BTreeSet<String>) {
+    /// this owner that its control thread does not know. Returns whether none is left
+    /// for another try.
+    async fn take_over(&self, prefix: &str, live_owners: &BTreeSet<String>) -> bool {
         let open = match self.store.list(prefix).await {
             Ok(open) => open,
-            Err(error) => return debug!("takeover postponed, the store can't be read: {error}"),
+            Err(error) => {
+                debug!("takeover postponed, the store can't be read: {error}");
+                return false;
+            }
         };
         let is_orphan = |found: &Versioned| {
             let rest = found.key.trim_start_matches(OPEN_JOBS_PREFIX);
@@ -234,20 +353,25 @@
             }
         }
         if orphans.is_empty() {
-            return;
+            return true;
         }
         let found = orphans.len();
         let mut taken_over = 0;
+        let mut postponed = 0;
         for orphan in orphans {
-            if let Some((name, durable_job)) = self.durable_store.take_over(&orphan).await {
-                taken_over += 1;
-                self.control.send(ControlEvent::TakeOver {
-                    name,
-                    job: Box::new(durable_job),
-                });
+            match self.durable_store.take_over(&orphan).await {
+                Takeover::Done { name, job } => {
+                    taken_over += 1;
+                    self.control.send(ControlEvent::TakeOver { name, job });
+                }
+                Takeover::NotNeeded => {}
+                Takeover::Postponed => postponed += 1,
             }
         }
-        info!("takeover: this entry now owns {taken_over} of {found} jobs without an owner");
+        info!(
+            "takeover: this entry now owns {taken_over} of {found} jobs without an owner, {postponed} postponed"
+        );
+        postponed == 0
     }
 
     /// Whether a job is stored as this owner's but unknown to its control thread.
--- a/crates/lagoonhill_platform/src/etcd.rs
+++ b/crates/lagoonhill_platform/src/etcd.rs
@@ -204,10 +204,11 @@
         Ok(())
     }
 
-    async fn watch(
+    async fn watch_with_wait(
         &self,
         prefix: &str,
         from: StoreRevision,
+        _wait_ms: DurationMs,
     ) -> Result<mpsc::Receiver<WatchEvent>, StoreUnavailable> {
         self.counts.add(CallKind::Watch);
         let create_request = WatchCreate {
--- a/crates/lagoonhill_platform/src/store.rs
+++ b/crates/lagoonhill_platform/src/store.rs
@@ -9,6 +9,9 @@
 
 use crate::CallCounts;
 
+/// Time for which one call of a watch waits while nothing changes.
+const WATCH_WAIT_MS: DurationMs = DurationMs(1_500);
+
 /// Id of a lease granted by the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LeaseId(pub i64);
@@ -240,5 +243,17 @@
         &self,
         prefix: &str,
         from: StoreRevision,
+    ) -> impl Future<Output = Result<mpsc::Receiver<WatchEvent>, StoreUnavailable>> + Send {
+        self.watch_with_wait(prefix, from, WATCH_WAIT_MS)
+    }
+
+    /// As [`Self::watch`], with the time for which one call of the watch waits while
+    /// nothing changes. A longer wait takes fewer calls, but a connection that falls
+    /// silent is noticed only after it. A watch that is a single call ignores it.
+    fn watch_with_wait(
+        &self,
+        prefix: &str,
+        from: StoreRevision,
+        wait_ms: DurationMs,
     ) -> impl Future<Output = Result<mpsc::Receiver<WatchEvent>, StoreUnavailable>> + Send;
 }
