Entry: remember a missed change of the owners until it is acted on

A poll of the owners that failed forgot that the watch had missed changes, so the first owner did not search all jobs after it.

--- a/crates/lagoonhill_entry/src/ownership.rs
+++ b/crates/lagoonhill_entry/src/ownership.rs
@@ -256,9 +256,10 @@
     async fn monitor_owners(&self, mut changes: mpsc::Receiver<OwnerChange>) {
         let mut known: BTreeSet<String> = BTreeSet::new();
         let mut was_first = false;
+        let mut has_missed = false;
         let mut polls: u32 = 0;
         loop {
-            let mut must_search = self.wait_for_poll(&mut changes, &mut known).await;
+            has_missed |= self.wait_for_poll(&mut changes, &mut known).await;
             let live_owners = match self.store.list(OWNERS_PREFIX).await {
                 Ok(live_owners) => live_owners,
                 Err(error) => {
@@ -275,9 +276,10 @@
             // first or has missed a change; each owner searches its own.
             let is_first = live_owners.first() == Some(&self.key());
             polls += 1;
-            must_search |= is_first && !was_first;
-            must_search |= polls.is_multiple_of(POLLS_PER_SEARCH);
-            must_search |= self.durable_store.take_must_search_own();
+            let must_search = std::mem::take(&mut has_missed)
+                || is_first && !was_first
+                || polls.is_multiple_of(POLLS_PER_SEARCH);
+            let must_search = self.durable_store.take_must_search_own() || must_search;
             if self.must_search.swap(false, Ordering::Relaxed) || is_first && must_search {
                 let is_done = self.take_over(OPEN_JOBS_PREFIX, &live_owners).await;
                 self.must_search.fetch_or(!is_done, Ordering::Relaxed);
