--- a/crates/lagoonhill_core/tests/durable_jobs.rs
+++ b/crates/lagoonhill_core/tests/durable_jobs.rs
@@ -282,6 +282,26 @@
         assert!(first_step.into_iter().all(|(_, count)| *count == 1), "a task that is done ran again");
     }
 
+    // Guards against jobs that end far too late, with most of their work thrown away: run
+    // times are learned from the short step, so the long tasks of the same needs count as
+    // overdue and are withdrawn, again and again. The bound is three times the objective.
+    long_tasks_after_short_ones_with_the_same_needs_are_not_withdrawn => {
+        const STEPS_MS: [u64; 2] = [300, 9_000];
+        let mut world = fleet(1, 6, 13);
+        let names: Vec<String> = (0..20).map(|number| format!("mixed{number}")).collect();
+        for text in &names {
+            let steps = vec![step(1, &[], STEPS_MS[0]), step(1, &[0], STEPS_MS[1])];
+            world.submit_durable(0, job(text, steps));
+            world.run_for(50);
+        }
+        let objective_ms = (STEPS_MS[0] + STEPS_MS[1]) * 1_600 / 1_000 + 60;
+        world.run_for(3 * objective_ms);
+        let is_open = |text: &&String| world.durable_jobs.state(&name(text)) == Some(DurableJobState::Open);
+        let open: Vec<&String> = names.iter().filter(is_open).collect();
+        let starts: u32 = world.starts.values().sum();
+        assert!(open.is_empty(), "not over after {starts} starts of 40 tasks: {open:?}");
+    }
+
     a_cancelled_job_stops_and_stays_cancelled => {
         let mut world = fleet(2, 1, 8);
         world.submit_durable(0, simple("cancelled", 6, 2_000));
