--- a/crates/lagoonhill_entry/tests/odd_records.rs
+++ b/crates/lagoonhill_entry/tests/odd_records.rs
@@ -2,6 +2,8 @@
 //! values under the other prefixes that entries read. An entry that ended on it, or
 //! gave up its search, would be followed by the next one that takes jobs over.
 
+mod support;
+
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,13 +11,11 @@
 use lagoonhill_agent::{AgentDaemon, AgentSettings};
 use lagoonhill_entry::{EntryClient, EntryDaemon, EntrySettings, JobStatus};
 use lagoonhill_http::HttpClient;
-use lagoonhill_platform::{
-    ENTRIES_PREFIX, JOBS_PREFIX, OPEN_JOBS_PREFIX, RULES_KEY, WAITING_COUNTS_PREFIX,
-};
-use lagoonhill_rules::{RuleSet, StoredRules, parse_rules};
+use lagoonhill_platform::{ENTRIES_PREFIX, JOBS_PREFIX, OPEN_JOBS_PREFIX, WAITING_COUNTS_PREFIX};
 use lagoonhill_standin::PlatformStandin;
 use lagoonhill_types::prelude::*;
 use serde_json::{Value, json};
+use support::platform;
 use tokio::time::{Instant, sleep};
 
 /// Defines one test for each named case.
@@ -25,11 +25,6 @@
     };
 }
 
-const RULES: &str = "\
-service dispatch deadline=20s run-time=100ms run-limit=20s  # tests
-queue jobs service=dispatch attempts=2 objective=60ms slack-permille=1600  # tests
-";
-
 /// An owner that is gone.
 const GONE: Incarnation = Incarnation(42);
 
@@ -73,22 +68,6 @@
     platform.put(&open_key(GONE, name), record);
 }
 
-async fn platform() -> PlatformStandin {
-    let platform = PlatformStandin::start()
-        .await
-        .expect("the stand-in should start");
-    let lines = parse_rules(RULES).expect("the rules should be valid");
-    let stored = StoredRules {
-        rules: RuleSet::new(Revision(1), lines),
-        records: Vec::new(),
-    };
-    platform.put(
-        RULES_KEY,
-        &stored.encode().expect("the rules should be small"),
-    );
-    platform
-}
-
 async fn entry(platform: &PlatformStandin) -> EntryDaemon {
     let settings = EntrySettings {
         platform: Some(platform.address()),
--- a/crates/lagoonhill_entry/tests/repeated_submissions.rs
+++ b/crates/lagoonhill_entry/tests/repeated_submissions.rs
@@ -1,21 +1,18 @@
 //! The submission of a durable job arrives again while the store has the job: nothing
 //! of it starts anew, whoever owns it and whatever this entry still knows of it.
 
+mod support;
+
 use std::time::Duration;
 
-use hyper::{Method, StatusCode};
-use lagoonhill_agent::{AgentDaemon, AgentSettings};
-use lagoonhill_core::entry::DurableJobState;
-use lagoonhill_entry::{EntryDaemon, EntrySettings, JobStatus};
-use lagoonhill_http::HttpClient;
-use lagoonhill_platform::{JOBS_PREFIX, OPEN_JOBS_PREFIX, RULES_KEY};
-use lagoonhill_rules::{RuleSet, StoredRules, parse_rules};
-use lagoonhill_standin::{
-    PlatformFaults, PlatformStandin, StartLog, TargetBehavior, TargetStandin,
-};
+use hyper::StatusCode;
+use lagoonhill_entry::EntryDaemon;
+use lagoonhill_platform::{JOBS_PREFIX, OPEN_JOBS_PREFIX};
+use lagoonhill_standin::{PlatformFaults, PlatformStandin};
 use lagoonhill_types::prelude::*;
 use serde_json::{Value, json};
-use tokio::time::{Instant, sleep};
+use support::{Worker, accept, submit, until_complete};
+use tokio::time::sleep;
 
 /// Defines one test for each named case.
 macro_rules! cases {
@@ -24,111 +21,47 @@
     };
 }
 
-const RULES: &str = "\
-service dispatch deadline=20s run-time=100ms run-limit=20s  # tests
-queue jobs service=dispatch attempts=2 objective=60ms slack-permille=1600  # tests
-";
-
 /// An owner that is gone.
 const GONE: Incarnation = Incarnation(42);
 
-const TIMEOUT: Duration = Duration::from_secs(20);
-
 /// Time for an entry to start what it would start by mistake.
 const SETTLE: Duration = Duration::from_millis(700);
 
-/// An entry that owns durable jobs, and an agent with its target.
+/// An entry that owns durable jobs, and a worker.
 struct Fleet {
     platform: PlatformStandin,
     entry: EntryDaemon,
-    log: StartLog,
-    _agent: AgentDaemon,
-    _target: TargetStandin,
+    worker: Worker,
+}
+
+/// A job of two steps; each of its tasks counts as a start of `again-NAME`.
+fn job(name: &str) -> Value {
+    let input = json!({"run_ms": 10, "echo": format!("again-{name}")});
+    json!({"input": input, "steps": [{"count": 1}, {"count": 1, "after": [0]}]})
 }
 
 impl Fleet {
     async fn start() -> Self {
-        let platform = PlatformStandin::start()
-            .await
-            .expect("the stand-in should start");
-        let lines = parse_rules(RULES).expect("the rules should be valid");
-        let stored = StoredRules {
-            rules: RuleSet::new(Revision(1), lines),
-            records: Vec::new(),
-        };
-        platform.put(
-            RULES_KEY,
-            &stored.encode().expect("the rules should be small"),
-        );
-        let settings = EntrySettings {
-            platform: Some(platform.address()),
-            ..EntrySettings::default()
-        };
-        let entry = EntryDaemon::start(settings)
-            .await
-            .expect("the entry should start");
-        let name = "worker".parse().expect("the name should be valid");
-        let zone = "zone-a".parse().expect("the name should be valid");
-        let mut settings = AgentSettings::new(name, zone);
-        settings.platform = Some(platform.address());
-        let agent = AgentDaemon::start(settings)
-            .await
-            .expect("the agent should start");
-        let log = StartLog::default();
-        let target = TargetStandin::start(TargetBehavior::default(), log.clone())
-            .await
-            .expect("the target should start");
-        let service = "dispatch".parse().expect("the name should be valid");
-        target
-            .announce(agent.http(), &service, SlotCount(4))
-            .await
-            .expect("the agent should take the announcement");
-        let fleet = Self {
+        let platform = support::platform().await;
+        let entry = support::entry(&platform).await;
+        let worker = Worker::start(&platform).await;
+        accept(&entry, "first-of-all", &job("first-of-all")).await;
+        until_complete(&entry, "first-of-all").await;
+        // The entry has searched the store as the owner that it has become.
+        sleep(Duration::from_millis(1_500)).await;
+        Self {
             platform,
             entry,
-            log,
-            _agent: agent,
-            _target: target,
-        };
-        let start = Instant::now();
-        while fleet.submit("first-of-all").await != StatusCode::OK {
-            assert!(start.elapsed() < TIMEOUT, "no job is accepted");
-            sleep(Duration::from_millis(50)).await;
+            worker,
         }
-        fleet.until_complete("first-of-all").await;
-        // The entry has searched the store as the owner that it has become.
-        sleep(Duration::from_millis(1_500)).await;
-        fleet
     }
 
     fn own(&self) -> Incarnation {
         self.entry.address().incarnation
     }
 
-    /// Submits a job of two steps; each of its tasks counts as a start of `again-NAME`.
     async fn submit(&self, name: &str) -> StatusCode {
-        let path = format!("/v1/queues/jobs/jobs/{name}");
-        let input = json!({"run_ms": 10, "echo": format!("again-{name}")});
-        let steps = json!([{"count": 1}, {"count": 1, "after": [0]}]);
-        let body = json!({"input": input, "steps": steps}).to_string();
-        let client = HttpClient::new();
-        let http = self.entry.http();
-        let sent = client.send(http, Method::PUT, &path, &[], body.into(), TIMEOUT);
-        sent.await.expect("the entry should answer").status
-    }
-
-    async fn until_complete(&self, name: &str) {
-        let start = Instant::now();
-        let key: RequestKey = name.parse().expect("the name should be valid");
-        loop {
-            let status = self.entry.client().job_status(key.clone()).await;
-            let status = status.expect("the entry should answer");
-            if status == Some(JobStatus::Over(DurableJobState::Complete)) {
-                return;
-            }
-            assert!(start.elapsed() < TIMEOUT, "{name} is {status:?}");
-            sleep(Duration::from_millis(20)).await;
-        }
+        submit(&self.entry, name, &job(name)).await
     }
 
     /// Stores an open job of two steps, of which the first is done. Its tasks count as
@@ -152,13 +85,13 @@
     }
 
     fn starts(&self, mark: &str, name: &str) -> u32 {
-        self.log.starts_of(&format!("{mark}-{name}"))
+        self.worker.log.starts_of(&format!("{mark}-{name}"))
     }
 
     /// A submission of the stored job arrives again: only what is left of it runs.
     async fn assert_only_the_rest_runs(&self, name: &str) {
         assert_eq!(self.submit(name).await, StatusCode::OK);
-        self.until_complete(name).await;
+        until_complete(&self.entry, name).await;
         assert_eq!(self.starts("again", name), 0, "{name} was started anew");
         assert_eq!(
             self.starts("done", name),
@@ -216,7 +149,7 @@
         let faults = PlatformFaults { unanswered_transactions: 1, ..PlatformFaults::default() };
         fleet.platform.set_faults(faults);
         assert_eq!(fleet.submit("untold").await, StatusCode::OK);
-        fleet.until_complete("untold").await;
+        until_complete(&fleet.entry, "untold").await;
         assert_eq!(fleet.starts("again", "untold"), 2);
     }
 }
--- a/crates/lagoonhill_entry/tests/takeovers.rs
+++ b/crates/lagoonhill_entry/tests/takeovers.rs
@@ -1,21 +1,16 @@
 //! Entries come, accept a durable job and are gone again: the others take the job over,
 //! also those that have never known of a durable job.
 
+mod support;
+
 use std::time::Duration;
 
-use hyper::{Method, StatusCode};
-use lagoonhill_agent::{AgentDaemon, AgentSettings};
-use lagoonhill_core::entry::DurableJobState;
-use lagoonhill_entry::{EntryDaemon, EntrySettings, JobStatus};
-use lagoonhill_http::HttpClient;
-use lagoonhill_platform::{OWNERS_PREFIX, RULES_KEY};
-use lagoonhill_rules::{RuleSet, StoredRules, parse_rules};
-use lagoonhill_standin::{
-    PlatformFaults, PlatformStandin, StartLog, TargetBehavior, TargetStandin,
-};
-use lagoonhill_types::prelude::*;
+use lagoonhill_entry::EntryDaemon;
+use lagoonhill_platform::OWNERS_PREFIX;
+use lagoonhill_standin::{PlatformFaults, PlatformStandin};
 use serde_json::json;
-use tokio::time::{Instant, sleep};
+use support::{Worker, until_complete};
+use tokio::time::sleep;
 
 /// Defines one test for each named case.
 macro_rules! cases {
@@ -24,14 +19,6 @@
     };
 }
 
-const RULES: &str = "\
-service dispatch deadline=20s run-time=100ms run-limit=20s  # tests
-queue jobs service=dispatch attempts=2 objective=60ms slack-permille=1600  # tests
-";
-
-/// Time in which a job of an owner that has left is complete.
-const TIMEOUT: Duration = Duration::from_secs(25);
-
 /// Run time of a job, longer than its first owner stays.
 const RUN_MS: u64 = 2_000;
 
@@ -40,56 +27,21 @@
 
 struct Fleet {
     platform: PlatformStandin,
-    _agent: AgentDaemon,
-    _target: TargetStandin,
+    _worker: Worker,
 }
 
 impl Fleet {
     async fn start() -> Self {
-        let platform = PlatformStandin::start()
-            .await
-            .expect("the stand-in should start");
-        let lines = parse_rules(RULES).expect("the rules should be valid");
-        let stored = StoredRules {
-            rules: RuleSet::new(Revision(1), lines),
-            records: Vec::new(),
-        };
-        platform.put(
-            RULES_KEY,
-            &stored.encode().expect("the rules should be small"),
-        );
-        let name = "worker".parse().expect("the name should be valid");
-        let zone = "zone-a".parse().expect("the name should be valid");
-        let mut settings = AgentSettings::new(name, zone);
-        settings.platform = Some(platform.address());
-        let agent = AgentDaemon::start(settings)
-            .await
-            .expect("the agent should start");
-        let target = TargetStandin::start(TargetBehavior::default(), StartLog::default())
-            .await
-            .expect("the target should start");
-        let service = "dispatch".parse().expect("the name should be valid");
-        target
-            .announce(agent.http(), &service, SlotCount(8))
-            .await
-            .expect("the agent should take the announcement");
+        let platform = support::platform().await;
+        let worker = Worker::start(&platform).await;
         Self {
             platform,
-            _agent: agent,
-            _target: target,
+            _worker: worker,
         }
     }
 
     async fn entry(&self) -> EntryDaemon {
-        let settings = EntrySettings {
-            platform: Some(self.platform.address()),
-            drain_delay_ms: DurationMs::ZERO,
-            drain_limit_ms: DurationMs(100),
-            ..EntrySettings::default()
-        };
-        EntryDaemon::start(settings)
-            .await
-            .expect("the entry should start")
+        support::entry(&self.platform).await
     }
 
     /// An entry that has searched for durable jobs and found none.
@@ -102,43 +54,19 @@
     /// Starts an entry that accepts a job and leaves at once.
     async fn accept_and_leave(&self, name: &str) {
         let entry = self.entry().await;
-        self.accept(&entry, name).await;
+        accept(&entry, name).await;
         entry.drain().await;
     }
 
-    async fn accept(&self, entry: &EntryDaemon, name: &str) {
-        let path = format!("/v1/queues/jobs/jobs/{name}");
-        let steps = json!([{"count": 1, "run_time_ms": RUN_MS}]);
-        let body = json!({"input": {"run_ms": RUN_MS}, "steps": steps}).to_string();
-        let client = HttpClient::new();
-        let start = Instant::now();
-        loop {
-            let body = body.clone().into();
-            let sent = client.send(entry.http(), Method::PUT, &path, &[], body, TIMEOUT);
-            if sent.await.expect("the entry should answer").status == StatusCode::OK {
-                return;
-            }
-            assert!(start.elapsed() < TIMEOUT, "{name} is not accepted");
-            sleep(Duration::from_millis(20)).await;
-        }
-    }
-
     fn owners(&self) -> usize {
         self.platform.count(OWNERS_PREFIX)
     }
 }
 
-async fn until_complete(entry: &EntryDaemon, name: &str) {
-    let start = Instant::now();
-    let key: RequestKey = name.parse().expect("the name should be valid");
-    loop {
-        let status = entry.client().job_status(key.clone()).await;
-        if status == Ok(Some(JobStatus::Over(DurableJobState::Complete))) {
-            return;
-        }
-        assert!(start.elapsed() < TIMEOUT, "{name} is {status:?}");
-        sleep(Duration::from_millis(50)).await;
-    }
+async fn accept(entry: &EntryDaemon, name: &str) {
+    let steps = json!([{"count": 1, "run_time_ms": RUN_MS}]);
+    let job = json!({"input": {"run_ms": RUN_MS}, "steps": steps});
+    support::accept(entry, name, &job).await;
 }
 
 cases! {
@@ -167,7 +95,7 @@
         let fleet = Fleet::start().await;
         let idle = fleet.idle_entry().await;
         let owner = fleet.entry().await;
-        fleet.accept(&owner, "lost").await;
+        accept(&owner, "lost").await;
         fleet.platform.set_faults(PlatformFaults { down: true, ..PlatformFaults::default() });
         owner.drain().await;
         fleet.platform.expire_all_leases();
@@ -188,7 +116,7 @@
     an_owner_that_leaves_between_two_polls_of_another_one => {
         let fleet = Fleet::start().await;
         let other = fleet.entry().await;
-        fleet.accept(&other, "own").await;
+        accept(&other, "own").await;
         until_complete(&other, "own").await;
         fleet.accept_and_leave("between").await;
         until_complete(&other, "between").await;
