Entry: a search leaves a job alone whose storing is not answered yet

A name with a pending submission counts as known now, and a write that is dropped as superseded makes the entry search for its own jobs at the next poll. The test a_search_leaves_a_job_alone_whose_storing_is_not_answered_yet failed before (epoch 2).

--- a/crates/lagoonhill_core/src/entry/machine/durable_jobs.rs
+++ b/crates/lagoonhill_core/src/entry/machine/durable_jobs.rs
@@ -221,6 +221,11 @@
         }
     }
 
+    /// Whether this entry has a durable job of a name, stored or about to be.
+    pub fn knows_durable_job(&self, name: &RequestKey) -> bool {
+        self.durable_jobs.contains_key(name)
+    }
+
     /// Whether a task of a durable job has been dispatched, if this entry owns the
     /// job and it is not over. A job is over once its end is stored.
     pub fn durable_job_started(&self, name: &RequestKey) -> Option<bool> {
--- a/crates/lagoonhill_entry/src/control.rs
+++ b/crates/lagoonhill_entry/src/control.rs
@@ -84,6 +84,10 @@
         name: RequestKey,
         reply: oneshot::Sender<Option<bool>>,
     },
+    KnowsDurableJob {
+        name: RequestKey,
+        reply: oneshot::Sender<bool>,
+    },
     Rules(RuleSet),
     Drains {
         drains: ZoneDrains,
@@ -167,6 +171,9 @@
             ControlEvent::DurableJobStarted { name, reply } => {
                 let _ = reply.send(self.entry.durable_job_started(&name));
             }
+            ControlEvent::KnowsDurableJob { name, reply } => {
+                let _ = reply.send(self.entry.knows_durable_job(&name));
+            }
             ControlEvent::Rules(rules) => {
                 self.entry.install_rules(rules, now);
             }
--- a/crates/lagoonhill_entry/src/durable_store.rs
+++ b/crates/lagoonhill_entry/src/durable_store.rs
@@ -272,6 +272,7 @@
                 "a write of an earlier owner of {} is dropped",
                 write.write.name
             );
+            self.search_own();
             self.report(&write, StoreOutcome::OwnedElsewhere(DurableJobState::Open));
         }
         remaining
--- a/crates/lagoonhill_entry/src/ownership.rs
+++ b/crates/lagoonhill_entry/src/ownership.rs
@@ -376,7 +376,8 @@
         postponed == 0
     }
 
-    /// Whether a job is stored as this owner's but unknown to its control thread.
+    /// Whether a job is stored as this owner's but unknown to its control thread. A job
+    /// that is about to be stored is known: the answer to its write may be on its way.
     async fn is_unknown_here(&self, found: &Versioned) -> bool {
         let own = format!("{OPEN_JOBS_PREFIX}{}/", self.owner);
         let Some(Ok(name)) = found.key.strip_prefix(&own).map(str::parse) else {
@@ -384,8 +385,8 @@
         };
         let request = self
             .control
-            .request(|reply| ControlEvent::DurableJobStarted { name, reply });
-        request.await.is_ok_and(|has_started| has_started.is_none())
+            .request(|reply| ControlEvent::KnowsDurableJob { name, reply });
+        request.await.is_ok_and(|is_known| !is_known)
     }
 
     /// Watches for cancels that other entries have received.
--- a/crates/lagoonhill_entry/tests/repeated_submissions.rs
+++ b/crates/lagoonhill_entry/tests/repeated_submissions.rs
@@ -152,4 +152,29 @@
         until_complete(&fleet.entry, "untold").await;
         assert_eq!(fleet.starts("again", "untold"), 2);
     }
+
+    // Guards against a job that is abandoned as soon as it is accepted: a search for own
+    // jobs finds it in the store before the answer to its storing arrives, and takes it
+    // over from its own entry.
+    a_search_leaves_a_job_alone_whose_storing_is_not_answered_yet => {
+        let fleet = Fleet::start().await;
+        let faults = PlatformFaults { unanswered_transactions: 1, ..PlatformFaults::default() };
+        fleet.platform.set_faults(faults);
+        let long = json!({"input": {"run_ms": 3_000}, "steps": [{"count": 1}]});
+        let storing = async {
+            assert_eq!(submit(&fleet.entry, "storing", &long).await, StatusCode::OK);
+            let key = format!("{OPEN_JOBS_PREFIX}{}/storing", fleet.own());
+            let record = fleet.platform.get(&key).expect("the job should be open");
+            let record: Value = serde_json::from_slice(&record).expect("the record should be JSON");
+            assert_eq!(record["epoch"], json!(1), "the entry has taken its own job over");
+        };
+        let search = async {
+            sleep(Duration::from_millis(100)).await;
+            let state = json!({"owner": fleet.own(), "state": "open"});
+            fleet.store_open(fleet.own(), "abandoned", &state);
+            fleet.assert_only_the_rest_runs("abandoned").await;
+        };
+        tokio::join!(storing, search);
+        until_complete(&fleet.entry, "storing").await;
+    }
 }
