Process tests: a port that is handed over can't be taken by an outgoing connection

The test asks the system for a free port, closes it and passes it to the process; 46119 lies in the range of outgoing connections, one of which took it in between. Ports for this are now taken below that range, each once in a run. The test checks what it checked before.

--- a/crates/lagoonhill/tests/processes.rs
+++ b/crates/lagoonhill/tests/processes.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use lagoonhill_standin::{
@@ -491,11 +492,21 @@
     assert_eq!(fleet.log.duplicates(), 0);
 }
 
+/// A free port, below those that the system gives to outgoing connections: one of these
+/// could take the port before the process listens on it.
 async fn free_port() -> std::net::SocketAddr {
-    let listener = tokio::net::TcpListener::bind(("127.0.0.1", 0))
-        .await
-        .expect("a port is free");
-    listener
-        .local_addr()
-        .expect("a bound listener has an address")
+    const FIRST: u16 = 20_000;
+    const COUNT: u32 = 10_000;
+    static TAKEN: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let taken = TAKEN.fetch_add(1, Ordering::Relaxed);
+        let offset = std::process::id().wrapping_mul(16).wrapping_add(taken) % COUNT;
+        let port = FIRST + u16::try_from(offset).expect("the offset is small");
+        let bound = tokio::net::TcpListener::bind(("127.0.0.1", port)).await;
+        if let Ok(listener) = bound {
+            return listener
+                .local_addr()
+                .expect("a bound listener has an address");
+        }
+    }
 }
