Entry: a best-effort job runs under a lease on its name

Callers of a best-effort job that got no answer send it again to any entry. Each entry took a request as new unless it ran the job itself, and counted its time limit from its arrival.

--- a/crates/lagoonhill_core/src/agent/machine/mod.rs
+++ b/crates/lagoonhill_core/src/agent/machine/mod.rs
@@ -201,7 +201,10 @@
             Packet::Frame(frame) => self.on_frame(frame, now),
             Packet::Reset(reset) => self.on_reset(reset, now),
             Packet::Entries(entries) => self.add_entries(&entries, now),
-            Packet::Hello(_) => {}
+            Packet::Hello(_)
+            | Packet::NameRequest(_)
+            | Packet::NameReply(_)
+            | Packet::NameRelease(_) => {}
         }
     }
 
--- a/crates/lagoonhill_core/src/entry/answer.rs
+++ b/crates/lagoonhill_core/src/entry/answer.rs
@@ -165,6 +165,11 @@
     /// A job that is to be durable has no name.
     #[error("a job that is kept needs a name: submit it to a queue under one")]
     NotNamed,
+    /// Another entry runs the job: its caller has sent it twice.
+    #[error(
+        "another entry runs this job, which was sent before: send it again if that request gets no answer"
+    )]
+    RunsElsewhere,
     /// Too many keys are being bound.
     #[error("too many keys are being bound: send the request again later, or use a ticket")]
     KeyBudget,
@@ -200,6 +205,7 @@
             Self::OwnerUnreachable => "owner_unreachable",
             Self::StoreUnavailable => "store_unavailable",
             Self::NotNamed => "not_named",
+            Self::RunsElsewhere => "runs_elsewhere",
             Self::KeyBudget => "key_budget",
         }
     }
--- a/crates/lagoonhill_core/src/entry/decision.rs
+++ b/crates/lagoonhill_core/src/entry/decision.rs
@@ -104,6 +104,8 @@
         /// Time since the job was admitted.
         took_ms: DurationMs,
     },
+    /// A job runs without the lease on its name, since no home answered.
+    Unleased,
     /// A worker joined, or began a new session.
     Joined {
         /// The worker that joined.
@@ -239,6 +241,7 @@
                 cause,
                 took_ms,
             } => write!(f, "failed run={run} took={took_ms} why={}", Quoted(cause)),
+            DecisionKind::Unleased => f.write_str("unleased"),
             DecisionKind::Joined { worker } => write!(f, "joined worker={worker}"),
             DecisionKind::DiscoveryComplete {
                 workers,
--- a/crates/lagoonhill_core/src/entry/effect.rs
+++ b/crates/lagoonhill_core/src/entry/effect.rs
@@ -10,9 +10,9 @@
 /// Action that the entry asks its daemon to carry out.
 #[derive(Debug)]
 pub enum EntryEffect {
-    /// Send a packet to an agent.
+    /// Send a packet to an agent or another entry.
     Send {
-        /// Address at which the agent receives packets.
+        /// Address at which the receiver gets packets.
         to: SocketAddr,
         /// The packet.
         packet: Packet,
--- a/crates/lagoonhill_core/src/entry/job.rs
+++ b/crates/lagoonhill_core/src/entry/job.rs
@@ -8,8 +8,8 @@
 use slotmap::new_key_type;
 
 use super::{
-    CallerId, DurableState, Needs, Progress, QueuePosition, RecordKey, RunCertainty, Step, Tier,
-    WorkerKey,
+    CallerId, DurableState, HeldName, Needs, Progress, QueuePosition, RecordKey, RunCertainty,
+    Step, Tier, WorkerKey,
 };
 
 new_key_type! {
@@ -109,6 +109,8 @@
     pub callers: Vec<CallerId>,
     /// Ticket or key under which it was submitted.
     pub record: Option<RecordKey>,
+    /// Lease on its name, if it has one.
+    pub held_name: Option<HeldName>,
     /// Durable state; present if the job is durable.
     pub durable: Option<DurableState>,
     /// Rank among the jobs of its team; the lowest is served first.
@@ -171,6 +173,7 @@
             plan,
             callers: Vec::new(),
             record: None,
+            held_name: None,
             durable: None,
             rank_ms,
             promise: None,
--- a/crates/lagoonhill_core/src/entry/machine/dispatch.rs
+++ b/crates/lagoonhill_core/src/entry/machine/dispatch.rs
@@ -167,7 +167,10 @@
     ) -> Option<JobKey> {
         let queue = self.queues.get(service)?;
         let is_owner = self.is_owner(now);
-        let may_run = |key: JobKey| is_owner || !self.jobs[key].is_durable();
+        let may_run = |key: JobKey| {
+            let is_durable = self.jobs[key].is_durable();
+            (is_owner || !is_durable) && self.holds_name(key, now)
+        };
         queue.next(
             |class| !blocked.classes.contains(&class),
             |team, key| !blocked.jobs.contains(&key) && may_run(key) && self.has_quota(team),
--- a/crates/lagoonhill_core/src/entry/machine/endings.rs
+++ b/crates/lagoonhill_core/src/entry/machine/endings.rs
@@ -69,6 +69,7 @@
         };
         let took_ms = now.since(job.plan.accepted_ms);
         self.log_end(&job, DecisionKind::Completed { took_ms }, now);
+        self.release_name_of(&job, now);
         self.close_job(&job, Ok(results), now);
     }
 
@@ -106,6 +107,7 @@
             took_ms: now.since(job.plan.accepted_ms),
         };
         self.log_end(&job, kind, now);
+        self.release_name_of(&job, now);
         self.close_job(
             &job,
             Err(JobFailure {
--- a/crates/lagoonhill_core/src/entry/machine/mod.rs
+++ b/crates/lagoonhill_core/src/entry/machine/mod.rs
@@ -7,6 +7,7 @@
 mod durable_jobs;
 mod endings;
 mod forecast;
+mod names;
 mod outcomes;
 mod sessions;
 mod submissions;
@@ -14,15 +15,16 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 
-use lagoonhill_protocol::{EntryAddress, Load, Message, Packet};
+use lagoonhill_protocol::{EntryAddress, Load, Message, NameLeaseId, Packet};
 use lagoonhill_rules::{Class, RuleSet};
 use lagoonhill_types::prelude::*;
 use slotmap::SlotMap;
 
+use self::names::PendingName;
 use super::{
     CallerId, Decision, DecisionKind, EntryConfig, EntryEffect, EntryStatus, Fleet, Job, JobKey,
-    Placement, Records, RunTimes, StartupDiscovery, TeamUsage, Throughput, TieredQueue, Worker,
-    WorkerKey, WorkerStatus,
+    NameLeases, Placement, Records, RunTimes, StartupDiscovery, TeamUsage, Throughput, TieredQueue,
+    Worker, WorkerKey, WorkerStatus,
 };
 use crate::{DrainSync, FrameHeader, Heartbeat, Liveness, RulesSync};
 
@@ -65,6 +67,14 @@
     run_times: RunTimes,
     throughput: HashMap<(ServiceName, Class), Throughput>,
     records: Records,
+    /// Leases on job names that this entry has granted.
+    name_leases: NameLeases,
+    /// Requests for leases that no home has answered yet.
+    pending_names: BTreeMap<NameLeaseId, PendingName>,
+    /// Jobs with a lease on their names, by the time of its renewal.
+    name_renewals: BTreeSet<(TimestampMs, JobKey)>,
+    /// Homes that did not answer, until when they are passed over.
+    silent_homes: HashMap<Incarnation, TimestampMs>,
     entries: BTreeSet<EntryAddress>,
     discovery: StartupDiscovery,
     next_number: u64,
@@ -102,6 +112,10 @@
             run_times: RunTimes::default(),
             throughput: HashMap::new(),
             records: Records::default(),
+            name_leases: NameLeases::default(),
+            pending_names: BTreeMap::new(),
+            name_renewals: BTreeSet::new(),
+            silent_homes: HashMap::new(),
             entries,
             discovery: StartupDiscovery::start(now),
             next_number: 1,
@@ -151,7 +165,7 @@
 
     /// Whether every accepted job has ended.
     pub fn is_idle(&self) -> bool {
-        self.jobs.is_empty()
+        self.jobs.is_empty() && self.pending_names.is_empty()
     }
 
     /// Whether requests are accepted: rules are known and the entry is not leaving.
@@ -281,6 +295,10 @@
             }
             self.quarantine_stuck(now);
         }
+        if frozen {
+            self.suspend_own_leases(now);
+        }
+        self.tick_names(now);
         self.abandon_unowned_jobs(now);
         self.store_due_progress(now);
         self.records.expire(now);
--- a/crates/lagoonhill_core/src/entry/machine/sessions.rs
+++ b/crates/lagoonhill_core/src/entry/machine/sessions.rs
@@ -14,11 +14,14 @@
 const HEARTBEAT_BUDGET_BYTES_PER_S: u64 = 3_000;
 
 impl<P: Placement> Entry<P> {
-    /// Handles a packet received from an agent.
+    /// Handles a packet received from an agent or another entry.
     pub fn receive(&mut self, packet: Packet, now: TimestampMs) {
         match packet {
             Packet::Hello(hello) => self.on_hello(hello, now),
             Packet::Frame(frame) => self.on_frame(frame, now),
+            Packet::NameRequest(request) => self.on_name_request(&request, now),
+            Packet::NameReply(reply) => self.on_name_reply(reply, now),
+            Packet::NameRelease(release) => self.on_name_release(&release, now),
             Packet::Welcome(_) | Packet::Reset(_) | Packet::Entries(_) => {}
         }
     }
--- a/crates/lagoonhill_core/src/entry/machine/submissions.rs
+++ b/crates/lagoonhill_core/src/entry/machine/submissions.rs
@@ -208,7 +208,7 @@
     /// waits for it, and its answer can't be requested again or it may be rerun.
     pub fn on_caller_disconnected(&mut self, caller: CallerId, now: TimestampMs) {
         let Some(key) = self.by_caller.remove(&caller) else {
-            return;
+            return self.forget_unadmitted_caller(caller);
         };
         let job = &mut self.jobs[key];
         job.callers.retain(|waiting| *waiting != caller);
--- /dev/null
+++ b/crates/lagoonhill_core/tests/repeated_jobs.rs
@@ -0,0 +1,176 @@
+//! Best-effort jobs that their callers send to a second entry while the first one may
+//! still run them: a request that was held on its way, or a caller whose connection
+//! broke without a notice.
+
+mod support;
+
+use lagoonhill_core::Timing;
+use lagoonhill_core::entry::{CallerId, RunCertainty, Submission};
+use lagoonhill_standin::{NodeId, StopResult};
+use lagoonhill_types::prelude::*;
+use support::{TestWorld, config, failure, is_complete, queue_job, queue_rules, world};
+
+/// Defines one test for each named case.
+macro_rules! cases {
+    ($($name:ident => $body:block)+) => {
+        $(#[test] fn $name() $body)+
+    };
+}
+
+const ENTRIES: usize = 4;
+const TASKS: u16 = 2;
+
+/// Long enough for the second submission to arrive while the first one runs.
+const RUN_MS: u64 = 900;
+
+fn fleet(seed: u64) -> TestWorld {
+    fleet_with_delay(seed, 1)
+}
+
+/// A fleet whose packets take `delay_ms` each way.
+fn fleet_with_delay(seed: u64, delay_ms: u64) -> TestWorld {
+    let mut config = config(ENTRIES, 6, seed);
+    config.rules = queue_rules();
+    config.timing = Timing::SUB_SECOND;
+    config.overcommit = 0;
+    config.network.delay_ms = delay_ms;
+    let mut world = world(&config);
+    world.stop_result = StopResult::Interrupted;
+    world
+}
+
+fn job(name: &str) -> Submission {
+    let mut job = queue_job("short", name, TASKS, MilliProcessors(1_000), RUN_MS);
+    job.deadline_ms = Some(DurationMs(1_500));
+    job
+}
+
+/// Tasks of the jobs that have started more than once.
+fn repeated_starts(world: &TestWorld) -> Vec<String> {
+    let repeated = world.starts.iter().filter(|(_, count)| **count > 1);
+    repeated
+        .map(|(payload, count)| {
+            let task = String::from_utf8_lossy(payload.as_slice());
+            format!("{task}: {count} starts")
+        })
+        .collect()
+}
+
+/// Whether the caller was told that its job may run, without an answer from it.
+fn may_run_elsewhere(world: &TestWorld, caller: CallerId) -> bool {
+    failure(world, caller).is_some_and(|(run, _)| run == RunCertainty::MayHaveRun)
+}
+
+cases! {
+    // Guards against two runs at once when a caller sends its job to another entry while
+    // the first one runs it (issue 49).
+    a_job_that_another_entry_runs_is_not_started => {
+        for (seed, name) in (1..).zip(["a", "b", "c", "d", "e", "f", "g", "h"]) {
+            let mut world = fleet(seed);
+            let first = world.submit_named(0, job(name));
+            world.run_for(150);
+            let second = world.submit_named(1, job(name));
+            world.run_for(200);
+            assert!(may_run_elsewhere(&world, second), "job {name}");
+            world.run_for(2_000);
+            assert!(is_complete(&world, first), "job {name}");
+            assert_eq!(repeated_starts(&world), Vec::<String>::new(), "job {name}");
+        }
+    }
+
+    // Guards against an entry that goes without a lease because its path is slow.
+    a_job_that_another_entry_runs_is_not_started_over_a_slow_path => {
+        for (seed, name) in (1..).zip(["a", "b", "c", "d", "e", "f", "g", "h"]) {
+            let mut world = fleet_with_delay(seed, 70);
+            let first = world.submit_named(0, job(name));
+            world.run_for(250);
+            let second = world.submit_named(1, job(name));
+            world.run_for(300);
+            assert!(may_run_elsewhere(&world, second), "job {name}");
+            world.run_for(2_000);
+            assert!(is_complete(&world, first), "job {name}");
+            assert_eq!(repeated_starts(&world), Vec::<String>::new(), "job {name}");
+        }
+    }
+
+    // Guards against a lease that goes to each of two requests on their way to its home.
+    requests_of_the_same_moment_start_a_job_once => {
+        for (seed, name) in (1..).zip(["a", "b", "c", "d", "e", "f", "g", "h"]) {
+            let mut world = fleet(seed);
+            let callers: Vec<CallerId> = (0..ENTRIES)
+                .map(|entry| world.submit_named(entry, job(name)))
+                .collect();
+            world.run_for(2_000);
+            let complete = callers.iter().filter(|caller| is_complete(&world, **caller));
+            assert_eq!(complete.count(), 1, "job {name}");
+            assert_eq!(repeated_starts(&world), Vec::<String>::new(), "job {name}");
+        }
+    }
+
+    // Guards against a lease that is kept for a job that has ended.
+    a_job_that_has_ended_may_be_sent_again => {
+        let mut world = fleet(1);
+        let first = world.submit_named(0, job("again"));
+        world.run_for(1_200);
+        assert!(is_complete(&world, first));
+        let second = world.submit_named(1, job("again"));
+        world.run_for(1_200);
+        assert!(is_complete(&world, second));
+    }
+
+    // Guards against a lease that outlives its holder: callers send a job again 1,300 ms
+    // after their connection broke.
+    a_job_of_a_lost_entry_may_be_sent_again => {
+        for lost_after_ms in [5, 100, 190, 210, 390, 600] {
+            let mut world = fleet(lost_after_ms);
+            world.submit_named(0, job("lost"));
+            world.run_for(lost_after_ms);
+            world.kill(NodeId::Entry(0));
+            world.run_for(1_300);
+            let second = world.submit_named(1, job("lost"));
+            world.run_for(1_400);
+            assert!(is_complete(&world, second), "lost after {lost_after_ms} ms");
+        }
+    }
+
+    // Guards against jobs that wait for a home that does not answer.
+    a_lost_home_delays_no_job_for_long => {
+        let mut world = fleet(1);
+        world.freeze(NodeId::Entry(3), 5_000);
+        let names: Vec<String> = (0..24).map(|number| format!("job-{number}")).collect();
+        let callers: Vec<CallerId> = names
+            .iter()
+            .map(|name| {
+                let mut job = job(name);
+                job.tasks.truncate(1);
+                if let Some(queued) = &mut job.queued {
+                    queued.steps[0].count = 1;
+                    queued.steps[0].estimate_ms = DurationMs(40);
+                }
+                job.tasks[0] = Payload::from(format!("40 {name}").into_bytes());
+                let caller = world.submit_named(0, job);
+                world.run_for(25);
+                caller
+            })
+            .collect();
+        world.run_for(300);
+        assert!(callers.iter().all(|caller| is_complete(&world, *caller)));
+    }
+
+    // Guards against a woken entry that goes on with a job that another one has taken.
+    a_woken_entry_starts_nothing_that_another_runs => {
+        for seed in 1..9 {
+            let mut world = fleet(seed);
+            world.submit_named(0, job("woken"));
+            world.run_for(20);
+            world.freeze(NodeId::Entry(0), 1_400);
+            world.run_for(1_330);
+            let starts = world.starts.values().max().copied();
+            let second = world.submit_named(1, job("woken"));
+            world.run_for(1_400);
+            assert!(is_complete(&world, second), "seed {seed}");
+            let most = world.starts.values().max().copied();
+            assert!(most <= starts.map(|starts| starts + 1), "seed {seed}: {most:?} starts");
+        }
+    }
+}
--- a/crates/lagoonhill_entry/src/api.rs
+++ b/crates/lagoonhill_entry/src/api.rs
@@ -339,7 +339,7 @@
             StatusCode::BAD_GATEWAY
         }
         Cause::DeadlinePassed { .. } => StatusCode::GATEWAY_TIMEOUT,
-        Cause::Cancelled => StatusCode::CONFLICT,
+        Cause::Cancelled | Cause::RunsElsewhere => StatusCode::CONFLICT,
         Cause::TicketExpired | Cause::OwnerGone => StatusCode::GONE,
         Cause::Leaving
         | Cause::NoRules
--- a/crates/lagoonhill_entry/src/client.rs
+++ b/crates/lagoonhill_entry/src/client.rs
@@ -153,12 +153,8 @@
     /// Submits a job and waits for its answer. Dropping the future withdraws
     /// the job.
     pub async fn submit(&self, submission: Submission) -> Result<Answer, Stopped> {
-        // The job's name serves as its key: a repeated submission joins the same job.
         let kind = match &submission.queued {
-            Some(order) => SubmissionKind::Key {
-                key: order.name.clone(),
-                bound_here: true,
-            },
+            Some(_) => SubmissionKind::Named,
             None => SubmissionKind::Plain,
         };
         match self.control.submit(kind, submission).await? {
--- a/crates/lagoonhill_entry/src/control.rs
+++ b/crates/lagoonhill_entry/src/control.rs
@@ -23,6 +23,8 @@
 #[derive(Clone, Debug)]
 pub(crate) enum SubmissionKind {
     Plain,
+    /// A best-effort job of a queue, under the name that its caller gave to it.
+    Named,
     Ticket(Ticket),
     Key {
         key: RequestKey,
@@ -268,6 +270,7 @@
     ) {
         match kind {
             SubmissionKind::Plain => self.entry.submit(caller, submission, now),
+            SubmissionKind::Named => self.entry.submit_named(caller, submission, now),
             SubmissionKind::Ticket(ticket) => {
                 self.entry.submit_ticket(caller, ticket, submission, now);
             }
--- a/crates/lagoonhill_entry/src/metrics.rs
+++ b/crates/lagoonhill_entry/src/metrics.rs
@@ -126,6 +126,7 @@
                     RunCertainty::MayHaveRun => "failed_may_have_run",
                 }
             }
+            DecisionKind::Unleased => "unleased",
             DecisionKind::Rerun { .. } => return self.rerun.inc(),
             DecisionKind::TakenOver { .. } => return self.count_change("adopted"),
             DecisionKind::Abandoned { .. } => return self.count_change("given_up"),
--- a/crates/lagoonhill_protocol/src/hello.rs
+++ b/crates/lagoonhill_protocol/src/hello.rs
@@ -3,7 +3,7 @@
 use lagoonhill_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use crate::{EntryAddress, Frame, SessionId, Target};
+use crate::{EntryAddress, Frame, NameRelease, NameReply, NameRequest, SessionId, Target};
 
 /// Request of an agent to open a session with an entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -50,7 +50,7 @@
     pub session: SessionId,
 }
 
-/// One packet on a link between an entry and an agent.
+/// One packet on a link between an entry and an agent, or between two entries.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Packet {
     /// Agent to entry: open a session.
@@ -64,4 +64,11 @@
     /// Entry to agent: the current entries, in answer to a hello for an earlier
     /// incarnation.
     Entries(Vec<EntryAddress>),
+    /// Entry to entry: a lease on the name of a job is requested. Earlier releases
+    /// close the connection that it comes on.
+    NameRequest(NameRequest),
+    /// Entry to entry: answer to a request for a lease.
+    NameReply(NameReply),
+    /// Entry to entry: a lease has ended.
+    NameRelease(NameRelease),
 }
--- a/crates/lagoonhill_protocol/src/lib.rs
+++ b/crates/lagoonhill_protocol/src/lib.rs
@@ -1,4 +1,4 @@
-//! Messages between entries and agents, and their encoding.
+//! Messages between entries and agents, and among entries, and their encoding.
 //!
 //! A [`Packet`] is the unit of transfer on a link and, like a datagram, may be
 //! lost. [`Frame`]s of a session carry numbered [`Message`]s reliably; `Hello`,
@@ -9,6 +9,7 @@
 mod frame;
 mod hello;
 mod message;
+mod name_lease;
 mod outcome;
 mod peers;
 mod session_id;
@@ -21,6 +22,7 @@
 pub use frame::{Frame, Load, Sequence};
 pub use hello::{Hello, Packet, Reset, Welcome};
 pub use message::{Message, RulesUpdate};
+pub use name_lease::{NameLeaseId, NameRelease, NameReply, NameRequest};
 pub use outcome::{NotRunReason, Outcome, TaskResult};
 pub use peers::{MemberBeat, PeersRequest, PeersResponse, RulesDocument};
 pub use session_id::SessionId;
--- a/crates/lagoonhill_standin/src/world.rs
+++ b/crates/lagoonhill_standin/src/world.rs
@@ -500,6 +500,15 @@
         caller
     }
 
+    /// Submits a best-effort job of a queue under its own name.
+    pub fn submit_named(&mut self, entry: usize, submission: Submission) -> CallerId {
+        let caller = self.new_caller(entry);
+        self.with_entry(entry, |machine, now| {
+            machine.submit_named(caller, submission, now);
+        });
+        caller
+    }
+
     /// Gets a ticket from an entry; `None` if the entry is down or issues none.
     pub fn ticket(&mut self, entry: usize) -> Option<Ticket> {
         let now = self.local_time(NodeId::Entry(entry));
