Entry: a request for a name's lease is repeated on a new connection

The request is repeated on a new connection after 100 ms, and the home answers on a new one. Test: a_job_that_another_entry_runs_is_not_started_after_its_path_went_silent.

--- a/crates/lagoonhill_core/src/entry/machine/mod.rs
+++ b/crates/lagoonhill_core/src/entry/machine/mod.rs
@@ -75,6 +75,8 @@
     name_renewals: BTreeSet<(TimestampMs, JobKey)>,
     /// Homes that did not answer, until when they are passed over.
     silent_homes: HashMap<Incarnation, TimestampMs>,
+    /// When a new connection to a home was last opened.
+    reconnected_homes: HashMap<Incarnation, TimestampMs>,
     entries: BTreeSet<EntryAddress>,
     discovery: StartupDiscovery,
     next_number: u64,
@@ -116,6 +118,7 @@
             pending_names: BTreeMap::new(),
             name_renewals: BTreeSet::new(),
             silent_homes: HashMap::new(),
+            reconnected_homes: HashMap::new(),
             entries,
             discovery: StartupDiscovery::start(now),
             next_number: 1,
--- a/crates/lagoonhill_core/src/entry/machine/names.rs
+++ b/crates/lagoonhill_core/src/entry/machine/names.rs
@@ -3,6 +3,7 @@
 //! run unnoticed. The lease is granted by the name's home: an entry chosen by
 //! rendezvous hashing, so that it costs two packets a job however many entries there are.
 
+use std::collections::BTreeMap;
 use std::hash::Hasher;
 
 use fnv::FnvHasher;
@@ -19,6 +20,13 @@
 /// Time after which the next home is asked too: several round trips between zones.
 const NAME_REPLY_MS: DurationMs = DurationMs(40);
 
+/// Time after which the request is repeated on a new connection: an open one may have
+/// gone silent for good.
+const NAME_REPEAT_MS: DurationMs = DurationMs(100);
+
+/// Shortest time between two new connections to a home.
+const RECONNECT_PAUSE_MS: DurationMs = DurationMs(1_000);
+
 /// Time after which a home that has not answered counts as lost. Longer than the delay
 /// of a path that still carries the tasks of this entry.
 const NAME_TIMEOUT_MS: DurationMs = DurationMs(250);
@@ -51,6 +59,7 @@
     /// The home that was asked too, as the first one did not answer in time.
     next_home: Option<EntryAddress>,
     sent_ms: TimestampMs,
+    is_repeated: bool,
 }
 
 impl PendingName {
@@ -162,12 +171,13 @@
             home,
             next_home: None,
             sent_ms: now,
+            is_repeated: false,
         };
         if home.incarnation == self.config.address.incarnation {
             let is_granted = self.grant_own(&pending.name, id, now);
             return self.name_answered(id, home, pending, is_granted, now);
         }
-        self.send_name_request(home, id, pending.name.clone());
+        self.send_name_request(home, id, pending.name.clone(), false);
         self.pending_names.insert(id, pending);
     }
 
@@ -180,13 +190,20 @@
         self.name_leases.grant(name, holder, lease_ms, now)
     }
 
-    fn send_name_request(&mut self, home: EntryAddress, id: NameLeaseId, name: RequestKey) {
+    fn send_name_request(
+        &mut self,
+        home: EntryAddress,
+        id: NameLeaseId,
+        name: RequestKey,
+        on_new_connection: bool,
+    ) {
         let request = NameRequest {
             id,
             holder: self.config.address,
             home: home.incarnation,
             name,
             lease_ms: self.name_lease_ms(),
+            on_new_connection,
         };
         self.effects.push(EntryEffect::Send {
             to: home.inbox,
@@ -215,8 +232,12 @@
         };
         let lease_ms = request.lease_ms.min(self.config.max_deadline_ms);
         let is_granted = self.name_leases.grant(&request.name, holder, lease_ms, now);
+        let to = request.holder.inbox;
+        if request.on_new_connection {
+            self.effects.push(EntryEffect::Reconnect { to });
+        }
         self.effects.push(EntryEffect::Send {
-            to: request.holder.inbox,
+            to,
             packet: Packet::NameReply(NameReply {
                 id: request.id,
                 home: own,
@@ -262,8 +283,8 @@
             renew_ms: pending.sent_ms + NAME_RENEWAL_MS,
         };
         match pending.purpose {
-            NamePurpose::Admission(name) if is_granted => self.admit_named(name, Some(held), now),
-            NamePurpose::Admission(name) => self.refuse_named(name, now),
+            NamePurpose::Admission(name) if is_granted => self.admit_named(&name, Some(held), now),
+            NamePurpose::Admission(name) => self.refuse_named(&name, now),
             NamePurpose::Renewal(job) if is_granted => self.hold_name(job, held),
             NamePurpose::Renewal(job) if self.jobs.contains_key(job) => {
                 self.fail_job(job, Cause::RunsElsewhere, now);
@@ -281,7 +302,7 @@
 
     /// Admits a submission that has the lease on its name, or goes without one because
     /// no home answers.
-    fn admit_named(&mut self, name: RequestKey, held: Option<HeldName>, now: TimestampMs) {
+    fn admit_named(&mut self, name: &RequestKey, held: Option<HeldName>, now: TimestampMs) {
         let key = RecordKey::Key(name.clone());
         let Some(Record::Binding {
             callers,
@@ -299,7 +320,7 @@
         };
         match (admitted, held) {
             (Some(job), Some(held)) => self.hold_name(job, held),
-            (None, Some(held)) => self.release_name(&name, held, DurationMs::ZERO, now),
+            (None, Some(held)) => self.release_name(name, held, DurationMs::ZERO, now),
             (Some(job), None) => {
                 let id = self.jobs[job].plan.id;
                 self.log_decision(now, Some(id), None, DecisionKind::Unleased);
@@ -308,7 +329,7 @@
         }
     }
 
-    fn refuse_named(&mut self, name: RequestKey, now: TimestampMs) {
+    fn refuse_named(&mut self, name: &RequestKey, now: TimestampMs) {
         let key = RecordKey::Key(name.clone());
         let Some(Record::Binding { callers, .. }) = self.take_unadmitted(&key) else {
             return;
@@ -338,17 +359,18 @@
         self.name_leases.expire(now);
         self.silent_homes.retain(|_, until_ms| now < *until_ms);
         self.ask_next_homes(now);
+        self.repeat_name_requests(now);
         let is_lost = |pending: &PendingName| now.since(pending.sent_ms) >= NAME_TIMEOUT_MS;
-        let lost: Vec<PendingName> = self
-            .pending_names
-            .extract_if(.., |_, pending| is_lost(pending))
-            .map(|(_, pending)| pending)
-            .collect();
-        for home in lost.iter().flat_map(PendingName::asked) {
+        let (lost, open): (BTreeMap<_, _>, BTreeMap<_, _>) =
+            std::mem::take(&mut self.pending_names)
+                .into_iter()
+                .partition(|(_, pending)| is_lost(pending));
+        self.pending_names = open;
+        for home in lost.values().flat_map(PendingName::asked) {
             let until_ms = now + SILENT_HOME_MS;
             self.silent_homes.insert(home.incarnation, until_ms);
         }
-        for pending in lost {
+        for pending in lost.into_values() {
             self.go_without_lease(pending.purpose, now);
         }
         while let Some(&(renew_ms, key)) = self.name_renewals.first()
@@ -382,13 +404,38 @@
             if let Some(pending) = self.pending_names.get_mut(&id) {
                 pending.next_home = Some(next_home);
             }
-            self.send_name_request(next_home, id, name);
+            self.send_name_request(next_home, id, name, false);
+        }
+    }
+
+    /// Repeats requests on new connections, which their homes answer on new ones.
+    fn repeat_name_requests(&mut self, now: TimestampMs) {
+        self.reconnected_homes
+            .retain(|_, at_ms| now.since(*at_ms) < RECONNECT_PAUSE_MS);
+        let is_due = |pending: &PendingName| {
+            !pending.is_repeated && now.since(pending.sent_ms) >= NAME_REPEAT_MS
+        };
+        let mut due = Vec::new();
+        for (id, pending) in &mut self.pending_names {
+            if is_due(pending) {
+                pending.is_repeated = true;
+                let name = &pending.name;
+                due.extend(pending.asked().map(|home| (home, *id, name.clone())));
+            }
+        }
+        for (home, id, name) in due {
+            let is_first = !self.reconnected_homes.contains_key(&home.incarnation);
+            if is_first {
+                self.reconnected_homes.insert(home.incarnation, now);
+                self.effects.push(EntryEffect::Reconnect { to: home.inbox });
+            }
+            self.send_name_request(home, id, name, is_first);
         }
     }
 
     fn go_without_lease(&mut self, purpose: NamePurpose, now: TimestampMs) {
         match purpose {
-            NamePurpose::Admission(name) => self.admit_named(name, None, now),
+            NamePurpose::Admission(name) => self.admit_named(&name, None, now),
             NamePurpose::Renewal(key) => {
                 if let Some(job) = self.jobs.get_mut(key) {
                     job.held_name = None;
--- a/crates/lagoonhill_core/tests/repeated_jobs.rs
+++ b/crates/lagoonhill_core/tests/repeated_jobs.rs
@@ -93,6 +93,24 @@
         }
     }
 
+    // Guards against entries whose connections have gone silent for good.
+    a_job_that_another_entry_runs_is_not_started_after_its_path_went_silent => {
+        for (seed, name) in (1..).zip(["a", "b", "c", "d", "e", "f", "g", "h"]) {
+            let mut world = fleet(seed);
+            for (from, to) in (0..ENTRIES).flat_map(|from| (0..ENTRIES).map(move |to| (from, to))) {
+                world.silence(NodeId::Entry(from), NodeId::Entry(to));
+            }
+            let first = world.submit_named(0, job(name));
+            world.run_for(300);
+            let second = world.submit_named(1, job(name));
+            world.run_for(300);
+            assert!(may_run_elsewhere(&world, second), "job {name}");
+            world.run_for(2_000);
+            assert!(is_complete(&world, first), "job {name}");
+            assert_eq!(repeated_starts(&world), Vec::<String>::new(), "job {name}");
+        }
+    }
+
     // Guards against a lease that goes to each of two requests on their way to its home.
     requests_of_the_same_moment_start_a_job_once => {
         for (seed, name) in (1..).zip(["a", "b", "c", "d", "e", "f", "g", "h"]) {
--- a/crates/lagoonhill_protocol/src/name_lease.rs
+++ b/crates/lagoonhill_protocol/src/name_lease.rs
@@ -31,6 +31,8 @@
     pub name: RequestKey,
     /// Duration of the lease, from the arrival of the request.
     pub lease_ms: DurationMs,
+    /// Whether the answer is to be sent on a new connection.
+    pub on_new_connection: bool,
 }
 
 /// Answer to a [`NameRequest`].
