Agent: a start is not sent again to a target that has shrunk

Callers saw nothing; a target that does not guard its capacity would run more than it has. An unanswered start is sent again until it is answered, and the capacity was checked only when the agent first let the task start. A target that shrank between two attempts got the later one, for as long as answers were lost.

LeasedRuns now knows what its runs need. It sends no start that does not fit in the newest announced capacity beside all runs, those being stopped included: a run that was never sent goes back unstarted, any other is stopped first, since an earlier attempt may still be carried out.

--- a/crates/lagoonhill_core/src/leased/runs/mod.rs
+++ b/crates/lagoonhill_core/src/leased/runs/mod.rs
@@ -101,6 +101,8 @@
 struct Run {
     reference: RunRef,
     payload: Payload,
+    /// Resources that it takes on the target until its end is listed.
+    needs: Resources,
     /// Whether the target must list the end until it is stored.
     durable: bool,
     phase: Phase,
@@ -282,6 +284,7 @@
         let run = Run {
             reference: reference.clone(),
             payload: start.payload.clone(),
+            needs: start.needs,
             durable: start.durable,
             phase: Phase::Starting { attempts: 0 },
             due_ms: None,
@@ -306,7 +309,11 @@
         }
     }
 
+    /// Sends the start of a run, unless the target has shrunk since it was requested.
     fn send_start(&mut self, key: TaskKey, now: TimestampMs) {
+        if !self.fits_capacity() {
+            return self.give_back(key, now);
+        }
         let Some(clock) = self.clock else {
             return;
         };
@@ -334,6 +341,24 @@
         self.call(Purpose::Start(key), TargetCall::Start(request), reply_ms);
     }
 
+    /// Whether all runs, those being stopped included, fit in the capacity that the
+    /// target announced last.
+    fn fits_capacity(&self) -> bool {
+        let needs = self.runs.values().map(|run| run.needs);
+        let used = needs.fold(Resources::default(), |used, needs| used + needs);
+        self.newest_announcement()
+            .is_some_and(|newest| used.fits_in(newest.target.capacity))
+    }
+
+    /// Returns a run unstarted, or stops it first if a start may still be carried out.
+    fn give_back(&mut self, key: TaskKey, now: TimestampMs) {
+        let phase = self.runs.get(&key).map(|run| run.phase);
+        if phase == Some(Phase::Starting { attempts: 0 }) {
+            return self.end(key, TaskResult::NotRun(NotRunReason::Full));
+        }
+        self.stop(key, now);
+    }
+
     fn send_stop(&mut self, key: TaskKey, now: TimestampMs) {
         let reply_ms = self.timing.reply_ms;
         let Some(run) = self.runs.get_mut(&key) else {
--- a/crates/lagoonhill_core/tests/unstored_ends.rs
+++ b/crates/lagoonhill_core/tests/unstored_ends.rs
@@ -87,6 +87,7 @@
                 lost_packet_permille: random.u32(..40),
                 lost_session_permille: random.u32(..100),
                 max_store_ms: [20, 200, 3_000][random.usize(..3)],
+                ..Faults::default()
             };
             let entries = random.usize(1..4);
             let mut world = AgentOnTarget::new(entries, faults, seed);
