Agent: nothing starts beside a run of a predecessor that is listed late

A restarted agent takes its target into use once a list shows no run of its predecessor. A start of the predecessor that was still on its way, under the same token (its second, or raised by restarts of the target), appears only in a later list. The run was stopped then, but starts went on beside it, although its needs are unknown: a target that does not guard its capacity was brought over it.

While any such run is listed, the target counts as not ready, as it does at the start of the agent: its waiting tasks go back unstarted, and no start is sent again.

nothing_starts_beside_a_late_run_of_a_predecessor failed before: three runs of one processor on two.

--- a/crates/lagoonhill_core/src/leased/runs/mod.rs
+++ b/crates/lagoonhill_core/src/leased/runs/mod.rs
@@ -446,10 +446,11 @@
             .any(|(_, sent_ms)| *sent_ms >= verified_ms && is_late(self.timing, *sent_ms, now))
     }
 
-    /// Whether runs may start: the target is not about to end all of them.
+    /// Whether runs may start: the target is not about to end all of them, and runs
+    /// none of a predecessor, whose needs are unknown.
     fn accepts_starts(&self) -> bool {
         let has_left = self.present.as_ref().is_some_and(Present::has_left);
-        !self.discarding && !has_left
+        !self.discarding && !has_left && self.foreign.is_empty()
     }
 
     /// Whether fewer polls are in flight than needed.
@@ -671,10 +672,8 @@
         if !is_outdated {
             self.stop_foreign(running, now);
         }
-        if self.foreign.is_empty() && !self.discarding {
-            self.ready = true;
-            self.report_target();
-        }
+        self.ready = self.foreign.is_empty() && !self.discarding;
+        self.report_target();
         // A target with unacknowledged ends answers without delay, so polls
         // would follow each other at once and not get the ends stored sooner.
         if self.unstored.is_empty() {
--- a/crates/lagoonhill_core/tests/changing_capacity.rs
+++ b/crates/lagoonhill_core/tests/changing_capacity.rs
@@ -178,6 +178,27 @@
         assert_eq!(world.running(), 4, "the target is not used");
     }
 
+    // Guards against starts beside a run of a predecessor that its target lists only
+    // after the agent has taken it into use.
+    nothing_starts_beside_a_late_run_of_a_predecessor => {
+        let mut world = world(2);
+        announce_capacity(&mut world, processors(2));
+        world.pass(GRACE_MS);
+        world.faults.start_delay_ms = 200;
+        world.faults.stop_ms = 150;
+        submit(&mut world, 0, 2, LONG_MS);
+        world.pass(30);
+        world.restart_agent(0);
+        world.announce();
+        world.faults.start_delay_ms = 0;
+        world.pass(220);
+        assert_eq!(world.running(), 2, "the late starts were not carried out");
+        submit(&mut world, 1, 2, LONG_MS);
+        world.pass(3_000);
+        assert_eq!(world.excesses, []);
+        assert_eq!(world.running(), 2, "the target is not used");
+    }
+
     // Guards against a restarted target that is loaded by what its earlier life told.
     a_restarted_target_is_used_by_what_its_new_life_tells => {
         let mut world = world(1);
