Agent: the measured speed of a target outlives a change of its capacity

A target that shrank or grew was taken for another one, so entries took a slow target for an average one until 32 runs had been measured again.

The speed is kept if service, address and labels (kind and rack among them) are the same. A target that was gone in between still starts without a measured speed.

--- a/crates/lagoonhill_core/src/agent/machine/mod.rs
+++ b/crates/lagoonhill_core/src/agent/machine/mod.rs
@@ -172,9 +172,13 @@
         if self.target == target {
             return;
         }
-        self.target.clone_from(&target);
-        // The new target may be another one than the last.
-        self.speed = TargetSpeed::default();
+        let last = std::mem::replace(&mut self.target, target.clone());
+        let is_resized = last
+            .zip(target.as_ref())
+            .is_some_and(|(last, target)| is_same_target(&last, target));
+        if !is_resized {
+            self.speed = TargetSpeed::default();
+        }
         self.broadcast(&Message::Target(target));
         if self.target.is_none() {
             self.withdraw_all_waiting(NotRunReason::NoTarget);
@@ -319,3 +323,8 @@
         }
     }
 }
+
+/// Whether two announced targets are the same one, whatever its capacity.
+fn is_same_target(left: &Target, right: &Target) -> bool {
+    left.service == right.service && left.address == right.address && left.labels == right.labels
+}
--- a/crates/lagoonhill_core/tests/changing_capacity.rs
+++ b/crates/lagoonhill_core/tests/changing_capacity.rs
@@ -226,6 +226,19 @@
         assert_eq!(world.excesses, []);
     }
 
+    // Guards against a slow target that looks like an average one once it has shrunk or
+    // grown.
+    the_measured_speed_is_kept_when_the_capacity_changes => {
+        let mut world = world(1);
+        submit(&mut world, 0, 20, 100);
+        world.pass(1_000);
+        let measured = world.agent.speed();
+        assert!(measured.runs > 10 && measured.slowness_permille > 5_000, "{measured:?}");
+        announce_capacity(&mut world, processors(2));
+        world.pass(100);
+        assert_eq!(world.agent.speed(), measured);
+    }
+
     // Random capacities, needs and restarts; calls and announcements that are lost or late.
     no_start_brings_a_target_over_its_capacity => {
         let mut begun = 0;
