Agent: an announcement that was held up does not bring back a larger capacity

Late announcements were told by their sequence numbers only. Two cases let one replace a newer one, and starts went by the larger capacity of before until the next announcement: an agent that has started again knows no sequence number, and after 3 s without a newer announcement two late ones in order count as a correction.

The target's announcements carry its clock, and so do its answers to polls. One that was sent more than a second ago by that clock (targets give up delivering it then) describes nothing: neither the present incarnation nor one that is confirmed. Announcements without a clock are judged as before.

--- a/crates/lagoonhill_core/src/leased/clock.rs
+++ b/crates/lagoonhill_core/src/leased/clock.rs
@@ -20,6 +20,12 @@
         }
     }
 
+    /// Time since the reading `earlier_ms`, not corrected for drift.
+    pub fn time_since(&self, earlier_ms: TargetTimeMs, now: TimestampMs) -> DurationMs {
+        let present_ms = self.after(DurationMs::ZERO, now);
+        DurationMs(present_ms.0.saturating_sub(earlier_ms.0))
+    }
+
     /// The reading expected `wait_ms` after `now`, not corrected for drift.
     pub fn after(&self, wait_ms: DurationMs, now: TimestampMs) -> TargetTimeMs {
         let elapsed_ms = now.since(self.read_at_ms).0 + wait_ms.0;
--- a/crates/lagoonhill_core/src/leased/present.rs
+++ b/crates/lagoonhill_core/src/leased/present.rs
@@ -4,12 +4,23 @@
 use lagoonhill_types::prelude::*;
 
 use super::description::Description;
-use super::{Announcement, AnnouncementOutcome, TargetIncarnation};
+use super::{Announcement, AnnouncementOutcome, TargetClock, TargetIncarnation};
 
 /// Longest time from the sending of an announcement to its arrival: a target gives up
 /// waiting for its acknowledgement after that.
 const MAX_ANNOUNCEMENT_DELAY_MS: DurationMs = DurationMs(1_000);
 
+/// Whether an announcement was sent longer ago than that, by the target's clock.
+pub(super) fn is_held_up(
+    announcement: &Announcement,
+    clock: TargetClock,
+    now: TimestampMs,
+) -> bool {
+    announcement
+        .sent_ms
+        .is_some_and(|sent_ms| clock.time_since(sent_ms, now) > MAX_ANNOUNCEMENT_DELAY_MS)
+}
+
 /// The incarnation that answers at the target's address.
 #[derive(Debug)]
 pub(super) struct Present {
--- a/crates/lagoonhill_core/src/leased/runs/incarnations.rs
+++ b/crates/lagoonhill_core/src/leased/runs/incarnations.rs
@@ -11,10 +11,10 @@
 use super::{LeasedEffect, LeasedRuns, Phase, Purpose, Run};
 use crate::agent::TaskKey;
 use crate::leased::candidates::Candidate;
-use crate::leased::present::Present;
+use crate::leased::present::{Present, is_held_up};
 use crate::leased::{
     Announcement, AnnouncementOutcome, AnnouncementReport, CallId, ChangeReason, EndedRun, Refusal,
-    RunRef, TargetCall, TargetChange, TargetIncarnation, TargetReply,
+    RunRef, TargetCall, TargetChange, TargetClock, TargetIncarnation, TargetReply,
 };
 
 /// Lists of runs in the answer to a poll.
@@ -50,7 +50,10 @@
         if let Some(present) = &mut self.present
             && present.is_claimed_by(&announcement.incarnation)
         {
-            report.outcome = present.describe(announcement, now);
+            let is_held_up = |clock| is_held_up(&announcement, clock, now);
+            if !self.clock.is_some_and(is_held_up) {
+                report.outcome = present.describe(announcement, now);
+            }
         } else if !self.has_departed_since(&announcement) {
             report.outcome = self.candidates.propose(announcement, now);
         }
@@ -92,8 +95,10 @@
 
     /// Handles the answer to the poll of an announced incarnation.
     pub(super) fn candidate_answered(&mut self, id: CallId, reply: TargetReply, now: TimestampMs) {
-        let listed_born_ms = match &reply {
-            TargetReply::Polled { born_ms, .. } => *born_ms,
+        let (listed_born_ms, clock_ms) = match &reply {
+            TargetReply::Polled {
+                born_ms, clock_ms, ..
+            } => (*born_ms, *clock_ms),
             TargetReply::OtherIncarnation => {
                 if let Some(candidate) = self.candidates.take(id) {
                     self.report_candidate(AnnouncementOutcome::Refuted, &candidate);
@@ -130,7 +135,12 @@
             return;
         }
         let polled_ms = candidate.polled_ms;
-        let next = Present::announced(confirmed, candidate.announcement, now);
+        let clock = TargetClock::read(clock_ms, now);
+        let next = if is_held_up(&candidate.announcement, clock, now) {
+            Present::undescribed(confirmed)
+        } else {
+            Present::announced(confirmed, candidate.announcement, now)
+        };
         self.adopt(next, ChangeReason::Announced, polled_ms, reply, now);
     }
 
--- a/crates/lagoonhill_core/tests/cancel_wave.rs
+++ b/crates/lagoonhill_core/tests/cancel_wave.rs
@@ -25,6 +25,7 @@
             born_ms: 5,
         },
         sequence: 1,
+        sent_ms: None,
         draining: false,
         target: Target {
             service: "dispatch".parse().expect("the name is valid"),
--- a/crates/lagoonhill_core/tests/changing_capacity.rs
+++ b/crates/lagoonhill_core/tests/changing_capacity.rs
@@ -151,6 +151,40 @@
         assert_eq!(world.excesses, []);
     }
 
+    // Guards against late announcements that arrive in their order while the target is
+    // silent otherwise, and so replace the newest one.
+    late_announcements_in_order_do_not_bring_back_the_larger_capacity => {
+        let mut world = world(1);
+        let late: Vec<_> = (0..6).map(|_| world.delayed_announcement()).collect();
+        announce_capacity(&mut world, processors(2));
+        world.faults.loses_beats = true;
+        world.pass(3_500);
+        submit(&mut world, 0, 4, LONG_MS);
+        for beat in late {
+            world.deliver(beat);
+            world.pass(300);
+        }
+        assert_eq!(world.running(), 2);
+        assert_eq!(world.excesses, []);
+    }
+
+    // Guards against an agent that knows nothing newer than a late announcement.
+    a_restarted_agent_does_not_believe_a_late_announcement => {
+        let mut world = world(1);
+        let late = world.delayed_announcement();
+        announce_capacity(&mut world, processors(2));
+        world.faults.loses_beats = true;
+        world.pass(2_000);
+        world.restart_agent(1);
+        world.deliver(late);
+        submit(&mut world, 0, 4, LONG_MS);
+        world.pass(1_000);
+        assert_eq!(world.excesses, []);
+        world.announce();
+        world.pass(REACTION_MS);
+        assert_eq!(world.running(), 2, "the target is not used");
+    }
+
     // Guards against a target whose regained capacity is left unused.
     a_target_that_has_grown_is_used_within_one_beat => {
         let mut world = world(2);
--- a/crates/lagoonhill_core/tests/fenced_start.rs
+++ b/crates/lagoonhill_core/tests/fenced_start.rs
@@ -28,6 +28,7 @@
                     born_ms: BORN_MS,
                 },
                 sequence,
+                sent_ms: None,
                 draining: false,
                 target: Target {
                     service: "dispatch".parse().expect("the name is valid"),
--- a/crates/lagoonhill_core/tests/late_announcements.rs
+++ b/crates/lagoonhill_core/tests/late_announcements.rs
@@ -22,6 +22,7 @@
             born_ms: BORN_MS,
         },
         sequence,
+        sent_ms: None,
         draining,
         target: Target {
             service: "dispatch".parse().expect("the name is valid"),
--- a/crates/lagoonhill_core/tests/late_start_in_next_life.rs
+++ b/crates/lagoonhill_core/tests/late_start_in_next_life.rs
@@ -20,6 +20,7 @@
             born_ms,
         },
         sequence: 1,
+        sent_ms: None,
         draining: false,
         target: Target {
             service: "dispatch".parse().expect("the name is valid"),
--- a/crates/lagoonhill_core/tests/leased.rs
+++ b/crates/lagoonhill_core/tests/leased.rs
@@ -33,6 +33,7 @@
     Announcement {
         incarnation,
         sequence,
+        sent_ms: None,
         draining,
         target: Target {
             service: "dispatch".parse().expect("the name is valid"),
--- a/crates/lagoonhill_core/tests/poll_pace.rs
+++ b/crates/lagoonhill_core/tests/poll_pace.rs
@@ -27,6 +27,7 @@
             born_ms: BORN_MS,
         },
         sequence,
+        sent_ms: None,
         draining: false,
         target: Target {
             service: "dispatch".parse().expect("the name is valid"),
--- a/crates/lagoonhill_core/tests/support/agent_on_target.rs
+++ b/crates/lagoonhill_core/tests/support/agent_on_target.rs
@@ -106,7 +106,7 @@
             .is_some_and(|highest| run.run <= *highest)
     }
 
-    fn announcement(&mut self) -> Announcement {
+    fn announcement(&mut self, now: TimestampMs) -> Announcement {
         self.sequence += 1;
         Announcement {
             incarnation: TargetIncarnation {
@@ -114,6 +114,7 @@
                 born_ms: BORN_MS + self.restarts,
             },
             sequence: self.sequence,
+            sent_ms: Some(Self::clock(now)),
             draining: false,
             target: Target {
                 service: "dispatch".parse().expect("the name is valid"),
@@ -310,7 +311,7 @@
         let token = FencingToken(7);
         let mut runs = LeasedRuns::new(LeaseTiming::default(), token, BEGAN);
         let mut target = TargetModel::default();
-        let announcement = target.announcement();
+        let announcement = target.announcement(BEGAN);
         target.tell(&announcement, BEGAN);
         runs.announce(announcement, BEGAN);
         let entry = |address: &EntryAddress| EntryModel {
@@ -380,14 +381,14 @@
 
     /// Lets the target announce itself now.
     pub(crate) fn announce(&mut self) {
-        let announcement = self.target.announcement();
+        let announcement = self.target.announcement(self.now);
         self.deliver(announcement);
     }
 
     /// Takes the announcement that the target would send now; it arrives when it is
     /// passed to [`Self::deliver`].
     pub(crate) fn delayed_announcement(&mut self) -> Announcement {
-        self.target.announcement()
+        self.target.announcement(self.now)
     }
 
     pub(crate) fn deliver(&mut self, announcement: Announcement) {
@@ -511,7 +512,7 @@
     fn send_beats(&mut self) {
         let now = self.now;
         if now.0.is_multiple_of(BEAT_MS) && !self.faults.loses_beats {
-            let beat = self.target.announcement();
+            let beat = self.target.announcement(self.now);
             if self.draws(self.faults.late_beat_permille) {
                 let late_ms = DurationMs(self.random.u64(1..MAX_LATE_MS));
                 self.late_beats.push((now + late_ms, beat));
--- a/crates/lagoonhill_core/tests/support/restarting_target.rs
+++ b/crates/lagoonhill_core/tests/support/restarting_target.rs
@@ -243,6 +243,7 @@
                 born_ms: self.life.born_ms,
             },
             sequence: self.sequence,
+            sent_ms: None,
             draining: false,
             target: Target {
                 service: "dispatch".parse().expect("the name is valid"),
