Agent: a waiting task that no longer fits its target holds up no other

Tasks start in the order of their arrival. When a target shrank below the needs of the first one that waited, nothing behind it started until its start lease had expired (0.4 s on the users' platform), although others fitted.

Waiting tasks that are larger than the whole new capacity go back unstarted at once, as those that arrive later do.

a_task_that_is_larger_than_what_is_left_does_not_hold_up_others failed before: no run instead of two.

--- a/crates/lagoonhill_core/src/agent/machine/mod.rs
+++ b/crates/lagoonhill_core/src/agent/machine/mod.rs
@@ -179,9 +179,11 @@
         if !is_resized {
             self.speed = TargetSpeed::default();
         }
+        let capacity = target.as_ref().map(|target| target.capacity);
         self.broadcast(&Message::Target(target));
-        if self.target.is_none() {
-            self.withdraw_all_waiting(NotRunReason::NoTarget);
+        match capacity {
+            Some(capacity) => self.withdraw_larger_than(capacity),
+            None => self.withdraw_all_waiting(NotRunReason::NoTarget),
         }
         self.start_waiting(now);
     }
--- a/crates/lagoonhill_core/src/agent/machine/tasks.rs
+++ b/crates/lagoonhill_core/src/agent/machine/tasks.rs
@@ -208,6 +208,16 @@
         }
     }
 
+    /// Returns the waiting tasks that would not fit even if nothing else ran: they would
+    /// hold up those behind them.
+    pub(super) fn withdraw_larger_than(&mut self, capacity: Resources) {
+        let is_larger = |key: &TaskKey| !self.tasks[*key].start.needs.fits_in(capacity);
+        let larger: Vec<TaskKey> = self.waiting.iter().copied().filter(is_larger).collect();
+        for key in larger {
+            self.withdraw(key, NotRunReason::Full);
+        }
+    }
+
     pub(super) fn withdraw_all_waiting(&mut self, reason: NotRunReason) {
         for key in std::mem::take(&mut self.waiting) {
             if let Some(task) = self.tasks.remove(key) {
--- a/crates/lagoonhill_core/tests/changing_capacity.rs
+++ b/crates/lagoonhill_core/tests/changing_capacity.rs
@@ -260,6 +260,21 @@
         assert_eq!(world.excesses, []);
     }
 
+    // Guards against a task that no longer fits and holds up those behind it until its
+    // start lease expires.
+    a_task_that_is_larger_than_what_is_left_does_not_hold_up_others => {
+        let mut world = world(2);
+        world.submit_task(0, processors(4), 500, 0);
+        world.submit_task(0, processors(4), 100, 0);
+        world.pass(50);
+        submit(&mut world, 1, 2, LONG_MS);
+        world.pass(50);
+        announce_capacity(&mut world, processors(2));
+        world.pass(500);
+        assert_eq!(world.running(), 2, "tasks that fit did not start");
+        assert_eq!(world.excesses, []);
+    }
+
     // Guards against a slow target that looks like an average one once it has shrunk or
     // grown.
     the_measured_speed_is_kept_when_the_capacity_changes => {
