Entry: a target that has shrunk does not make the others look full

The load that peers put on a target is estimated from its report and, the older that is, from the mean of the fleet. The mean was taken over shares of capacity. A target that shrank far below what it still ran had a share of hundreds, so the mean was far above 1: entries took every target for full and placed nothing anywhere.

Shares count by the capacity of their target now, so the mean is what peers use of the fleet over what the fleet has. Where all targets have the same capacity it is the same as before.

the_others_do_not_look_full_beside_a_target_that_has_shrunk failed before: none of 6 tasks started in 400 ms with 12 of 24 processors free on three other targets. That every entry uses a target that has grown within a beat held already, and has a test now.

--- a/crates/lagoonhill_core/src/entry/peer_load.rs
+++ b/crates/lagoonhill_core/src/entry/peer_load.rs
@@ -19,6 +19,9 @@
 pub struct PeerLoad {
     slots_permille: u64,
     processors_permille: u64,
+    /// Capacity of the target.
+    slots: SlotCount,
+    processors: MilliProcessors,
 }
 
 impl PeerLoad {
@@ -28,6 +31,8 @@
         Self {
             slots_permille: permille(tasks.0.into(), tasks.1.0.into()),
             processors_permille: permille(processors.0.0.into(), processors.1.0.into()),
+            slots: tasks.1,
+            processors: processors.1,
         }
     }
 
@@ -50,33 +55,54 @@
         Self {
             slots_permille: blend(self.slots_permille, other.slots_permille),
             processors_permille: blend(self.processors_permille, other.processors_permille),
+            ..self
         }
     }
 }
 
-/// Mean load from peer entries at a service's targets, weighted by freshness.
+/// Mean load from peer entries at a service's targets, weighted by freshness and
+/// capacity: a target that has shrunk below what it runs has a share far above 1.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct MeanPeerLoad {
-    slots: u64,
-    processors: u64,
-    weight: u64,
+    slots: WeightedSum,
+    processors: WeightedSum,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct WeightedSum {
+    sum: u128,
+    weight: u128,
+}
+
+impl WeightedSum {
+    fn add(&mut self, value: u64, weight: u64) {
+        self.sum += u128::from(value) * u128::from(weight);
+        self.weight += u128::from(weight);
+    }
+
+    fn mean(&self) -> u64 {
+        let mean = self.sum / self.weight.max(1);
+        u64::try_from(mean).unwrap_or(u64::MAX)
+    }
 }
 
 impl MeanPeerLoad {
     /// Adds a report to the mean.
     pub fn add(&mut self, reported: PeerLoad, age_ms: DurationMs) {
-        let weight = freshness_permille(age_ms);
-        self.slots += reported.slots_permille * weight;
-        self.processors += reported.processors_permille * weight;
-        self.weight += weight;
+        let freshness = freshness_permille(age_ms);
+        let slots = u64::from(reported.slots.0);
+        let processors = u64::from(reported.processors.0);
+        self.slots.add(reported.slots_permille, freshness * slots);
+        self.processors
+            .add(reported.processors_permille, freshness * processors);
     }
 
     /// Estimate for a target, given its report and the age of that.
     pub fn estimate(&self, reported: PeerLoad, age_ms: DurationMs) -> PeerLoad {
-        let weight = self.weight.max(1);
         let mean = PeerLoad {
-            slots_permille: self.slots / weight,
-            processors_permille: self.processors / weight,
+            slots_permille: self.slots.mean(),
+            processors_permille: self.processors.mean(),
+            ..reported
         };
         reported.blend(mean, freshness_permille(age_ms))
     }
--- a/crates/lagoonhill_core/tests/changing_capacity.rs
+++ b/crates/lagoonhill_core/tests/changing_capacity.rs
@@ -3,9 +3,11 @@
 
 #[path = "support/agent_on_target.rs"]
 mod agent_on_target;
+mod support;
 
 use agent_on_target::{AgentOnTarget, Faults};
 use lagoonhill_types::prelude::*;
+use support::{TestWorld, config, is_complete, queue_job, queue_rules};
 
 /// Defines one test for each named case.
 macro_rules! cases {
@@ -72,6 +74,17 @@
     world.announce();
 }
 
+/// Workers of eight processors each, in session with all entries.
+fn fleet(entries: usize, workers: usize) -> TestWorld {
+    let mut config = config(entries, workers, 1);
+    config.rules = queue_rules();
+    config.slots = u16::MAX;
+    let mut world = support::world(&config);
+    (0..workers).for_each(|worker| world.set_capacity(worker, processors(8)));
+    world.run_for(100);
+    world
+}
+
 cases! {
     // Guards against starts on a target that has shrunk below what it runs.
     nothing_starts_until_enough_has_ended_on_a_target_that_has_shrunk => {
@@ -288,6 +301,40 @@
         assert_eq!(world.agent.speed(), measured);
     }
 
+    // Guards against a fleet that looks full to an entry because one of its targets has
+    // shrunk far below what it runs.
+    the_others_do_not_look_full_beside_a_target_that_has_shrunk => {
+        let mut world = fleet(2, 4);
+        let one = MilliProcessors(1_000);
+        let held = world.submit(1, queue_job("short", "long", 16, one, 20_000));
+        world.run_for(3_000);
+        assert_eq!(world.starts.len(), 16);
+        world.set_capacity(0, Resources { processors: MilliProcessors(10), ..processors(0) });
+        world.run_for(1_000);
+        let caller = world.submit(0, queue_job("short", "new", 6, one, 100));
+        world.run_for(400);
+        assert!(is_complete(&world, caller), "{} tasks started", world.starts.len() - 16);
+        assert!(!is_complete(&world, held));
+    }
+
+    // Guards against an entry that goes on by the capacity of before.
+    every_entry_uses_a_target_that_has_grown_within_one_beat => {
+        let mut world = fleet(3, 1);
+        let one = MilliProcessors(1_000);
+        world.set_capacity(0, processors(1));
+        world.run_for(200);
+        world.submit(0, queue_job("short", "first", 1, one, 10_000));
+        world.run_for(500);
+        for entry in 0..3 {
+            world.submit(entry, queue_job("short", &format!("next{entry}"), 1, one, 2_000));
+        }
+        world.run_for(100);
+        assert_eq!(world.starts.len(), 1, "a task started beside one that takes all");
+        world.set_capacity(0, processors(4));
+        world.run_for(200);
+        assert_eq!(world.starts.len(), 4, "regained capacity is not used");
+    }
+
     // Random capacities, needs and restarts; calls and announcements that are lost or late.
     no_start_brings_a_target_over_its_capacity => {
         let mut begun = 0;
--- a/crates/lagoonhill_standin/src/world.rs
+++ b/crates/lagoonhill_standin/src/world.rs
@@ -592,6 +592,13 @@
         self.flush_agent(index);
     }
 
+    /// Changes the capacity that a target has and announces.
+    pub fn set_capacity(&mut self, index: usize, capacity: Resources) {
+        self.targets[index].0.capacity = capacity;
+        let target = self.targets[index].0.clone();
+        self.with_agent(index, |agent, now| agent.set_target(Some(target), now));
+    }
+
     /// Kills a process, with all its state.
     pub fn kill(&mut self, node: NodeId) {
         match node {
