Agent: log and count changes of a target's capacity

A target whose capacity changed while it was in use showed only as a further `the target takes work`.

a_target_that_shrinks_and_grows_is_logged_and_counted checks both on a process.

--- a/crates/lagoonhill/tests/logs.rs
+++ b/crates/lagoonhill/tests/logs.rs
@@ -6,9 +6,10 @@
 use std::process::Command;
 use std::time::Duration;
 
+use hyper::Method;
 use lagoonhill_operator::{LogLine, LogMessage, LogSchema};
 use lagoonhill_standin::TargetBehavior;
-use support::{Fleet, Process, until};
+use support::{Fleet, Process, TestWorker, until};
 
 /// Runs one async test body for each named case.
 macro_rules! cases {
@@ -31,6 +32,9 @@
         .collect()
 }
 
+/// Longest wait for the answer to a request.
+const WAIT: Duration = Duration::from_secs(60);
+
 const JSON: [&str; 2] = ["--log-format", "json"];
 
 /// Submits a job under an idempotency key; returns the status code of its answer.
@@ -107,6 +111,38 @@
         }
     }
 
+    a_target_that_shrinks_and_grows_is_logged_and_counted => {
+        let fleet = Fleet::start(1, 1).await;
+        let TestWorker { agent, target, .. } = &fleet.workers[0];
+        for processors in [2, 64] {
+            let body = serde_json::json!({
+                "service": "dispatch", "address": target.address(), "slots": 8,
+                "processors": processors, "memory_bytes": 256_u64 << 30,
+            });
+            let body = body.to_string().into();
+            let headers = [("content-type", "application/json")];
+            let sent = fleet.http.send(agent.http, Method::PUT, "/v1/target", &headers, body, WAIT);
+            assert!(sent.await.expect("an answer").status.is_success());
+        }
+        let changes = || {
+            let lines = decisions(agent).into_iter();
+            lines.filter(|message| message.event == "capacity-changed").collect::<Vec<_>>()
+        };
+        until(async || changes().len() == 2).await;
+        let schema = LogSchema::parse(PAGE);
+        for message in changes() {
+            assert_eq!(schema.difference(&message), None, "{message:?}");
+        }
+        let path = "/metrics";
+        let metrics = fleet.http.send(agent.http, Method::GET, path, &[], Vec::new().into(), WAIT);
+        let metrics = metrics.await.expect("an answer");
+        let metrics = String::from_utf8_lossy(&metrics.body).into_owned();
+        for direction in ["shrunk", "grown"] {
+            let counter = format!("lagoonhill_target_capacity_changes_total{{direction=\"{direction}\"}} 1");
+            assert!(metrics.contains(&counter), "{metrics}");
+        }
+    }
+
     the_causes_of_three_failures_are_found_from_logs_alone => {
         let fleet = Fleet::start(1, 1).await;
         assert_eq!(submit(&fleet, "learn", 4, 100).await, 200);
--- a/crates/lagoonhill_agent/src/control.rs
+++ b/crates/lagoonhill_agent/src/control.rs
@@ -87,7 +87,7 @@
                 self.metrics.packets.received(size_bytes);
                 self.agent.receive(packet, now);
             }
-            ControlEvent::Target(target) => self.agent.set_target(target, now),
+            ControlEvent::Target(target) => self.set_target(target, now),
             ControlEvent::Runner(event) => {
                 self.runner.handle(event, now);
                 self.take_reports(now);
@@ -212,13 +212,35 @@
                     }
                     self.agent.finished(key, result, now);
                 }
-                RunnerReport::Target(target) => self.agent.set_target(target, now),
+                RunnerReport::Target(target) => self.set_target(target, now),
                 RunnerReport::Changed(change) => self.log_change(&change),
                 RunnerReport::Announced(report) => self.log_announcement(&report),
             }
         }
     }
 
+    fn set_target(&mut self, target: Option<Target>, now: TimestampMs) {
+        if let (Some(known), Some(target)) = (self.agent.target(), &target)
+            && known.capacity != target.capacity
+        {
+            self.log_capacity(known.capacity, target.capacity);
+        }
+        self.agent.set_target(target, now);
+    }
+
+    fn log_capacity(&self, from: Resources, to: Resources) {
+        let direction = if from.fits_in(to) { "grown" } else { "shrunk" };
+        self.metrics.capacity_changed(direction);
+        info!(
+            target: "decision",
+            "capacity-changed direction={direction} from={} to={} used={} running={}",
+            Quoted(from),
+            Quoted(to),
+            Quoted(self.agent.used()),
+            self.agent.running()
+        );
+    }
+
     fn log_change(&self, change: &TargetChange) {
         let TargetChange {
             reason,
--- a/crates/lagoonhill_agent/src/metrics.rs
+++ b/crates/lagoonhill_agent/src/metrics.rs
@@ -15,6 +15,7 @@
     announcements: IntCounterVec,
     target_changes: IntCounterVec,
     interrupted: IntCounterVec,
+    capacity_changes: IntCounterVec,
     resolved_ends: IntCounterVec,
     held: IntGauge,
     unstored_ends: IntGauge,
@@ -43,6 +44,11 @@
                 "Time of a task here: from its order to its start (waited), and from its start to its end (ran).",
                 "stage",
             ),
+            capacity_changes: meters.counters(
+                "lagoonhill_target_capacity_changes_total",
+                "Changes of the target's capacity while it was in use: shrunk in any resource, or grown.",
+                "direction",
+            ),
             announcements: meters.counters(
                 "lagoonhill_target_announcements_total",
                 "Announcements of targets, by what was made of them.",
@@ -109,6 +115,11 @@
         self.announcements.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts a change of the target's capacity.
+    pub(crate) fn capacity_changed(&self, direction: &str) {
+        self.capacity_changes.with_label_values(&[direction]).inc();
+    }
+
     /// Counts a change of the target's incarnation, and the runs that it interrupted.
     pub(crate) fn target_changed(&self, reason: &str, interrupted: usize) {
         self.target_changes.with_label_values(&[reason]).inc();
--- a/crates/lagoonhill_core/src/agent/machine/mod.rs
+++ b/crates/lagoonhill_core/src/agent/machine/mod.rs
@@ -128,6 +128,11 @@
         self.running
     }
 
+    /// Resources of the target that running tasks use, those being stopped included.
+    pub fn used(&self) -> Resources {
+        self.used
+    }
+
     /// The start message of a held task.
     pub fn start_message(&self, key: TaskKey) -> Option<&Start> {
         self.tasks.get(key).map(|task| &task.start)
