Entry: a job that fits only an earlier capacity is refused for now

Where all targets had shrunk below the needs of a job, callers were told to lower them or add a worker (422 without a time to come back; 503 without one on the users' platform), although the capacity may grow back within seconds.

An entry keeps the largest capacity that each target has had in the session. A job that would fit it is refused with its own reason, lacks_capacity, and a Retry-After; one that has never fitted is refused as before. Weighed: taking the job to wait, which holds callers for as long as nobody knows.

a_job_that_fits_only_an_earlier_capacity_is_refused_for_now failed before: never_fits.

--- a/crates/lagoonhill_core/src/entry/answer.rs
+++ b/crates/lagoonhill_core/src/entry/answer.rs
@@ -60,6 +60,16 @@
     /// No worker that has been announced meets the job's requirements.
     #[error("no announced worker offers what the job needs ({0}): lower its needs or add a worker")]
     NeverFits(String),
+    /// No worker has the capacity for the job at present; one has had it.
+    #[error(
+        "no worker of `{service}` has the capacity at present for what the job needs ({needs}): send the request again later"
+    )]
+    LacksCapacity {
+        /// Service of the workers.
+        service: ServiceName,
+        /// What the job needs.
+        needs: String,
+    },
     /// No worker serves the service at present.
     #[error("no worker serves `{0}` at present: send the request again later")]
     NoWorkers(ServiceName),
@@ -182,6 +192,7 @@
             Self::NoTasks { .. } => "no_tasks",
             Self::TooManyTasks { .. } => "too_many_tasks",
             Self::NeverFits(_) => "never_fits",
+            Self::LacksCapacity { .. } => "lacks_capacity",
             Self::NoWorkers(_) => "no_workers",
             Self::Drained(_) => "drained",
             Self::RateLimited(_) => "rate_limited",
--- a/crates/lagoonhill_core/src/entry/fleet.rs
+++ b/crates/lagoonhill_core/src/entry/fleet.rs
@@ -51,7 +51,7 @@
     pub fn set_target(&mut self, key: WorkerKey, target: Option<lagoonhill_protocol::Target>) {
         self.unindex(key);
         if let Some(worker) = self.workers.get_mut(key) {
-            worker.target = target;
+            worker.set_target(target);
         }
         self.index(key);
     }
@@ -172,6 +172,14 @@
         self.fitting(service, needs).next().is_some()
     }
 
+    /// Whether the target of any worker of the service has met the requirements since
+    /// it joined.
+    pub fn any_has_fitted(&self, service: &ServiceName, needs: &Needs) -> bool {
+        let keys = self.workers_of(service).iter();
+        let mut workers = keys.filter_map(|key| self.workers.get(*key));
+        workers.any(|worker| worker.has_fitted(needs))
+    }
+
     /// Whether a worker of the service that meets the requirements is not drained.
     pub fn any_fits_undrained(&self, service: &ServiceName, needs: &Needs) -> bool {
         self.fitting(service, needs)
--- a/crates/lagoonhill_core/src/entry/machine/admission.rs
+++ b/crates/lagoonhill_core/src/entry/machine/admission.rs
@@ -368,7 +368,9 @@
             let needs = params.steps.iter().map(|step| &step.needs);
             if let Some(cause) = self.unservable(service, needs) {
                 return Err(match cause {
-                    Cause::NoWorkers(_) => JobFailure::refused_for_now(cause, DEFAULT_RETRY_MS),
+                    Cause::NoWorkers(_) | Cause::LacksCapacity { .. } => {
+                        JobFailure::refused_for_now(cause, DEFAULT_RETRY_MS)
+                    }
                     _ => JobFailure::refused(cause),
                 });
             }
@@ -401,7 +403,13 @@
             return Some(Cause::NoWorkers(service.clone()));
         }
         let unmet = needs.find(|needs| !self.fleet.any_fits(service, needs))?;
-        Some(Cause::NeverFits(unmet.to_string()))
+        let needs = unmet.to_string();
+        Some(if self.fleet.any_has_fitted(service, unmet) {
+            let service = service.clone();
+            Cause::LacksCapacity { service, needs }
+        } else {
+            Cause::NeverFits(needs)
+        })
     }
 
     /// Whether a job may wait for workers that have not joined yet.
--- a/crates/lagoonhill_core/src/entry/worker.rs
+++ b/crates/lagoonhill_core/src/entry/worker.rs
@@ -91,6 +91,8 @@
     pub inbox: SocketAddr,
     /// Target that its agent announced, if any.
     pub target: Option<Target>,
+    /// The most of each resource that its target has had.
+    largest_capacity: Resources,
     /// Session with its agent.
     pub session: Session,
     /// Whether its agent has sent a leave message.
@@ -121,6 +123,9 @@
             id,
             zone,
             inbox,
+            largest_capacity: target
+                .as_ref()
+                .map_or_else(Resources::default, |target| target.capacity),
             target,
             session,
             leaving: false,
@@ -150,15 +155,25 @@
         estimated_slowness(self.load.speed)
     }
 
+    /// Replaces its announced target.
+    pub fn set_target(&mut self, target: Option<Target>) {
+        if let Some(target) = &target {
+            self.largest_capacity = self.largest_capacity.max(target.capacity);
+        }
+        self.target = target;
+    }
+
     /// Whether its target meets the requirements.
     pub fn fits(&self, needs: &Needs) -> bool {
-        self.target.as_ref().is_some_and(|target| {
-            needs.resources.fits_in(target.capacity)
-                && needs
-                    .label
-                    .as_ref()
-                    .is_none_or(|label| target.labels.contains(label))
-        })
+        let target = self.target.as_ref();
+        target.is_some_and(|target| meets(needs, target.capacity, &target.labels))
+    }
+
+    /// Whether its target meets the requirements, or would with all the capacity that it
+    /// has had in this session.
+    pub fn has_fitted(&self, needs: &Needs) -> bool {
+        let target = self.target.as_ref();
+        target.is_some_and(|target| meets(needs, self.largest_capacity, &target.labels))
     }
 
     /// Load from peer entries in the agent's last report, as a share of the
@@ -340,6 +355,12 @@
     }
 }
 
+/// Whether a target of this capacity with these labels meets the requirements.
+fn meets(needs: &Needs, capacity: Resources, labels: &[Label]) -> bool {
+    let label = needs.label.as_ref();
+    needs.resources.fits_in(capacity) && label.is_none_or(|label| labels.contains(label))
+}
+
 /// How often `needs` fit into `free`.
 fn fit_count(free: Resources, needs: Resources) -> u16 {
     let count = |free: u64, need: u64| free.checked_div(need).unwrap_or(u64::MAX);
--- a/crates/lagoonhill_core/tests/changing_capacity.rs
+++ b/crates/lagoonhill_core/tests/changing_capacity.rs
@@ -6,6 +6,7 @@
 mod support;
 
 use agent_on_target::{AgentOnTarget, Faults};
+use lagoonhill_core::entry::{CallerId, JobFailure};
 use lagoonhill_types::prelude::*;
 use support::{TestWorld, config, is_complete, queue_job, queue_rules};
 
@@ -74,6 +75,18 @@
     world.announce();
 }
 
+/// The refusal of a job.
+fn refusal(world: &TestWorld, caller: CallerId) -> JobFailure {
+    let answer = world
+        .received
+        .get(&caller)
+        .and_then(|answers| answers.first());
+    let outcome = answer.map(|received| received.answer.outcome.clone());
+    outcome
+        .and_then(Result::err)
+        .expect("the job was not refused")
+}
+
 /// Workers of eight processors each, in session with all entries.
 fn fleet(entries: usize, workers: usize) -> TestWorld {
     let mut config = config(entries, workers, 1);
@@ -317,6 +330,26 @@
         assert!(!is_complete(&world, held));
     }
 
+    // Guards against a job that is refused for good because of a capacity that may grow
+    // back, and against one that no target has ever fitted being told to come back.
+    a_job_that_fits_only_an_earlier_capacity_is_refused_for_now => {
+        let mut world = fleet(1, 2);
+        (0..2).for_each(|worker| world.set_capacity(worker, processors(2)));
+        world.run_for(3_000);
+        let job = |name, count: u32| queue_job("short", name, 1, MilliProcessors(count * 1_000), 100);
+        let earlier = world.submit(0, job("earlier", 4));
+        let never = world.submit(0, job("never", 100));
+        world.run_for(100);
+        let (earlier, never) = (refusal(&world, earlier), refusal(&world, never));
+        assert_eq!((earlier.cause.reason(), never.cause.reason()), ("lacks_capacity", "never_fits"));
+        assert!(earlier.retry_after_ms.is_some() && never.retry_after_ms.is_none());
+        world.set_capacity(1, processors(4));
+        world.run_for(500);
+        let again = world.submit(0, job("again", 4));
+        world.run_for(500);
+        assert!(is_complete(&world, again), "a job that fits again was not run");
+    }
+
     // Guards against an entry that goes on by the capacity of before.
     every_entry_uses_a_target_that_has_grown_within_one_beat => {
         let mut world = fleet(3, 1);
--- a/crates/lagoonhill_entry/src/api.rs
+++ b/crates/lagoonhill_entry/src/api.rs
@@ -344,6 +344,7 @@
         Cause::Leaving
         | Cause::NoRules
         | Cause::NoWorkers(_)
+        | Cause::LacksCapacity { .. }
         | Cause::Drained(_)
         | Cause::QueueFull(_)
         | Cause::TooLate { .. }
