Agent: a start is not sent again to a target with fewer slots

A start that was not answered was sent again although the target had fewer slots by then, as it was for its capacity. The slots are checked at each attempt too.

an_unanswered_start_is_not_repeated_on_a_target_with_fewer_slots failed before: 4 runs on one slot.

--- a/crates/lagoonhill_core/src/leased/runs/mod.rs
+++ b/crates/lagoonhill_core/src/leased/runs/mod.rs
@@ -341,13 +341,15 @@
         self.call(Purpose::Start(key), TargetCall::Start(request), reply_ms);
     }
 
-    /// Whether all runs, those being stopped included, fit in the capacity that the
-    /// target announced last.
+    /// Whether all runs, those being stopped included, fit in the slots and the capacity
+    /// that the target announced last.
     fn fits_capacity(&self) -> bool {
         let needs = self.runs.values().map(|run| run.needs);
         let used = needs.fold(Resources::default(), |used, needs| used + needs);
-        self.newest_announcement()
-            .is_some_and(|newest| used.fits_in(newest.target.capacity))
+        self.newest_announcement().is_some_and(|newest| {
+            self.runs.len() <= usize::from(newest.target.slots.0)
+                && used.fits_in(newest.target.capacity)
+        })
     }
 
     /// Returns a run unstarted, or stops it first if a start may still be carried out.
--- a/crates/lagoonhill_core/tests/changing_capacity.rs
+++ b/crates/lagoonhill_core/tests/changing_capacity.rs
@@ -145,6 +145,20 @@
         assert_eq!(world.running(), 1, "the target is not used");
     }
 
+    // Guards against the same where slots are taken away.
+    an_unanswered_start_is_not_repeated_on_a_target_with_fewer_slots => {
+        let mut world = world(1);
+        world.faults.loses_starts = true;
+        submit(&mut world, 0, 4, LONG_MS);
+        world.pass(100);
+        world.set_slots(SlotCount(1));
+        world.announce();
+        world.pass(GRACE_MS);
+        world.faults.loses_starts = false;
+        world.pass(2_000);
+        assert_eq!(world.running(), 1);
+    }
+
     // Guards against starts beside runs that the target is still stopping.
     runs_that_are_being_stopped_count_on_a_target_that_has_shrunk => {
         let mut world = world(1);
--- a/crates/lagoonhill_core/tests/support/agent_on_target.rs
+++ b/crates/lagoonhill_core/tests/support/agent_on_target.rs
@@ -62,6 +62,7 @@
     sequence: u64,
     /// What it can run at a time.
     capacity: Resources,
+    slots: SlotCount,
     /// The capacities in the newest announcements that have arrived, with the time of
     /// their arrival.
     told: Vec<(TimestampMs, Resources)>,
@@ -119,7 +120,7 @@
             target: Target {
                 service: "dispatch".parse().expect("the name is valid"),
                 address: SocketAddr::from(([127, 0, 0, 1], 1)),
-                slots: SlotCount(SLOTS),
+                slots: self.slots,
                 connections: SLOTS,
                 capacity: self.capacity,
                 labels: Vec::new(),
@@ -310,7 +311,10 @@
         agent.add_entries(&addresses, BEGAN);
         let token = FencingToken(7);
         let mut runs = LeasedRuns::new(LeaseTiming::default(), token, BEGAN);
-        let mut target = TargetModel::default();
+        let mut target = TargetModel {
+            slots: SlotCount(SLOTS),
+            ..TargetModel::default()
+        };
         let announcement = target.announcement(BEGAN);
         target.tell(&announcement, BEGAN);
         runs.announce(announcement, BEGAN);
@@ -379,6 +383,11 @@
         self.target.capacity = capacity;
     }
 
+    /// Changes the number of tasks that the target runs at a time.
+    pub(crate) fn set_slots(&mut self, slots: SlotCount) {
+        self.target.slots = slots;
+    }
+
     /// Lets the target announce itself now.
     pub(crate) fn announce(&mut self) {
         let announcement = self.target.announcement(self.now);
@@ -451,6 +460,7 @@
         self.target = TargetModel {
             restarts: earlier.restarts + 1,
             capacity: earlier.capacity,
+            slots: earlier.slots,
             told: earlier.told,
             newest_told: earlier.newest_told,
             ..TargetModel::default()
