--- a/crates/lagoonhill_core/src/agent/machine/mod.rs
+++ b/crates/lagoonhill_core/src/agent/machine/mod.rs
@@ -128,6 +128,11 @@
         self.running
     }
 
+    /// Resources of the target that running tasks use, those being stopped included.
+    pub fn used(&self) -> Resources {
+        self.used
+    }
+
     /// The start message of a held task.
     pub fn start_message(&self, key: TaskKey) -> Option<&Start> {
         self.tasks.get(key).map(|task| &task.start)
@@ -172,12 +177,18 @@
         if self.target == target {
             return;
         }
-        self.target.clone_from(&target);
-        // The new target may be another one than the last.
-        self.speed = TargetSpeed::default();
+        let last = std::mem::replace(&mut self.target, target.clone());
+        let is_resized = last
+            .zip(target.as_ref())
+            .is_some_and(|(last, target)| is_same_target(&last, target));
+        if !is_resized {
+            self.speed = TargetSpeed::default();
+        }
+        let capacity = target.as_ref().map(|target| target.capacity);
         self.broadcast(&Message::Target(target));
-        if self.target.is_none() {
-            self.withdraw_all_waiting(NotRunReason::NoTarget);
+        match capacity {
+            Some(capacity) => self.withdraw_larger_than(capacity),
+            None => self.withdraw_all_waiting(NotRunReason::NoTarget),
         }
         self.start_waiting(now);
     }
@@ -322,3 +333,8 @@
         }
     }
 }
+
+/// Whether two announced targets are the same one, whatever its capacity.
+fn is_same_target(left: &Target, right: &Target) -> bool {
+    left.service == right.service && left.address == right.address && left.labels == right.labels
+}
