Entry: names of jobs are spread evenly over their homes

FNV's high bits hardly depend on the last bytes of what it hashes, and the home is the entry with the largest hash. Such a home gets the requests of the whole fleet, and the tests of repeated_jobs played one home only. The finalizer of MurmurHash3 makes each bit depend on all bytes; with it the test passes.

--- a/crates/lagoonhill_core/src/entry/machine/names.rs
+++ b/crates/lagoonhill_core/src/entry/machine/names.rs
@@ -53,6 +53,14 @@
     sent_ms: TimestampMs,
 }
 
+/// Finalizer of `MurmurHash3`. FNV's high bits hardly depend on the last bytes, so names
+/// that differ only there would have few homes.
+fn mixed(hash: u64) -> u64 {
+    let hash = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    let hash = (hash ^ (hash >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    hash ^ (hash >> 33)
+}
+
 impl PendingName {
     fn asked(&self) -> impl Iterator<Item = EntryAddress> {
         std::iter::once(self.home).chain(self.next_home)
@@ -115,7 +123,7 @@
             let mut hasher = FnvHasher::default();
             hasher.write_u64(entry.incarnation.0);
             hasher.write(name.as_str().as_bytes());
-            (hasher.finish(), entry.incarnation)
+            (mixed(hasher.finish()), entry.incarnation)
         };
         let candidates = self.entries.iter().filter(is_candidate);
         candidates.max_by_key(weight).copied()
--- a/crates/lagoonhill_core/tests/repeated_jobs.rs
+++ b/crates/lagoonhill_core/tests/repeated_jobs.rs
@@ -4,8 +4,11 @@
 
 mod support;
 
+use std::collections::HashMap;
+
 use lagoonhill_core::Timing;
-use lagoonhill_core::entry::{CallerId, RunCertainty, Submission};
+use lagoonhill_core::entry::{CallerId, EntryEffect, RunCertainty, Submission};
+use lagoonhill_protocol::Packet;
 use lagoonhill_standin::{NodeId, StopResult};
 use lagoonhill_types::prelude::*;
 use support::{TestWorld, config, failure, is_complete, queue_job, queue_rules, world};
@@ -157,6 +160,25 @@
         assert!(callers.iter().all(|caller| is_complete(&world, *caller)));
     }
 
+    // Guards against homes that get many times their share of the names.
+    numbered_names_are_spread_over_the_homes => {
+        let mut world = fleet(1);
+        let mut requests: HashMap<Incarnation, usize> = HashMap::new();
+        world.with_entry(0, |entry, now| {
+            for number in 0..400 {
+                entry.submit_named(CallerId(1_000 + number), job(&format!("job-{number}")), now);
+            }
+            for effect in entry.poll_effects(now) {
+                if let EntryEffect::Send { packet: Packet::NameRequest(request), .. } = effect {
+                    *requests.entry(request.home).or_default() += 1;
+                }
+            }
+        });
+        let most = requests.values().max().copied();
+        assert_eq!(requests.len(), ENTRIES - 1, "{requests:?}");
+        assert!(most.is_some_and(|most| most < 150), "{requests:?}");
+    }
+
     // Guards against a woken entry that goes on with a job that another one has taken.
     a_woken_entry_starts_nothing_that_another_runs => {
         for seed in 1..9 {
