Entry: a woken entry waits anew for the answers of homes

An entry that was frozen while a request for a lease was on its way took its own pause for the silence of the home: its timers run before what has arrived. It started the job without a lease, whole time limit and all, though another entry ran it by then, and for a second it asked other homes than everybody else.

The wait starts anew at the wake-up. A lease that was granted before it may have ended, so it is asked for again before a task starts.

--- a/crates/lagoonhill_core/src/entry/machine/mod.rs
+++ b/crates/lagoonhill_core/src/entry/machine/mod.rs
@@ -297,6 +297,7 @@
         }
         if frozen {
             self.suspend_own_leases(now);
+            self.restart_name_timers(now);
         }
         self.tick_names(now);
         self.abandon_unowned_jobs(now);
--- a/crates/lagoonhill_core/src/entry/machine/names.rs
+++ b/crates/lagoonhill_core/src/entry/machine/names.rs
@@ -51,6 +51,10 @@
     /// The home that was asked too, as the first one did not answer in time.
     next_home: Option<EntryAddress>,
     sent_ms: TimestampMs,
+    /// When this entry began to wait: the time of sending, or of its last wake-up.
+    waits_since_ms: TimestampMs,
+    /// Whether this entry was frozen meanwhile. A lease that was granted may have ended.
+    outlived_freeze: bool,
 }
 
 /// Finalizer of `MurmurHash3`. FNV's high bits hardly depend on the last bytes, so names
@@ -142,6 +146,15 @@
             .insert(self.config.address.incarnation, until_ms);
     }
 
+    /// Waits anew for the answers of homes after this process was frozen: the time that
+    /// passed meanwhile is not their silence.
+    pub(super) fn restart_name_timers(&mut self, now: TimestampMs) {
+        for pending in self.pending_names.values_mut() {
+            pending.waits_since_ms = now;
+            pending.outlived_freeze = true;
+        }
+    }
+
     /// How long runs of this entry may go on after it was last alive.
     fn runs_outlast_ms(&self) -> DurationMs {
         self.config.timing.run_lease_ms + on_slow_clock(self.config.timing.hold_ms)
@@ -170,6 +183,8 @@
             home,
             next_home: None,
             sent_ms: now,
+            waits_since_ms: now,
+            outlived_freeze: false,
         };
         if home.incarnation == self.config.address.incarnation {
             let is_granted = self.grant_own(&pending.name, id, now);
@@ -263,6 +278,9 @@
         is_granted: bool,
         now: TimestampMs,
     ) {
+        if is_granted && pending.outlived_freeze {
+            return self.request_name(id, pending.purpose, pending.name, now);
+        }
         let held = HeldName {
             id,
             home,
@@ -346,7 +364,7 @@
         self.name_leases.expire(now);
         self.silent_homes.retain(|_, until_ms| now < *until_ms);
         self.ask_next_homes(now);
-        let is_lost = |pending: &PendingName| now.since(pending.sent_ms) >= NAME_TIMEOUT_MS;
+        let is_lost = |pending: &PendingName| now.since(pending.waits_since_ms) >= NAME_TIMEOUT_MS;
         let lost: Vec<PendingName> = self
             .pending_names
             .extract_if(.., |_, pending| is_lost(pending))
@@ -375,7 +393,7 @@
     fn ask_next_homes(&mut self, now: TimestampMs) {
         let own = self.config.address;
         let is_due = |pending: &PendingName| {
-            pending.next_home.is_none() && now.since(pending.sent_ms) >= NAME_REPLY_MS
+            pending.next_home.is_none() && now.since(pending.waits_since_ms) >= NAME_REPLY_MS
         };
         let next = |(id, pending): (&NameLeaseId, &PendingName)| {
             let next = self.home_beside(&pending.name, Some(pending.home), now)?;
