Entry: an entry that is the next home of a name takes the lease from itself

If the first home of a name did not answer and the next one was this entry, the job went without a lease, and left no trace in this entry's own table: another entry that asked it as the next home got the lease, and both ran the job. Now the entry grants itself the lease at the time limit, unless it has granted it to another one.

--- a/crates/lagoonhill_core/src/entry/machine/names.rs
+++ b/crates/lagoonhill_core/src/entry/machine/names.rs
@@ -365,17 +365,16 @@
         self.silent_homes.retain(|_, until_ms| now < *until_ms);
         self.ask_next_homes(now);
         let is_lost = |pending: &PendingName| now.since(pending.waits_since_ms) >= NAME_TIMEOUT_MS;
-        let lost: Vec<PendingName> = self
+        let lost: Vec<(NameLeaseId, PendingName)> = self
             .pending_names
             .extract_if(.., |_, pending| is_lost(pending))
-            .map(|(_, pending)| pending)
             .collect();
-        for home in lost.iter().flat_map(PendingName::asked) {
+        for home in lost.iter().flat_map(|(_, pending)| pending.asked()) {
             let until_ms = now + SILENT_HOME_MS;
             self.silent_homes.insert(home.incarnation, until_ms);
         }
-        for pending in lost {
-            self.go_without_lease(pending.purpose, now);
+        for (id, pending) in lost {
+            self.after_lost_homes(id, pending, now);
         }
         while let Some(&(renew_ms, key)) = self.name_renewals.first()
             && renew_ms <= now
@@ -412,6 +411,22 @@
         }
     }
 
+    /// Goes without a lease, unless this entry is the next home: the one that other
+    /// entries ask by then.
+    fn after_lost_homes(&mut self, id: NameLeaseId, pending: PendingName, now: TimestampMs) {
+        let own = self.config.address;
+        if self.home_beside(&pending.name, None, now) != Some(own) {
+            return self.go_without_lease(pending.purpose, now);
+        }
+        let is_granted = self.grant_own(&pending.name, id, now);
+        let pending = PendingName {
+            sent_ms: now,
+            outlived_freeze: false,
+            ..pending
+        };
+        self.name_answered(id, own, pending, is_granted, now);
+    }
+
     fn go_without_lease(&mut self, purpose: NamePurpose, now: TimestampMs) {
         match purpose {
             NamePurpose::Admission(name) => self.admit_named(name, None, now),
