Entry, tests: code that the linter and the test build refuse

The test unstored_ends did not compile, as its model of an entry lacks the new packets. Clippy refused two arguments taken by value and BTreeMap::extract_if, which is newer than the oldest supported compiler (1.90). No change of behaviour.

--- a/crates/lagoonhill_core/src/entry/machine/names.rs
+++ b/crates/lagoonhill_core/src/entry/machine/names.rs
@@ -288,8 +288,8 @@
             renew_ms: pending.sent_ms + NAME_RENEWAL_MS,
         };
         match pending.purpose {
-            NamePurpose::Admission(name) if is_granted => self.admit_named(name, Some(held), now),
-            NamePurpose::Admission(name) => self.refuse_named(name, now),
+            NamePurpose::Admission(name) if is_granted => self.admit_named(&name, Some(held), now),
+            NamePurpose::Admission(name) => self.refuse_named(&name, now),
             NamePurpose::Renewal(job) if is_granted => self.hold_name(job, held),
             NamePurpose::Renewal(job) if self.jobs.contains_key(job) => {
                 self.fail_job(job, Cause::RunsElsewhere, now);
@@ -307,7 +307,7 @@
 
     /// Admits a submission that has the lease on its name, or goes without one because
     /// no home answers.
-    fn admit_named(&mut self, name: RequestKey, held: Option<HeldName>, now: TimestampMs) {
+    fn admit_named(&mut self, name: &RequestKey, held: Option<HeldName>, now: TimestampMs) {
         let key = RecordKey::Key(name.clone());
         let Some(Record::Binding {
             callers,
@@ -325,7 +325,7 @@
         };
         match (admitted, held) {
             (Some(job), Some(held)) => self.hold_name(job, held),
-            (None, Some(held)) => self.release_name(&name, held, DurationMs::ZERO, now),
+            (None, Some(held)) => self.release_name(name, held, DurationMs::ZERO, now),
             (Some(job), None) => {
                 let id = self.jobs[job].plan.id;
                 self.log_decision(now, Some(id), None, DecisionKind::Unleased);
@@ -334,7 +334,7 @@
         }
     }
 
-    fn refuse_named(&mut self, name: RequestKey, now: TimestampMs) {
+    fn refuse_named(&mut self, name: &RequestKey, now: TimestampMs) {
         let key = RecordKey::Key(name.clone());
         let Some(Record::Binding { callers, .. }) = self.take_unadmitted(&key) else {
             return;
@@ -365,9 +365,15 @@
         self.silent_homes.retain(|_, until_ms| now < *until_ms);
         self.ask_next_homes(now);
         let is_lost = |pending: &PendingName| now.since(pending.waits_since_ms) >= NAME_TIMEOUT_MS;
-        let lost: Vec<(NameLeaseId, PendingName)> = self
+        let lost: Vec<NameLeaseId> = self
             .pending_names
-            .extract_if(.., |_, pending| is_lost(pending))
+            .iter()
+            .filter(|(_, pending)| is_lost(pending))
+            .map(|(id, _)| *id)
+            .collect();
+        let lost: Vec<(NameLeaseId, PendingName)> = lost
+            .into_iter()
+            .filter_map(|id| self.pending_names.remove_entry(&id))
             .collect();
         for home in lost.iter().flat_map(|(_, pending)| pending.asked()) {
             let until_ms = now + SILENT_HOME_MS;
@@ -429,7 +435,7 @@
 
     fn go_without_lease(&mut self, purpose: NamePurpose, now: TimestampMs) {
         match purpose {
-            NamePurpose::Admission(name) => self.admit_named(name, None, now),
+            NamePurpose::Admission(name) => self.admit_named(&name, None, now),
             NamePurpose::Renewal(key) => {
                 if let Some(job) = self.jobs.get_mut(key) {
                     job.held_name = None;
--- a/crates/lagoonhill_core/tests/support/agent_on_target.rs
+++ b/crates/lagoonhill_core/tests/support/agent_on_target.rs
@@ -301,7 +301,12 @@
                     }
                 }
             }
-            Packet::Welcome(_) | Packet::Reset(_) | Packet::Entries(_) => {}
+            Packet::Welcome(_)
+            | Packet::Reset(_)
+            | Packet::Entries(_)
+            | Packet::NameRequest(_)
+            | Packet::NameReply(_)
+            | Packet::NameRelease(_) => {}
         }
     }
 
