Entry: a job without runs releases its name at once

A job that failed after its attempts kept its name for 1,016 ms, for runs that might go on, though each had ended: callers that sent it again were told that another entry runs it. Now the name is kept only while a task is at a worker or in doubt. Test a_job_whose_runs_have_all_failed_may_be_sent_again_at_once failed before and passes now.

--- a/crates/lagoonhill_core/src/entry/job.rs
+++ b/crates/lagoonhill_core/src/entry/job.rs
@@ -355,6 +355,13 @@
         self.has_run || self.sent > 0 || self.done > 0
     }
 
+    /// Whether a run of any task may still go on.
+    pub fn may_be_running(&self) -> bool {
+        let may_run =
+            |task: &Task| matches!(task.state, TaskState::Sent(_) | TaskState::InDoubt(_));
+        self.tasks.iter().any(may_run)
+    }
+
     /// Whether any task may have run.
     pub fn certainty(&self) -> RunCertainty {
         if self.has_started() {
--- a/crates/lagoonhill_core/src/entry/machine/names.rs
+++ b/crates/lagoonhill_core/src/entry/machine/names.rs
@@ -458,10 +458,10 @@
         let Some((name, held)) = job.name().zip(job.held_name) else {
             return;
         };
-        let remaining_ms = if job.is_complete() || !job.has_started() {
-            DurationMs::ZERO
-        } else {
+        let remaining_ms = if job.may_be_running() {
             self.runs_outlast_ms()
+        } else {
+            DurationMs::ZERO
         };
         self.pending_names.remove(&held.id);
         self.release_name(&name, held, remaining_ms, now);
--- a/crates/lagoonhill_core/tests/repeated_jobs.rs
+++ b/crates/lagoonhill_core/tests/repeated_jobs.rs
@@ -7,7 +7,7 @@
 use std::collections::HashMap;
 
 use lagoonhill_core::Timing;
-use lagoonhill_core::entry::{CallerId, EntryEffect, RunCertainty, Submission};
+use lagoonhill_core::entry::{CallerId, Cause, EntryEffect, RunCertainty, Submission};
 use lagoonhill_protocol::Packet;
 use lagoonhill_standin::{NodeId, StopResult};
 use lagoonhill_types::prelude::*;
@@ -121,6 +121,21 @@
         assert!(is_complete(&world, second));
     }
 
+    // Guards against a job that is refused as running elsewhere although all its runs have
+    // ended.
+    a_job_whose_runs_have_all_failed_may_be_sent_again_at_once => {
+        let mut world = fleet(1);
+        let mut job = queue_job("short", "hopeless", 1, MilliProcessors(1_000), 40);
+        job.deadline_ms = Some(DurationMs(1_500));
+        let first = world.submit_named(0, job.clone());
+        world.run_for(500);
+        assert!(failure(&world, first).is_some());
+        let second = world.submit_named(1, job);
+        world.run_for(500);
+        let failed = failure(&world, second).map(|(_, cause)| cause);
+        assert_ne!(failed, Some(Cause::RunsElsewhere.to_string()));
+    }
+
     // Guards against a lease that outlives its holder: callers send a job again 1,300 ms
     // after their connection broke.
     a_job_of_a_lost_entry_may_be_sent_again => {
