--- a/crates/lagoonhill_core/tests/name_lease_faults.rs
+++ b/crates/lagoonhill_core/tests/name_lease_faults.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use lagoonhill_core::Timing;
-use lagoonhill_core::entry::Submission;
+use lagoonhill_core::entry::{Entry, LeastExpectedFinish, Submission};
 use lagoonhill_standin::{NodeId, StopResult};
 use lagoonhill_types::prelude::*;
 use support::{TestWorld, config, queue_job, queue_rules, world};
@@ -16,6 +16,8 @@
     };
 }
 
+type TestEntry = Entry<LeastExpectedFinish>;
+
 const NAMES: [&str; 12] = ["a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l"];
 const TASKS: u16 = 2;
 
@@ -135,7 +137,7 @@
             world.submit_named(1, job(name));
             world.run_for(199);
             // A woken process handles its timers before what has arrived.
-            world.with_entry(0, |entry, now| entry.tick(now));
+            world.with_entry(0, TestEntry::tick);
             world.run_for(1_000);
         });
     }
@@ -157,7 +159,7 @@
             world.run_for(400);
             world.submit_named(1, job(name));
             world.run_for(199);
-            world.with_entry(0, |entry, now| entry.tick(now));
+            world.with_entry(0, TestEntry::tick);
             // The request that was held reaches the woken entry.
             world.submit_named(0, job(name));
             world.run_for(1_000);
