--- a/crates/lagoonhill_core/src/entry/machine/names.rs
+++ b/crates/lagoonhill_core/src/entry/machine/names.rs
@@ -3,7 +3,6 @@
 //! run unnoticed. The lease is granted by the name's home: an entry chosen by
 //! rendezvous hashing, so that it costs two packets a job however many entries there are.
 
-use std::collections::BTreeMap;
 use std::hash::Hasher;
 
 use fnv::FnvHasher;
@@ -60,6 +59,18 @@
     next_home: Option<EntryAddress>,
     sent_ms: TimestampMs,
     is_repeated: bool,
+    /// When this entry began to wait: the time of sending, or of its last wake-up.
+    waits_since_ms: TimestampMs,
+    /// Whether this entry was frozen meanwhile. A lease that was granted may have ended.
+    outlived_freeze: bool,
+}
+
+/// Finalizer of `MurmurHash3`. FNV's high bits hardly depend on the last bytes, so names
+/// that differ only there would have few homes.
+fn mixed(hash: u64) -> u64 {
+    let hash = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    let hash = (hash ^ (hash >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    hash ^ (hash >> 33)
 }
 
 impl PendingName {
@@ -124,7 +135,7 @@
             let mut hasher = FnvHasher::default();
             hasher.write_u64(entry.incarnation.0);
             hasher.write(name.as_str().as_bytes());
-            (hasher.finish(), entry.incarnation)
+            (mixed(hasher.finish()), entry.incarnation)
         };
         let candidates = self.entries.iter().filter(is_candidate);
         candidates.max_by_key(weight).copied()
@@ -143,6 +154,15 @@
             .insert(self.config.address.incarnation, until_ms);
     }
 
+    /// Waits anew for the answers of homes after this process was frozen: the time that
+    /// passed meanwhile is not their silence.
+    pub(super) fn restart_name_timers(&mut self, now: TimestampMs) {
+        for pending in self.pending_names.values_mut() {
+            pending.waits_since_ms = now;
+            pending.outlived_freeze = true;
+        }
+    }
+
     /// How long runs of this entry may go on after it was last alive.
     fn runs_outlast_ms(&self) -> DurationMs {
         self.config.timing.run_lease_ms + on_slow_clock(self.config.timing.hold_ms)
@@ -172,6 +192,8 @@
             next_home: None,
             sent_ms: now,
             is_repeated: false,
+            waits_since_ms: now,
+            outlived_freeze: false,
         };
         if home.incarnation == self.config.address.incarnation {
             let is_granted = self.grant_own(&pending.name, id, now);
@@ -276,6 +298,9 @@
         is_granted: bool,
         now: TimestampMs,
     ) {
+        if is_granted && pending.outlived_freeze {
+            return self.request_name(id, pending.purpose, pending.name, now);
+        }
         let held = HeldName {
             id,
             home,
@@ -360,18 +385,23 @@
         self.silent_homes.retain(|_, until_ms| now < *until_ms);
         self.ask_next_homes(now);
         self.repeat_name_requests(now);
-        let is_lost = |pending: &PendingName| now.since(pending.sent_ms) >= NAME_TIMEOUT_MS;
-        let (lost, open): (BTreeMap<_, _>, BTreeMap<_, _>) =
-            std::mem::take(&mut self.pending_names)
-                .into_iter()
-                .partition(|(_, pending)| is_lost(pending));
-        self.pending_names = open;
-        for home in lost.values().flat_map(PendingName::asked) {
+        let is_lost = |pending: &PendingName| now.since(pending.waits_since_ms) >= NAME_TIMEOUT_MS;
+        let lost: Vec<NameLeaseId> = self
+            .pending_names
+            .iter()
+            .filter(|(_, pending)| is_lost(pending))
+            .map(|(id, _)| *id)
+            .collect();
+        let lost: Vec<(NameLeaseId, PendingName)> = lost
+            .into_iter()
+            .filter_map(|id| self.pending_names.remove_entry(&id))
+            .collect();
+        for home in lost.iter().flat_map(|(_, pending)| pending.asked()) {
             let until_ms = now + SILENT_HOME_MS;
             self.silent_homes.insert(home.incarnation, until_ms);
         }
-        for pending in lost.into_values() {
-            self.go_without_lease(pending.purpose, now);
+        for (id, pending) in lost {
+            self.after_lost_homes(id, pending, now);
         }
         while let Some(&(renew_ms, key)) = self.name_renewals.first()
             && renew_ms <= now
@@ -389,7 +419,7 @@
     fn ask_next_homes(&mut self, now: TimestampMs) {
         let own = self.config.address;
         let is_due = |pending: &PendingName| {
-            pending.next_home.is_none() && now.since(pending.sent_ms) >= NAME_REPLY_MS
+            pending.next_home.is_none() && now.since(pending.waits_since_ms) >= NAME_REPLY_MS
         };
         let next = |(id, pending): (&NameLeaseId, &PendingName)| {
             let next = self.home_beside(&pending.name, Some(pending.home), now)?;
@@ -413,7 +443,7 @@
         self.reconnected_homes
             .retain(|_, at_ms| now.since(*at_ms) < RECONNECT_PAUSE_MS);
         let is_due = |pending: &PendingName| {
-            !pending.is_repeated && now.since(pending.sent_ms) >= NAME_REPEAT_MS
+            !pending.is_repeated && now.since(pending.waits_since_ms) >= NAME_REPEAT_MS
         };
         let mut due = Vec::new();
         for (id, pending) in &mut self.pending_names {
@@ -433,6 +463,22 @@
         }
     }
 
+    /// Goes without a lease, unless this entry is the next home: the one that other
+    /// entries ask by then.
+    fn after_lost_homes(&mut self, id: NameLeaseId, pending: PendingName, now: TimestampMs) {
+        let own = self.config.address;
+        if self.home_beside(&pending.name, None, now) != Some(own) {
+            return self.go_without_lease(pending.purpose, now);
+        }
+        let is_granted = self.grant_own(&pending.name, id, now);
+        let pending = PendingName {
+            sent_ms: now,
+            outlived_freeze: false,
+            ..pending
+        };
+        self.name_answered(id, own, pending, is_granted, now);
+    }
+
     fn go_without_lease(&mut self, purpose: NamePurpose, now: TimestampMs) {
         match purpose {
             NamePurpose::Admission(name) => self.admit_named(&name, None, now),
@@ -458,10 +504,10 @@
         let Some((name, held)) = job.name().zip(job.held_name) else {
             return;
         };
-        let remaining_ms = if job.is_complete() || !job.has_started() {
-            DurationMs::ZERO
-        } else {
+        let remaining_ms = if job.may_be_running() {
             self.runs_outlast_ms()
+        } else {
+            DurationMs::ZERO
         };
         self.pending_names.remove(&held.id);
         self.release_name(&name, held, remaining_ms, now);
