--- /dev/null
+++ b/crates/lagoonhill_core/tests/deadly_tasks.rs
@@ -0,0 +1,220 @@
+//! Tasks that crash the targets that run them. Guards against one task that takes down
+//! target after target, and against giving up sound tasks that ran beside it.
+
+mod support;
+
+use lagoonhill_core::entry::{DurableJobState, Needs, QueueSubmission, Step, Submission};
+use lagoonhill_rules::{RuleSet, parse_rules};
+use lagoonhill_standin::{NodeId, StopResult, WorldConfig};
+use lagoonhill_types::prelude::*;
+use support::{TestWorld, config, failure, is_complete, service, world};
+
+/// Defines one test for each named case.
+macro_rules! cases {
+    ($($name:ident => $body:block)+) => {
+        $(#[test] fn $name() $body)+
+    };
+}
+
+const RULES: &str = "\
+service dispatch deadline=200s run-time=100ms run-limit=20s  # tests
+queue jobs service=dispatch attempts=2 objective=60ms slack-permille=1600  # tests
+";
+
+/// Most targets that may crash under one task.
+const MAX_CRASHES: u32 = 3;
+
+fn fleet_config(entries: usize, targets: usize, seed: u64) -> WorldConfig {
+    let mut config = config(entries, targets, seed);
+    config.slots = 4;
+    let lines = parse_rules(RULES).expect("the test rules are valid");
+    config.rules = RuleSet::new(Revision(1), lines);
+    config
+}
+
+/// A fleet whose entries own their jobs for longer than any test takes.
+fn fleet_of(config: &WorldConfig) -> TestWorld {
+    let mut world = world(config);
+    world.stop_result = StopResult::Interrupted;
+    for entry in 0..config.entries {
+        world.extend_ownership(entry, 600_000);
+    }
+    world
+}
+
+fn fleet(entries: usize, targets: usize, seed: u64) -> TestWorld {
+    fleet_of(&fleet_config(entries, targets, seed))
+}
+
+fn name(text: &str) -> RequestKey {
+    text.parse().expect("the name is valid")
+}
+
+/// A job of one step, with one task for each mark. A mark `deadly` makes a task crash
+/// its target after `run_ms`.
+fn job(text: &str, marks: &[&str], run_ms: u64, durable: bool) -> Submission {
+    let payload = |(index, mark): (usize, &&str)| {
+        Payload::from(format!("{run_ms} {mark} {text} {index}").into_bytes())
+    };
+    Submission {
+        service: service(),
+        team: "jobs".parse().expect("the name is valid"),
+        deadline_ms: Some(DurationMs(100_000)),
+        run_time_ms: Some(DurationMs(run_ms)),
+        needs: Needs::default(),
+        tasks: marks.iter().enumerate().map(payload).collect(),
+        durable,
+        queued: Some(QueueSubmission {
+            queue: "jobs".parse().expect("the name is valid"),
+            name: name(text),
+            steps: vec![Step {
+                count: u16::try_from(marks.len()).expect("few tasks"),
+                after: Vec::new(),
+                needs: Needs::default(),
+                estimate_ms: DurationMs(run_ms),
+            }],
+        }),
+    }
+}
+
+fn durable(text: &str, marks: &[&str], run_ms: u64) -> Submission {
+    job(text, marks, run_ms, true)
+}
+
+fn state(world: &TestWorld, text: &str) -> Option<DurableJobState> {
+    world.durable_jobs.state(&name(text))
+}
+
+fn assert_few_crashes(world: &TestWorld) {
+    for (payload, crashes) in &world.crashes {
+        let text = String::from_utf8_lossy(payload.as_slice());
+        assert!(*crashes <= MAX_CRASHES, "{text}: {crashes} crashes");
+    }
+}
+
+/// A long sound task, of which each run so far was cut short by `disturb`, is done.
+fn assert_not_given_up(mut world: TestWorld, mut disturb: impl FnMut(&mut TestWorld)) {
+    world.submit_durable(0, durable("sound", &["sound"], 400));
+    for _ in 0..6 {
+        world.run_for(150);
+        disturb(&mut world);
+        world.run_for(5_000);
+    }
+    world.run_for(5_000);
+    assert_eq!(state(&world, "sound"), Some(DurableJobState::Complete));
+}
+
+cases! {
+    a_durable_task_that_crashes_its_workers_is_given_up => {
+        for run_ms in [0, 10, 300] {
+            let mut world = fleet(1, 8, 1);
+            world.submit_durable(0, durable("job", &["deadly"], run_ms));
+            world.run_for(60_000);
+            assert_eq!(state(&world, "job"), Some(DurableJobState::Failed));
+            assert_few_crashes(&world);
+        }
+    }
+
+    a_task_that_crashes_its_workers_is_given_up_if_its_job_is_not_durable => {
+        let mut world = fleet(1, 8, 2);
+        let caller = world.submit(0, job("job", &["sound", "deadly", "sound"], 10, false));
+        world.run_for(60_000);
+        let (_, cause) = failure(&world, caller).expect("the job did not fail");
+        assert!(cause.contains("crashed"), "{cause}");
+        assert_few_crashes(&world);
+    }
+
+    sound_tasks_beside_deadly_ones_are_done => {
+        for run_ms in [10, 200] {
+            let mut world = fleet(2, 6, 3);
+            for round in 0..4 {
+                for number in 0..6 {
+                    let text = format!("sound-{round}-{number}");
+                    world.submit_durable(number % 2, durable(&text, &["sound"; 4], 120));
+                }
+                let text = format!("bad-{round}");
+                world.submit_durable(round % 2, durable(&text, &["deadly", "sound"], run_ms));
+                world.run_for(1_000);
+            }
+            world.run_for(120_000);
+            assert_few_crashes(&world);
+            for round in 0..4 {
+                assert_eq!(state(&world, &format!("bad-{round}")), Some(DurableJobState::Failed));
+                for number in 0..6 {
+                    let text = format!("sound-{round}-{number}");
+                    assert_eq!(state(&world, &text), Some(DurableJobState::Complete), "{text}");
+                }
+            }
+        }
+    }
+
+    crashes_are_counted_across_takeovers => {
+        let mut world = fleet(2, 8, 4);
+        world.submit_durable(0, durable("job", &["deadly"], 10));
+        world.run_for(900);
+        assert!(world.crash_count >= 1, "no target crashed");
+        world.kill(NodeId::Entry(0));
+        world.take_over(0, 1);
+        world.run_for(60_000);
+        assert_eq!(state(&world, "job"), Some(DurableJobState::Failed));
+        assert!(world.crash_count <= 2, "{} crashes", world.crash_count);
+    }
+
+    // Lost and repeated packets report one crash several times.
+    a_crash_is_counted_once => {
+        for seed in 0..10 {
+            let mut config = fleet_config(1, 4, seed);
+            config.network.repeat_permille = 500;
+            config.network.loss_permille = 100;
+            let mut world = fleet_of(&config);
+            world.submit_durable(0, durable("sound", &["sound"; 8], 300));
+            world.run_for(200);
+            world.crash_target(0);
+            world.run_for(20_000);
+            assert_eq!(state(&world, "sound"), Some(DurableJobState::Complete), "seed {seed}");
+        }
+    }
+
+    one_crash_gives_up_no_task => {
+        let mut world = fleet(1, 2, 5);
+        let caller = world.submit(0, job("sound", &["sound"; 4], 300, false));
+        world.run_for(100);
+        world.crash_target(0);
+        world.crash_target(1);
+        world.run_for(20_000);
+        assert!(is_complete(&world, caller));
+    }
+
+    a_lost_agent_is_no_crash => {
+        let config = fleet_config(1, 2, 6);
+        assert_not_given_up(fleet_of(&config), |world| {
+            for agent in 0..2 {
+                world.restart_agent(agent, &config);
+            }
+        });
+    }
+
+    a_cut_is_no_crash => {
+        assert_not_given_up(fleet(1, 2, 7), |world| {
+            for agent in 0..2 {
+                world.partition(NodeId::Entry(0), NodeId::Agent(agent));
+            }
+            world.run_for(2_500);
+            for agent in 0..2 {
+                world.heal(NodeId::Entry(0), NodeId::Agent(agent));
+            }
+        });
+    }
+
+    a_frozen_entry_is_no_crash => {
+        assert_not_given_up(fleet(1, 2, 8), |world| world.freeze(NodeId::Entry(0), 3_000));
+    }
+
+    a_frozen_agent_is_no_crash => {
+        assert_not_given_up(fleet(1, 2, 9), |world| {
+            for agent in 0..2 {
+                world.freeze(NodeId::Agent(agent), 3_000);
+            }
+        });
+    }
+}
--- a/crates/lagoonhill_standin/src/world.rs
+++ b/crates/lagoonhill_standin/src/world.rs
@@ -8,7 +8,7 @@
     Answer, CallerId, Cause, Decision, DecisionKind, Entry, EntryConfig, EntryEffect, JobFailure,
     KeyBinding, Placement, RunCertainty, StoreOutcome, StoreWriteId, Submission,
 };
-use lagoonhill_protocol::{EntryAddress, Message, Packet, Target, TaskResult};
+use lagoonhill_protocol::{EntryAddress, Interruption, Message, Packet, Target, TaskResult};
 use lagoonhill_rules::RuleSet;
 use lagoonhill_types::prelude::*;
 
@@ -110,9 +110,23 @@
     RunEnds {
         agent: usize,
         generation: u64,
+        /// Number of crashes of the target before.
+        life: u64,
         key: TaskKey,
         result: TaskResult,
     },
+    TargetCrashes {
+        agent: usize,
+        life: u64,
+    },
+    TargetLost {
+        agent: usize,
+        generation: u64,
+    },
+    TargetReturns {
+        agent: usize,
+        generation: u64,
+    },
     KeyAnswered {
         entry: usize,
         generation: u64,
@@ -161,6 +175,16 @@
     }
 }
 
+/// The present life of a simulated target.
+#[derive(Debug, Default)]
+struct TargetLife {
+    /// Number of crashes before it.
+    number: u64,
+    down_until_ms: TimestampMs,
+    /// Runs at work, with the time of their start.
+    at_work: BTreeMap<TaskKey, TimestampMs>,
+}
+
 /// One process. `generation` grows with each kill, so that events scheduled for a
 /// killed process are ignored.
 #[derive(Debug)]
@@ -199,6 +223,11 @@
     entries: Vec<Node<Entry<P>>>,
     agents: Vec<Node<Agent>>,
     targets: Vec<(Target, TargetModel)>,
+    lives: Vec<TargetLife>,
+    /// Crashes of targets under each task at work there, by task payload.
+    pub crashes: HashMap<Payload, u32>,
+    /// Number of crashes of targets.
+    pub crash_count: u32,
     addresses: HashMap<SocketAddr, NodeId>,
     entry_addresses: Vec<EntryAddress>,
     /// Number of the present connection in each direction.
@@ -296,6 +325,21 @@
     String::from_utf8_lossy(payload.as_slice()).contains("hopeless")
 }
 
+/// Whether a task crashes each target that runs it, at the end of its run time: its
+/// payload contains `deadly`.
+fn is_deadly(payload: &Payload) -> bool {
+    String::from_utf8_lossy(payload.as_slice()).contains("deadly")
+}
+
+/// Time after which an agent takes a crashed target for gone.
+const SILENCE_MS: u64 = 250;
+
+/// Time after which an agent reports the runs of a crashed target.
+const LAPSE_MS: u64 = 416;
+
+/// Time for which a crashed target is down.
+const DOWN_MS: u64 = 3_000;
+
 /// Returns the run time in milliseconds that the first word of a payload
 /// requests; 100 without one.
 fn requested_run_ms(payload: &Payload) -> u64 {
@@ -354,6 +398,9 @@
             entries: Vec::new(),
             agents: Vec::new(),
             targets: Vec::new(),
+            lives: Vec::new(),
+            crashes: HashMap::new(),
+            crash_count: 0,
             addresses: HashMap::new(),
             entry_addresses: Vec::new(),
             connection_numbers: HashMap::new(),
@@ -440,6 +487,7 @@
             labels: Vec::new(),
         };
         self.targets.push((target, model));
+        self.lives.push(TargetLife::default());
         self.addresses
             .insert(agent_inbox(index), NodeId::Agent(index));
         let machine = self.agent_machine(index, Incarnation(1_000 + index as u64), config, skew_ms);
@@ -603,6 +651,7 @@
             NodeId::Agent(index) => {
                 self.agents[index].machine = None;
                 self.agents[index].generation += 1;
+                self.lives[index].at_work.clear();
             }
         }
     }
@@ -737,7 +786,15 @@
             Event::KeyAnswered { entry, .. }
             | Event::Stored { entry, .. }
             | Event::Resubmit { entry, .. } => Some(NodeId::Entry(*entry)),
-            Event::RunEnds { agent, .. } => Some(NodeId::Agent(*agent)),
+            Event::RunEnds { agent, .. }
+            | Event::TargetLost { agent, .. }
+            | Event::TargetReturns { agent, .. } => Some(NodeId::Agent(*agent)),
+            Event::TargetCrashes { agent, life } => {
+                if self.lives[*agent].number == *life {
+                    self.crash_target(*agent);
+                }
+                None
+            }
         };
         let Some(node) = node else {
             return;
@@ -753,14 +810,28 @@
             Event::RunEnds {
                 agent,
                 generation,
+                life,
                 key,
                 result,
             } => {
-                if self.agents[agent].generation == generation {
+                if self.agents[agent].generation == generation && self.lives[agent].number == life {
+                    self.lives[agent].at_work.remove(&key);
                     self.record_reached(FaultPoint::Finished);
                     self.with_agent(agent, |machine, now| machine.finished(key, result, now));
                 }
             }
+            Event::TargetLost { agent, generation } => {
+                if self.agents[agent].generation == generation {
+                    self.with_agent(agent, |machine, now| machine.set_target(None, now));
+                }
+            }
+            Event::TargetReturns { agent, generation } => {
+                if self.agents[agent].generation == generation {
+                    let target = self.targets[agent].0.clone();
+                    self.with_agent(agent, |machine, now| machine.set_target(Some(target), now));
+                }
+            }
+            Event::TargetCrashes { .. } => {}
             Event::KeyAnswered {
                 entry,
                 generation,
@@ -995,29 +1066,66 @@
                     StopResult::MayHaveRun => TaskResult::MayHaveRun(why),
                     StopResult::Interrupted => TaskResult::Interrupted(why),
                 };
-                let generation = self.agents[index].generation;
-                self.schedule(
-                    0,
-                    Event::RunEnds {
-                        agent: index,
-                        generation,
-                        key,
-                        result,
-                    },
-                );
+                self.schedule_run_end(0, index, key, result);
+            }
+        }
+    }
+
+    fn schedule_run_end(&mut self, delay_ms: u64, agent: usize, key: TaskKey, result: TaskResult) {
+        let event = Event::RunEnds {
+            agent,
+            generation: self.agents[agent].generation,
+            life: self.lives[agent].number,
+            key,
+            result,
+        };
+        self.schedule(delay_ms, event);
+    }
+
+    /// Crashes the target of an agent, which reports its runs once their lease has
+    /// lapsed. It is back some seconds later.
+    pub fn crash_target(&mut self, agent: usize) {
+        self.crash_count += 1;
+        let now = self.now;
+        let life = &mut self.lives[agent];
+        life.number += 1;
+        life.down_until_ms = now + DurationMs(DOWN_MS);
+        let at_work = std::mem::take(&mut life.at_work);
+        let last_start_ms = at_work.values().copied().max().unwrap_or(now);
+        for (key, started_ms) in at_work {
+            if let Some(payload) = self.run_payloads.get(&(agent, key)) {
+                *self.crashes.entry(payload.clone()).or_default() += 1;
             }
+            let crash = Interruption::TargetCrashed {
+                before_last_start_ms: last_start_ms.since(started_ms),
+            };
+            let result = TaskResult::Interrupted(crash.to_string());
+            self.schedule_run_end(LAPSE_MS, agent, key, result);
         }
+        let generation = self.agents[agent].generation;
+        self.schedule(SILENCE_MS, Event::TargetLost { agent, generation });
+        self.schedule(DOWN_MS, Event::TargetReturns { agent, generation });
     }
 
     fn run_task(&mut self, agent: usize, key: TaskKey, payload: &Payload) {
+        if self.lives[agent].down_until_ms > self.now {
+            let why = "the target fell silent and its lease has lapsed".to_owned();
+            let result = TaskResult::Interrupted(why);
+            return self.schedule_run_end(LAPSE_MS, agent, key, result);
+        }
+        self.lives[agent].at_work.insert(key, self.now);
         self.record_reached(FaultPoint::Started);
         *self.starts.entry(payload.clone()).or_default() += 1;
         self.started_after_stored_end += u32::from(self.acknowledged_ends.contains_key(payload));
         self.run_payloads.insert((agent, key), payload.clone());
         self.started_ms.insert(payload.clone(), self.now);
         self.starts_at[agent] += 1;
-        let generation = self.agents[agent].generation;
         let model = self.targets[agent].1;
+        if is_deadly(payload) {
+            let life = self.lives[agent].number;
+            let event = Event::TargetCrashes { agent, life };
+            return self.schedule(requested_run_ms(payload), event);
+        }
         let (run_ms, result) = if model.fails_all {
             (1, TaskResult::Failed("told to fail".to_owned()))
         } else if always_fails(payload) {
@@ -1027,15 +1135,7 @@
             let run_ms = requested_run_ms(payload) * model.slowness_permille / 1_000;
             (run_ms, TaskResult::Done(result_of(payload)))
         };
-        self.schedule(
-            run_ms,
-            Event::RunEnds {
-                agent,
-                generation,
-                key,
-                result,
-            },
-        );
+        self.schedule_run_end(run_ms, agent, key, result);
     }
 
     fn bind_key(&mut self, entry: usize, key: RequestKey) {
