A task is given up once its workers have crashed under it

Cause: an end by Interrupted counted as nothing (Job::requeue), and nothing of it was stored.

The agent now tells a crash from silence: connections to the target's address are refused in a row while the lease is valid, or another life answers before it lapses, and the target neither drains nor has left. Its report says so in the text of the interruption, which earlier entries show and don't act on.

The entry counts crashes a task, once a run and only by the agent's word, and stores the count with the job's progress, in a field that earlier releases skip; it is written at once and not with the delay of ends, as the task starts again at once. A task that was the last to start, give or take 50 ms, is given up with its second crash, any other with its third. By rule BUDGET the sixth start is the first too many, so two counts lost with their owners are within the bound; five crashes, unconfirmed starts included, are the limit.

A run whose stop was accepted counts as stopped, one whose stop was not as at work. Ends in a drained zone and while the agent shuts down count as no crash.

--- a/crates/lagoonhill_agent/src/runner.rs
+++ b/crates/lagoonhill_agent/src/runner.rs
@@ -33,7 +33,9 @@
     match sent.await {
         Ok(reply) if reply.status.is_success() => success_result(&reply),
         Ok(reply) => failure_result(&reply),
-        Err(ClientError::NotConnected(_)) => TaskResult::NotRun(NotRunReason::TargetRefused),
+        Err(ClientError::NotConnected(_) | ClientError::Refused(_)) => {
+            TaskResult::NotRun(NotRunReason::TargetRefused)
+        }
         Err(error @ ClientError::NoAnswer { .. }) => TaskResult::MayHaveRun(error.to_string()),
     }
 }
--- a/crates/lagoonhill_core/src/entry/answer.rs
+++ b/crates/lagoonhill_core/src/entry/answer.rs
@@ -130,6 +130,18 @@
         /// Error message of the target in the last run.
         message: String,
     },
+    /// Workers crashed while they ran a task.
+    #[error(
+        "{crashes} workers crashed while they ran task {index}, the last {worker}: correct the task before sending it again"
+    )]
+    CrashedWorkers {
+        /// Index of the task in the job.
+        index: TaskIndex,
+        /// Number of workers that crashed.
+        crashes: u16,
+        /// The worker that crashed last.
+        worker: WorkerId,
+    },
     /// A task was returned unstarted too often.
     #[error("no worker would take task {index}: send the request again later")]
     NoTaker {
@@ -192,6 +204,7 @@
             Self::TaskFailed { .. } => "task_failed",
             Self::WorkerLost { .. } => "worker_lost",
             Self::AttemptsUsedUp { .. } => "attempts_used_up",
+            Self::CrashedWorkers { .. } => "crashed_workers",
             Self::NoTaker { .. } => "no_taker",
             Self::Cancelled => "cancelled",
             Self::KeyReused => "key_reused",
--- a/crates/lagoonhill_core/src/entry/durable_job.rs
+++ b/crates/lagoonhill_core/src/entry/durable_job.rs
@@ -5,7 +5,7 @@
 
 use lagoonhill_types::prelude::*;
 
-use super::{StoreWriteId, Submission, WorkerKey};
+use super::{CrashCount, StoreWriteId, Submission, WorkerKey};
 
 /// State of a durable job in the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -14,7 +14,7 @@
     Open,
     /// Every task succeeded.
     Complete,
-    /// A task failed as often as its queue allows.
+    /// A task failed as often as its queue allows, or crashed its workers.
     Failed,
     /// The job was cancelled.
     Cancelled,
@@ -39,6 +39,8 @@
     pub done: Vec<TaskIndex>,
     /// Tasks that have failed, with the number of failures.
     pub failed: Vec<(TaskIndex, u16)>,
+    /// Tasks under which workers have crashed.
+    pub crashed: Vec<(TaskIndex, CrashCount)>,
 }
 
 /// Stored record of a durable job, from which another entry can take it over.
--- a/crates/lagoonhill_core/src/entry/job.rs
+++ b/crates/lagoonhill_core/src/entry/job.rs
@@ -3,13 +3,14 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
+use lagoonhill_protocol::Interruption;
 use lagoonhill_rules::Class;
 use lagoonhill_types::prelude::*;
 use slotmap::new_key_type;
 
 use super::{
-    CallerId, DurableState, Needs, Progress, QueuePosition, RecordKey, RunCertainty, Step, Tier,
-    WorkerKey,
+    CallerId, CrashCount, DurableState, Needs, Progress, QueuePosition, RecordKey, RunCertainty,
+    Step, Tier, Verdict, WorkerKey,
 };
 
 new_key_type! {
@@ -41,6 +42,8 @@
     failed_on: Vec<WorkerKey>,
     /// Number of failed runs under earlier owners.
     failed_before: u16,
+    /// Crashes of workers under the task, also under earlier owners.
+    crashes: CrashCount,
 }
 
 impl Task {
@@ -165,6 +168,7 @@
             runs: 0,
             failed_on: Vec::new(),
             failed_before: 0,
+            crashes: CrashCount::default(),
         };
         let rank_ms = plan.accepted_ms.0;
         let mut job = Self {
@@ -272,6 +276,10 @@
                 .filter(|(_, task)| task.failures() > 0)
                 .map(|(index, task)| (index, failures(task)))
                 .collect(),
+            crashed: tasks()
+                .filter(|(_, task)| !task.crashes.is_zero() && !is_done(task))
+                .map(|(index, task)| (index, task.crashes))
+                .collect(),
         }
     }
 
@@ -304,6 +312,11 @@
                 task.failed_before = *count;
             }
         }
+        for (index, crashes) in &progress.crashed {
+            if let Some(task) = self.tasks.get_mut(usize::from(index.0)) {
+                task.crashes = *crashes;
+            }
+        }
         self.release_steps();
         self.has_run = true;
         let is_open =
@@ -477,6 +490,32 @@
         Some(has_attempt)
     }
 
+    /// Counts a crash of the worker that holds a task. Returns the verdict and the
+    /// crashes so far; `None` if `interruption` is no crash, or the worker does not hold
+    /// the task.
+    pub fn add_crash(
+        &mut self,
+        index: TaskIndex,
+        worker: WorkerKey,
+        interruption: &Interruption,
+        is_isolated: bool,
+    ) -> Option<(Verdict, CrashCount)> {
+        let task = self.sent_task(index, worker)?;
+        let verdict = task.crashes.add(interruption, is_isolated)?;
+        let crashes = task.crashes;
+        if let Some(durable) = &mut self.durable {
+            durable.dirty = true;
+        }
+        Some((verdict, crashes))
+    }
+
+    /// Whether a worker has crashed under the next ready task.
+    pub fn is_next_suspect(&self) -> bool {
+        self.ready
+            .front()
+            .is_some_and(|index| !self.tasks[usize::from(index.0)].crashes.is_zero())
+    }
+
     /// Marks a task of a lost worker as in doubt: it may run until `in_doubt_until_ms`.
     pub fn mark_in_doubt(
         &mut self,
--- a/crates/lagoonhill_core/src/entry/machine/dispatch.rs
+++ b/crates/lagoonhill_core/src/entry/machine/dispatch.rs
@@ -258,6 +258,7 @@
         let is_learned = self.run_times.is_learned(&kind);
         let job = &mut self.jobs[key];
         let declared_ms = job.next_declared_ms();
+        let is_suspect = job.is_next_suspect();
         let Some(next) = job.dispatch_next(chosen.key) else {
             return;
         };
@@ -306,6 +307,7 @@
             expected_ms,
             declared_ms,
             is_withdrawn: false,
+            is_suspect,
             durable: self.jobs[key].is_durable(),
             is_abandoned: false,
         };
--- a/crates/lagoonhill_core/src/entry/machine/mod.rs
+++ b/crates/lagoonhill_core/src/entry/machine/mod.rs
@@ -2,6 +2,7 @@
 //! submodule implements the part of the behaviour that it is named after.
 
 mod admission;
+mod crashes;
 mod dispatch;
 mod drains;
 mod durable_jobs;
--- a/crates/lagoonhill_core/src/entry/machine/outcomes.rs
+++ b/crates/lagoonhill_core/src/entry/machine/outcomes.rs
@@ -1,6 +1,6 @@
 //! Task outcomes: results, moves and reruns, learned run times, worker health.
 
-use lagoonhill_protocol::{Message, NotRunReason, Outcome, TaskResult};
+use lagoonhill_protocol::{Interruption, Message, NotRunReason, Outcome, TaskResult};
 use lagoonhill_types::prelude::*;
 
 use super::Entry;
@@ -65,12 +65,24 @@
                 self.fail_job(job_key, cause, now);
             }
             TaskResult::Interrupted(why) if self.jobs[job_key].may_rerun() => {
+                let interruption = Interruption::from(why.as_str());
                 let kind = DecisionKind::Rerun {
                     worker: worker.clone(),
                     why,
                 };
                 self.log_decision(now, Some(task.job), Some(index), kind);
+                let crash = self.count_crash(
+                    job_key,
+                    index,
+                    &interruption,
+                    (key, &worker),
+                    dispatched.is_suspect,
+                    now,
+                );
                 self.requeue(job_key, index, key, &worker, None, now);
+                if let Some(cause) = crash {
+                    self.fail_job(job_key, cause, now);
+                }
             }
             TaskResult::MayHaveRun(_) | TaskResult::Interrupted(_) => {
                 self.fail_job(job_key, Cause::WorkerLost { index, worker }, now);
--- a/crates/lagoonhill_core/src/entry/mod.rs
+++ b/crates/lagoonhill_core/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod config;
+mod crash_count;
 mod decision;
 mod durable_job;
 mod effect;
@@ -30,6 +31,7 @@
 
 pub use answer::{Answer, Cause, JobFailure, RunCertainty};
 pub use config::{DEFAULT_LOOK_AHEAD, EntryConfig};
+pub use crash_count::{CrashCount, Verdict};
 pub use decision::{Decision, DecisionKind, DrainSource};
 pub use durable_job::{
     DurableJob, DurableJobState, DurableState, PendingWrite, Progress, StoreOutcome, StoreRequest,
--- a/crates/lagoonhill_core/src/entry/worker.rs
+++ b/crates/lagoonhill_core/src/entry/worker.rs
@@ -64,6 +64,8 @@
     pub is_withdrawn: bool,
     /// Whether its job is durable, so that its end must be stored.
     pub durable: bool,
+    /// Whether a worker has crashed under the task before.
+    pub is_suspect: bool,
     /// Whether this entry has abandoned its job, so that its end is never stored.
     pub is_abandoned: bool,
 }
@@ -213,6 +215,11 @@
         }
     }
 
+    /// Whether it holds a task under which a worker has crashed.
+    pub fn holds_suspect(&self) -> bool {
+        self.dispatched_tasks.values().any(|task| task.is_suspect)
+    }
+
     /// Marks a task as withdrawn.
     pub fn mark_withdrawn(&mut self, task: TaskId) {
         if let Some(dispatched) = self.dispatched_tasks.get_mut(&task) {
--- a/crates/lagoonhill_core/src/leased/call.rs
+++ b/crates/lagoonhill_core/src/leased/call.rs
@@ -151,6 +151,8 @@
     Invalid(String),
     /// Another incarnation answered at the address.
     OtherIncarnation,
+    /// No process listens at the target's address. The call was not carried out.
+    NotConnected,
     /// No answer, with the reason. The call may have been carried out, or may
     /// still be.
     Unanswered(String),
--- a/crates/lagoonhill_core/src/leased/present.rs
+++ b/crates/lagoonhill_core/src/leased/present.rs
@@ -53,7 +53,13 @@
         (!newest.draining && !self.has_left()).then_some(&newest.target)
     }
 
-    /// Whether it counts as leaving.
+    /// Whether it is to end: it drains or has sent its leave message.
+    pub(super) fn is_leaving(&self) -> bool {
+        let newest = self.newest_announcement();
+        self.has_left() || newest.is_some_and(|newest| newest.draining)
+    }
+
+    /// Whether its leave message counts.
     pub(super) fn has_left(&self) -> bool {
         self.left_ms.is_some()
     }
--- a/crates/lagoonhill_core/src/leased/runs/incarnations.rs
+++ b/crates/lagoonhill_core/src/leased/runs/incarnations.rs
@@ -5,7 +5,6 @@
 //! them ends a run. An announced incarnation becomes the present one when the
 //! target itself answers a poll addressed to it.
 
-use lagoonhill_protocol::TaskResult;
 use lagoonhill_types::prelude::*;
 
 use super::{LeasedEffect, LeasedRuns, Phase, Purpose, Run};
@@ -204,6 +203,7 @@
         reply: &TargetReply,
         now: TimestampMs,
     ) {
+        self.mark_crashed(now);
         let present = next.incarnation.clone();
         let has_same_name = self
             .present
@@ -242,6 +242,7 @@
 
     /// Ends the present incarnation with all of its runs.
     pub(super) fn lose_present(&mut self, reason: ChangeReason, now: TimestampMs) {
+        self.mark_crashed(now);
         let interrupted = self.runs.len();
         self.interrupt_all(&reason.to_string());
         let lost = self.present.take();
@@ -297,6 +298,7 @@
             let is_stopping = matches!(run.phase, Phase::Stopping { .. });
             if lists.contains(&run.reference) && !is_stopping {
                 run.phase = Phase::Running { since_ms: now };
+                run.confirmed_ms = Some(now);
                 run.due_ms = None;
             } else if lists.contains(&run.reference) || run.unanswered_starts > 0 {
                 run.phase = Phase::Stopping {
@@ -305,7 +307,7 @@
                 };
                 run.due_ms = Some(now);
             } else if lists.rule_out(run) {
-                self.end(key, TaskResult::Interrupted(reason.to_string()));
+                self.interrupt(key, &reason.to_string());
             }
         }
     }
--- a/crates/lagoonhill_core/src/leased/runs/mod.rs
+++ b/crates/lagoonhill_core/src/leased/runs/mod.rs
@@ -1,13 +1,15 @@
 //! State machine for the runs on one leased target: starts, stops, lease
 //! renewal, polls and the interpretation of the target's lists of runs.
 
+mod crashes;
 mod incarnations;
 
 use std::collections::{BTreeMap, HashMap};
 
-use lagoonhill_protocol::{NotRunReason, Start, Target, TaskResult};
+use lagoonhill_protocol::{Interruption, NotRunReason, Start, Target, TaskResult};
 use lagoonhill_types::prelude::*;
 
+use self::crashes::Refusals;
 use super::candidates::Candidates;
 use super::present::Present;
 use super::{
@@ -108,6 +110,13 @@
     due_ms: Option<TimestampMs>,
     /// Number of start calls that may still be carried out.
     unanswered_starts: u32,
+    /// When the target confirmed that it runs it.
+    confirmed_ms: Option<TimestampMs>,
+    /// Number of start calls that never reached the target.
+    unsent_starts: u32,
+    /// How it was held by a life of the target that has crashed, while a later life may
+    /// still receive it.
+    crash: Option<Interruption>,
 }
 
 /// Context of a call in flight, needed to handle its answer.
@@ -196,6 +205,8 @@
     lossy_until_ms: TimestampMs,
     last_poll_ms: TimestampMs,
     last_reply_ms: TimestampMs,
+    /// Connections that the target's machine has refused since the target last answered.
+    refusals: Refusals,
     /// Whether the target answers, with no foreign runs and no ends to discard.
     ready: bool,
     /// The value of the last [`LeasedEffect::Target`].
@@ -228,6 +239,7 @@
             lossy_until_ms: TimestampMs(0),
             last_poll_ms: now,
             last_reply_ms: now,
+            refusals: Refusals::default(),
             ready: false,
             reported: None,
             effects: Vec::new(),
@@ -286,6 +298,9 @@
             phase: Phase::Starting { attempts: 0 },
             due_ms: None,
             unanswered_starts: 0,
+            confirmed_ms: None,
+            unsent_starts: 0,
+            crash: None,
         };
         self.by_reference.insert(reference, key);
         self.runs.insert(key, run);
@@ -378,8 +393,7 @@
         let open = self.runs.iter().filter(|(_, run)| is_open(run));
         let keys: Vec<TaskKey> = open.map(|(key, _)| *key).collect();
         for key in keys {
-            let why = "its stop was not accepted and its lease has lapsed".to_owned();
-            self.end(key, TaskResult::Interrupted(why));
+            self.interrupt(key, "its stop was not accepted and its lease has lapsed");
         }
     }
 
@@ -518,9 +532,14 @@
                 self.last_reply_ms = now;
             }
             TargetReply::Unhealthy | TargetReply::Invalid(_) => self.last_reply_ms = now,
-            TargetReply::Unanswered(_) => self.call_lost(now),
+            TargetReply::NotConnected => {
+                self.refusals.add(now);
+                return self.call_lost(now);
+            }
+            TargetReply::Unanswered(_) => return self.call_lost(now),
             TargetReply::OtherIncarnation => {}
         }
+        self.refusals = Refusals::default();
     }
 
     fn call_lost(&mut self, now: TimestampMs) {
@@ -532,8 +551,10 @@
         let Some(run) = self.runs.get_mut(&key) else {
             return;
         };
-        if !matches!(reply, TargetReply::Unanswered(_)) {
-            run.unanswered_starts = run.unanswered_starts.saturating_sub(1);
+        match reply {
+            TargetReply::Unanswered(_) => {}
+            TargetReply::NotConnected => run.unsent_starts += 1,
+            _ => run.unanswered_starts = run.unanswered_starts.saturating_sub(1),
         }
         let Phase::Starting { attempts } = run.phase else {
             return;
@@ -541,6 +562,7 @@
         match reply {
             TargetReply::Started(_) => {
                 run.phase = Phase::Running { since_ms: now };
+                run.confirmed_ms = Some(now);
                 run.due_ms = None;
             }
             // An earlier attempt was carried out although its answer was lost, and
@@ -567,6 +589,7 @@
             | TargetReply::Stopping(_)
             | TargetReply::Polled { .. }
             | TargetReply::OtherIncarnation
+            | TargetReply::NotConnected
             | TargetReply::Unanswered(_) => run.due_ms = Some(now),
         }
     }
@@ -712,14 +735,16 @@
         if is_durable && counts {
             self.unstored.insert(end.number, Some(key));
         }
-        let result = match end.kind {
-            EndKind::Done => TaskResult::Done(Payload::default()),
-            EndKind::Failed => TaskResult::Failed("the target lists it as failed".to_owned()),
-            EndKind::Stopped => TaskResult::Interrupted("it was stopped".to_owned()),
-            EndKind::Expired => TaskResult::Interrupted("the target's lease lapsed".to_owned()),
-            EndKind::Broken => TaskResult::Interrupted("another member ended".to_owned()),
-        };
-        self.end(key, result);
+        match end.kind {
+            EndKind::Done => self.end(key, TaskResult::Done(Payload::default())),
+            EndKind::Failed => {
+                let why = "the target lists it as failed".to_owned();
+                self.end(key, TaskResult::Failed(why));
+            }
+            EndKind::Stopped => self.interrupt(key, "it was stopped"),
+            EndKind::Expired => self.interrupt(key, "the target's lease lapsed"),
+            EndKind::Broken => self.interrupt(key, "another member ended"),
+        }
     }
 
     /// Ends runs that the target neither runs nor lists as ended, as after a
@@ -736,8 +761,7 @@
         };
         let missing_runs: Vec<TaskKey> = self.runs.iter().filter_map(missing).collect();
         for key in missing_runs {
-            let why = "the target no longer runs it".to_owned();
-            self.end(key, TaskResult::Interrupted(why));
+            self.interrupt(key, "the target no longer runs it");
         }
     }
 
@@ -766,10 +790,20 @@
     fn interrupt_all(&mut self, why: &str) {
         let keys: Vec<TaskKey> = self.runs.keys().copied().collect();
         for key in keys {
-            self.end(key, TaskResult::Interrupted(why.to_owned()));
+            self.interrupt(key, why);
         }
     }
 
+    /// Ends a run without a result, `why` unless the target has crashed under it.
+    fn interrupt(&mut self, key: TaskKey, why: &str) {
+        let Some(run) = self.runs.get(&key) else {
+            return;
+        };
+        let crash = run.crash.clone().or_else(|| self.crash_under(run));
+        let why = crash.map_or_else(|| why.to_owned(), |crash| crash.to_string());
+        self.end(key, TaskResult::Interrupted(why));
+    }
+
     /// Runs the timers. To be called every few tens of milliseconds.
     pub fn tick(&mut self, now: TimestampMs) {
         self.poll_candidates(now);
--- a/crates/lagoonhill_core/tests/support/restarting_target.rs
+++ b/crates/lagoonhill_core/tests/support/restarting_target.rs
@@ -172,6 +172,10 @@
     pub(crate) answers_stops: bool,
     /// Whether the target receives polls.
     pub(crate) answers_polls: bool,
+    /// Whether nothing listens at the target's address.
+    pub(crate) is_gone: bool,
+    /// Whether the target announces that it drains.
+    pub(crate) drains: bool,
     /// Whether started tasks belong to durable jobs.
     pub(crate) durable: bool,
     sequence: u64,
@@ -192,6 +196,8 @@
             usable: None,
             answers_stops: true,
             answers_polls: true,
+            is_gone: false,
+            drains: false,
             durable: false,
             sequence: 0,
         };
@@ -243,7 +249,7 @@
                 born_ms: self.life.born_ms,
             },
             sequence: self.sequence,
-            draining: false,
+            draining: self.drains,
             target: Target {
                 service: "dispatch".parse().expect("the name is valid"),
                 address: SocketAddr::from(([127, 0, 0, 1], 1)),
@@ -349,6 +355,18 @@
         self.collect();
     }
 
+    /// This process is suspended for a while, and the target goes on.
+    pub(crate) fn suspend(&mut self, span_ms: u64) {
+        self.now = self.now + DurationMs(span_ms);
+        self.life.expire(self.now);
+    }
+
+    /// The target crashes and does not start again. All that it ran is over.
+    pub(crate) fn crash(&mut self) {
+        self.life.running.clear();
+        self.is_gone = true;
+    }
+
     /// Lets time pass. The target answers polls and stops.
     pub(crate) fn pass(&mut self, span_ms: u64) {
         for _ in 0..span_ms / 10 {
@@ -356,6 +374,12 @@
             self.life.expire(self.now);
             self.runs.tick(self.now);
             self.collect();
+            if self.is_gone {
+                for call in std::mem::take(&mut self.calls) {
+                    self.answer(&call, TargetReply::NotConnected);
+                }
+                continue;
+            }
             let (starts, others) = std::mem::take(&mut self.calls)
                 .into_iter()
                 .partition(|call| matches!(call.what, TargetCall::Start(_)));
--- a/crates/lagoonhill_entry/src/api.rs
+++ b/crates/lagoonhill_entry/src/api.rs
@@ -335,9 +335,10 @@
         Cause::TooManyTasks { .. } => StatusCode::PAYLOAD_TOO_LARGE,
         Cause::NeverFits(_) | Cause::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
         Cause::RateLimited(_) | Cause::KeyBudget => StatusCode::TOO_MANY_REQUESTS,
-        Cause::TaskFailed { .. } | Cause::AttemptsUsedUp { .. } | Cause::WorkerLost { .. } => {
-            StatusCode::BAD_GATEWAY
-        }
+        Cause::TaskFailed { .. }
+        | Cause::AttemptsUsedUp { .. }
+        | Cause::CrashedWorkers { .. }
+        | Cause::WorkerLost { .. } => StatusCode::BAD_GATEWAY,
         Cause::DeadlinePassed { .. } => StatusCode::GATEWAY_TIMEOUT,
         Cause::Cancelled => StatusCode::CONFLICT,
         Cause::TicketExpired | Cause::OwnerGone => StatusCode::GONE,
--- a/crates/lagoonhill_entry/src/job_record.rs
+++ b/crates/lagoonhill_entry/src/job_record.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use lagoonhill_core::entry::{
-    DurableJob, DurableJobState, InvalidSteps, Needs, Progress, QueueSubmission, Step, Submission,
+    CrashCount, DurableJob, DurableJobState, InvalidSteps, Needs, Progress, QueueSubmission, Step,
+    Submission,
 };
 use lagoonhill_types::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -101,6 +102,10 @@
     done: Vec<TaskIndex>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     failed: Vec<(TaskIndex, u16)>,
+    /// Tasks under which workers have crashed: at work, and before a confirmed start.
+    /// Earlier releases neither write nor read it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    crashed: Vec<(TaskIndex, u16, u16)>,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -139,6 +144,12 @@
             inputs: inputs.map(text).collect(),
             done: durable_job.progress.done.clone(),
             failed: durable_job.progress.failed.clone(),
+            crashed: durable_job
+                .progress
+                .crashed
+                .iter()
+                .map(|(index, crashes)| (*index, crashes.at_work, crashes.at_start))
+                .collect(),
         })
     }
 
@@ -187,6 +198,11 @@
             progress: Progress {
                 done: self.done,
                 failed: self.failed,
+                crashed: self
+                    .crashed
+                    .into_iter()
+                    .map(|(index, at_work, at_start)| (index, CrashCount { at_work, at_start }))
+                    .collect(),
             },
             epoch: self.epoch,
         })
--- a/crates/lagoonhill_http/src/client.rs
+++ b/crates/lagoonhill_http/src/client.rs
@@ -1,5 +1,7 @@
 //! HTTP client that never repeats a request.
 
+use std::error::Error;
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -25,6 +27,9 @@
     /// The connection failed, so the server has not received the request.
     #[error("no connection to {0}: check that it runs and that the address is right")]
     NotConnected(SocketAddr),
+    /// The machine refused the connection, as no process listens at the address.
+    #[error("{0} refuses connections: check that it runs and that the address is right")]
+    Refused(SocketAddr),
     /// The server may have received the request.
     #[error("no answer from {address}: {why}; whether the request took effect is unknown")]
     NoAnswer {
@@ -94,7 +99,9 @@
             .map_err(|error| no_answer(error.to_string()))?;
         let exchange = async {
             let answer = self.client.request(request).await.map_err(|error| {
-                if error.is_connect() {
+                if error.is_connect() && is_refused(&error) {
+                    ClientError::Refused(address)
+                } else if error.is_connect() {
                     ClientError::NotConnected(address)
                 } else {
                     no_answer(error.to_string())
@@ -117,3 +124,18 @@
             .unwrap_or_else(|_| Err(timed_out()))
     }
 }
+
+/// Whether an error was caused by a refused connection.
+fn is_refused(error: &(dyn Error + 'static)) -> bool {
+    let mut cause = Some(error);
+    while let Some(error) = cause {
+        let is_refused = error
+            .downcast_ref::<io::Error>()
+            .is_some_and(|error| error.kind() == io::ErrorKind::ConnectionRefused);
+        if is_refused {
+            return true;
+        }
+        cause = error.source();
+    }
+    false
+}
