A suspect runs beside no other suspect

Callers saw sound jobs given up: a task of them had run beside two tasks that crash their targets.

After a first crash, a task is placed on the emptiest worker without a suspect, and other tasks avoid the workers with one while there is room elsewhere. Two entries would choose the same empty worker, one that is just back, and their suspects would be convicted together (seen in the test): so each worker is used for suspects by one entry, chosen by rendezvous hashing over the live ones, and a suspect waits up to 4 s for such a worker to come back.

--- a/crates/lagoonhill_core/src/entry/fleet.rs
+++ b/crates/lagoonhill_core/src/entry/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use lagoonhill_protocol::SessionId;
+use lagoonhill_protocol::{SessionId, Target};
 use lagoonhill_rules::ServingState;
 use lagoonhill_types::prelude::*;
 use slotmap::SlotMap;
@@ -48,10 +48,10 @@
     }
 
     /// Replaces the announced target of a worker.
-    pub fn set_target(&mut self, key: WorkerKey, target: Option<lagoonhill_protocol::Target>) {
+    pub fn set_target(&mut self, key: WorkerKey, target: Option<Target>, now: TimestampMs) {
         self.unindex(key);
         if let Some(worker) = self.workers.get_mut(key) {
-            worker.target = target;
+            worker.set_target(target, now);
         }
         self.index(key);
     }
--- a/crates/lagoonhill_core/src/entry/machine/crashes.rs
+++ b/crates/lagoonhill_core/src/entry/machine/crashes.rs
@@ -4,11 +4,13 @@
 //! is beside no other suspect of this entry, so that a second crash shows which of the
 //! tasks that shared the first one is the cause.
 
-use lagoonhill_protocol::Interruption;
+use lagoonhill_protocol::{EntryAddress, Interruption};
 use lagoonhill_types::prelude::*;
 
 use super::Entry;
-use crate::entry::{Cause, JobKey, Placement, Verdict, WorkerKey};
+use crate::entry::{
+    Candidate, Cause, JobKey, Needs, Placement, SlotLimit, Verdict, Worker, WorkerKey,
+};
 
 impl<P: Placement> Entry<P> {
     /// Counts a crash under a task that the worker held. Returns the cause for which the
@@ -39,6 +41,54 @@
         })
     }
 
+    /// Removes the candidates where a task must not run, as a crash there would not show
+    /// its cause. A suspect goes to the emptiest of the workers without one, among those
+    /// that no other entry uses for suspects if there are any or one may be back soon;
+    /// other tasks avoid the workers with one while there is free capacity elsewhere.
+    pub(super) fn keep_suspects_apart(
+        &self,
+        eligible: &mut Vec<Candidate>,
+        job: JobKey,
+        needs: &Needs,
+        now: TimestampMs,
+    ) {
+        let holds_suspect = |candidate: &Candidate| {
+            let worker = self.fleet.get(candidate.key);
+            worker.is_some_and(Worker::holds_suspect)
+        };
+        if self.jobs[job].is_next_suspect() {
+            let service = &self.jobs[job].plan.service;
+            let is_own = |candidate: &Candidate| {
+                let worker = self.fleet.get(candidate.key);
+                worker.is_some_and(|worker| self.tests_suspects_at(worker))
+            };
+            let own_may_return = |(_, worker): (WorkerKey, &Worker)| {
+                worker.may_return_for(service, needs, now) && self.tests_suspects_at(worker)
+            };
+            if eligible.iter().any(is_own) || self.fleet.iter().any(own_may_return) {
+                eligible.retain(is_own);
+            }
+            eligible.retain(|candidate| !holds_suspect(candidate));
+            let least_load = eligible.iter().map(|candidate| candidate.load).min();
+            eligible.retain(|candidate| Some(candidate.load) == least_load);
+            return;
+        }
+        let has_room = |candidate: &Candidate| {
+            candidate.has_free_capacity(SlotLimit::LookAhead(0)) && !holds_suspect(candidate)
+        };
+        if eligible.iter().any(has_room) {
+            eligible.retain(|candidate| !holds_suspect(candidate));
+        }
+    }
+
+    /// Whether this entry is the one, of all live ones, that places its suspects at a
+    /// worker: the one of the highest weight (rendezvous hashing).
+    fn tests_suspects_at(&self, worker: &Worker) -> bool {
+        let weight = |entry: &&EntryAddress| rendezvous_weight(&worker.id, entry.incarnation);
+        let chosen = self.entries.iter().max_by_key(weight);
+        chosen.is_none_or(|chosen| chosen.incarnation == self.config.address.incarnation)
+    }
+
     /// Called for each crash that counts.
     #[allow(
         clippy::unused_self,
@@ -47,3 +97,17 @@
     )]
     pub(super) fn record_crash(&mut self, _key: JobKey, _worker: WorkerKey, _now: TimestampMs) {}
 }
+
+/// Weight of an entry for a worker, the same at all entries and releases: FNV-1a, with a
+/// final mix that spreads entries of similar incarnations.
+fn rendezvous_weight(worker: &WorkerId, entry: Incarnation) -> u64 {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0000_0100_0000_01b3;
+    const MIX: u64 = 0xff51_afd7_ed55_8ccd;
+    let bytes = worker.as_str().bytes().chain(entry.0.to_le_bytes());
+    let hash = bytes.fold(OFFSET, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(PRIME)
+    });
+    let hash = (hash ^ (hash >> 33)).wrapping_mul(MIX);
+    hash ^ (hash >> 33)
+}
--- a/crates/lagoonhill_core/src/entry/machine/dispatch.rs
+++ b/crates/lagoonhill_core/src/entry/machine/dispatch.rs
@@ -25,6 +25,8 @@
     classes: HashSet<Class>,
     /// Needs for which no worker has free capacity.
     needs: Option<Resources>,
+    /// Whether no worker may get another suspect.
+    suspects: bool,
     unplaced: usize,
 }
 
@@ -96,6 +98,8 @@
             {
                 eligible.retain(|candidate| !job.next_failed_on(candidate.key));
             }
+            let is_suspect = self.jobs[key].is_next_suspect();
+            self.keep_suspects_apart(&mut eligible, key, &needs, now);
             let context = self.context(key, now);
             // Probes go first: a policy that prefers other workers would never
             // detect that this one has recovered.
@@ -109,6 +113,10 @@
                 {
                     blocked.classes.insert(self.jobs[key].plan.class);
                 }
+                None if is_suspect && eligible.is_empty() && needs.label.is_none() => {
+                    blocked.suspects = true;
+                    blocked.jobs.insert(key);
+                }
                 None => {
                     blocked.unplaced += 1;
                     blocked.jobs.insert(key);
@@ -167,7 +175,11 @@
     ) -> Option<JobKey> {
         let queue = self.queues.get(service)?;
         let is_owner = self.is_owner(now);
-        let may_run = |key: JobKey| is_owner || !self.jobs[key].is_durable();
+        let may_run = |key: JobKey| {
+            let job = &self.jobs[key];
+            let is_blocked = blocked.suspects && job.is_next_suspect();
+            (is_owner || !job.is_durable()) && !is_blocked
+        };
         queue.next(
             |class| !blocked.classes.contains(&class),
             |team, key| !blocked.jobs.contains(&key) && may_run(key) && self.has_quota(team),
--- a/crates/lagoonhill_core/src/entry/submission.rs
+++ b/crates/lagoonhill_core/src/entry/submission.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
+use lagoonhill_protocol::Target;
 use lagoonhill_types::prelude::*;
 
 /// Identifies a waiting request within an entry.
@@ -30,6 +31,12 @@
             ..Self::default()
         }
     }
+
+    /// Whether a target meets the requirements.
+    pub fn suit(&self, target: &Target) -> bool {
+        let has_label = |label: &Label| target.labels.contains(label);
+        self.resources.fits_in(target.capacity) && self.label.as_ref().is_none_or(has_label)
+    }
 }
 
 impl fmt::Display for Needs {
--- a/crates/lagoonhill_core/src/entry/worker.rs
+++ b/crates/lagoonhill_core/src/entry/worker.rs
@@ -82,6 +82,9 @@
 /// Fewer overdue tasks than this in an agent's report don't count against its worker.
 const MIN_OVERDUE: u16 = 2;
 
+/// Time in which a target that has crashed is usually back.
+const RETURN_MS: DurationMs = DurationMs(4_000);
+
 /// An entry's state of one worker, for the length of one session.
 #[derive(Debug)]
 pub struct Worker {
@@ -93,6 +96,8 @@
     pub inbox: SocketAddr,
     /// Target that its agent announced, if any.
     pub target: Option<Target>,
+    /// The target that it had last, and when it lost it.
+    lost_target: Option<(Target, TimestampMs)>,
     /// Session with its agent.
     pub session: Session,
     /// Whether its agent has sent a leave message.
@@ -124,6 +129,7 @@
             zone,
             inbox,
             target,
+            lost_target: None,
             session,
             leaving: false,
             operator_state: ServingState::Serve,
@@ -146,6 +152,24 @@
         }
     }
 
+    /// Replaces the target that its agent has announced.
+    pub fn set_target(&mut self, target: Option<Target>, now: TimestampMs) {
+        if let (Some(lost), None) = (&self.target, &target) {
+            self.lost_target = Some((lost.clone(), now));
+        }
+        self.target = target;
+    }
+
+    /// Whether its target is gone and may be back soon for a task of these needs.
+    pub fn may_return_for(&self, service: &ServiceName, needs: &Needs, now: TimestampMs) -> bool {
+        let is_away = self.target.is_none() && !self.leaving;
+        let serves = self.operator_state == ServingState::Serve && !self.session.is_silent();
+        let suits = self.lost_target.as_ref().is_some_and(|(target, lost_ms)| {
+            now.since(*lost_ms) < RETURN_MS && target.service == *service && needs.suit(target)
+        });
+        is_away && serves && suits
+    }
+
     /// Run time relative to the average, estimated from the runs of all entries
     /// that its agent reported.
     pub fn slowness(&self) -> Slowness {
@@ -154,13 +178,9 @@
 
     /// Whether its target meets the requirements.
     pub fn fits(&self, needs: &Needs) -> bool {
-        self.target.as_ref().is_some_and(|target| {
-            needs.resources.fits_in(target.capacity)
-                && needs
-                    .label
-                    .as_ref()
-                    .is_none_or(|label| target.labels.contains(label))
-        })
+        self.target
+            .as_ref()
+            .is_some_and(|target| needs.suit(target))
     }
 
     /// Load from peer entries in the agent's last report, as a share of the
