A kind of work whose tasks crash workers is kept to a part of the fleet

Cause: fresh tasks of that kind go to every worker.

When workers crash in a crowd, each kind of work (service and queue) gets a part of the fleet of its own. The next crashes show whose part crashes, to all entries alike; that kind is contained, the others share the rest again. An entry can't tell from its own tasks: the one to blame is mostly another entry's, and the busiest sound kind runs on every worker (docs/design/crash-containment.md). Parts follow from a hash of kind and worker. Jobs whose part is down or full are refused at once, as not run and with Retry-After. A part is released 3 s after its last crash. The packets are as before.

--- a/crates/lagoonhill_core/src/entry/answer.rs
+++ b/crates/lagoonhill_core/src/entry/answer.rs
@@ -90,6 +90,16 @@
         /// Time needed for the backlog.
         wait_ms: DurationMs,
     },
+    /// The job's kind of work is kept to a part of the fleet, which is down or full.
+    #[error(
+        "tasks like these crash the workers that start them, and the {workers} workers that are set aside for `{kind}` are down or full: send the request again later"
+    )]
+    Contained {
+        /// The queue, or the service of jobs without one.
+        kind: String,
+        /// Number of workers set aside.
+        workers: usize,
+    },
     /// The deadline passed.
     #[error("the deadline of {deadline_ms} passed: allow more time or send smaller jobs")]
     DeadlinePassed {
@@ -200,6 +210,7 @@
             Self::QueueFull(_) => "queue_full",
             Self::TooLate { .. } => "too_late",
             Self::Backlog { .. } => "backlog",
+            Self::Contained { .. } => "contained",
             Self::DeadlinePassed { .. } => "deadline_passed",
             Self::TaskFailed { .. } => "task_failed",
             Self::WorkerLost { .. } => "worker_lost",
--- a/crates/lagoonhill_core/src/entry/decision.rs
+++ b/crates/lagoonhill_core/src/entry/decision.rs
@@ -6,7 +6,7 @@
 use lagoonhill_rules::ZoneDrain;
 use lagoonhill_types::prelude::*;
 
-use super::{Cause, DurableJobState, RunCertainty};
+use super::{Cause, ContainmentChange, DurableJobState, RunCertainty};
 
 /// From where an entry learned whether a zone is drained.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -160,6 +160,8 @@
         /// Other zones that changed at the same time.
         other_zones: usize,
     },
+    /// A kind of work is kept to a part of the fleet, or no longer.
+    Containment(ContainmentChange),
     /// Newer rules came into force.
     Rules {
         /// Revision of the rules.
@@ -274,6 +276,7 @@
                 f,
                 "{drain} source={source} workers={workers} other_zones={other_zones}"
             ),
+            DecisionKind::Containment(change) => change.fmt(f),
             DecisionKind::Rules { revision } => write!(f, "rules revision={revision}"),
         }
     }
--- a/crates/lagoonhill_core/src/entry/machine/admission.rs
+++ b/crates/lagoonhill_core/src/entry/machine/admission.rs
@@ -78,6 +78,7 @@
         let checked = self.validate(&submission).and_then(|()| {
             let params = self.admission_params(&submission);
             let promise = self.promise(&submission, params.run_time_ms, now);
+            self.check_containment(&submission, promise, now)?;
             self.check_promise(&submission, params.class, promise, now)?;
             self.check_load(&submission, &params, now)?;
             Ok((params, promise))
@@ -148,6 +149,8 @@
     ) -> Result<JobKey, JobFailure> {
         self.validate(submission)?;
         let params = self.admission_params(submission);
+        let promise = self.promise(submission, params.run_time_ms, now);
+        self.check_containment(submission, promise, now)?;
         self.check_load(submission, &params, now)?;
         Ok(self.insert_durable(submission, durable, number, now))
     }
--- a/crates/lagoonhill_core/src/entry/machine/crashes.rs
+++ b/crates/lagoonhill_core/src/entry/machine/crashes.rs
@@ -28,7 +28,8 @@
         let (worker_key, worker) = worker;
         let job = &mut self.jobs[key];
         let (verdict, crashes) = job.add_crash(index, worker_key, interruption, is_isolated)?;
-        self.record_crash(key, worker_key, now);
+        let service = job.plan.service.clone();
+        self.confirm_crash(worker_key, &service, true, now);
         if verdict == Verdict::Suspected {
             // Without the delay of other progress, as the task starts again at once.
             self.store_next(key);
@@ -62,8 +63,11 @@
                 let worker = self.fleet.get(candidate.key);
                 worker.is_some_and(|worker| self.tests_suspects_at(worker))
             };
+            let kind = self.work_kind_of(job);
             let own_may_return = |(_, worker): (WorkerKey, &Worker)| {
-                worker.may_return_for(service, needs, now) && self.tests_suspects_at(worker)
+                worker.may_return_for(service, needs, now)
+                    && self.tests_suspects_at(worker)
+                    && self.containment.may_run(&kind, &worker.id)
             };
             if eligible.iter().any(is_own) || self.fleet.iter().any(own_may_return) {
                 eligible.retain(is_own);
@@ -88,14 +92,6 @@
         let chosen = self.entries.iter().max_by_key(weight);
         chosen.is_none_or(|chosen| chosen.incarnation == self.config.address.incarnation)
     }
-
-    /// Called for each crash that counts.
-    #[allow(
-        clippy::unused_self,
-        clippy::needless_pass_by_ref_mut,
-        reason = "decisions about the job's queue follow from here"
-    )]
-    pub(super) fn record_crash(&mut self, _key: JobKey, _worker: WorkerKey, _now: TimestampMs) {}
 }
 
 /// Weight of an entry for a worker, the same at all entries and releases: FNV-1a, with a
--- a/crates/lagoonhill_core/src/entry/machine/dispatch.rs
+++ b/crates/lagoonhill_core/src/entry/machine/dispatch.rs
@@ -23,6 +23,8 @@
 struct Blocked {
     jobs: HashSet<JobKey>,
     classes: HashSet<Class>,
+    /// Kinds of work whose part of the fleet is full or down, for suspects or others.
+    kinds: HashSet<(WorkKind, bool)>,
     /// Needs for which no worker has free capacity.
     needs: Option<Resources>,
     /// Whether no worker may get another suspect.
@@ -91,6 +93,7 @@
                 let job = &self.jobs[key];
                 eligible.retain(|candidate| job.step_tasks_at(candidate.key) < limit);
             }
+            let is_kept_apart = self.retain_allowed(key, &mut eligible);
             let job = &self.jobs[key];
             if eligible
                 .iter()
@@ -113,6 +116,9 @@
                 {
                     blocked.classes.insert(self.jobs[key].plan.class);
                 }
+                None if is_kept_apart => {
+                    blocked.kinds.insert((self.work_kind_of(key), is_suspect));
+                }
                 None if is_suspect && eligible.is_empty() && needs.label.is_none() => {
                     blocked.suspects = true;
                     blocked.jobs.insert(key);
@@ -177,7 +183,12 @@
         let is_owner = self.is_owner(now);
         let may_run = |key: JobKey| {
             let job = &self.jobs[key];
-            let is_blocked = blocked.suspects && job.is_next_suspect();
+            let is_suspect = job.is_next_suspect();
+            let is_blocked = (blocked.suspects && is_suspect)
+                || (!blocked.kinds.is_empty()
+                    && blocked
+                        .kinds
+                        .contains(&(self.work_kind_of(key), is_suspect)));
             (is_owner || !job.is_durable()) && !is_blocked
         };
         queue.next(
@@ -246,7 +257,7 @@
         rule.map_or(DEFAULT_RUN_TIME_MS, |rule| rule.run_time_ms)
     }
 
-    fn work_kind_of(&self, key: JobKey) -> WorkKind {
+    pub(super) fn work_kind_of(&self, key: JobKey) -> WorkKind {
         let plan = &self.jobs[key].plan;
         WorkKind {
             service: plan.service.clone(),
--- a/crates/lagoonhill_core/src/entry/machine/forecast.rs
+++ b/crates/lagoonhill_core/src/entry/machine/forecast.rs
@@ -17,7 +17,7 @@
 
 /// Safety factor on forecast waits, in percent, so that an admitted job is not
 /// refused later.
-const WAIT_SAFETY_PERCENT: u64 = 125;
+pub(super) const WAIT_SAFETY_PERCENT: u64 = 125;
 
 /// Free slots at which a worker counts as free although its load is an estimate
 /// that is slightly out of date.
@@ -74,7 +74,8 @@
         };
         let zone = self.config.zone.as_ref();
         let service = &submission.service;
-        let candidates = self.fleet.candidates(service, &step.needs, zone, now);
+        let mut candidates = self.fleet.candidates(service, &step.needs, zone, now);
+        self.retain_allowed_for(&Self::work_kind(submission), &mut candidates);
         candidates
             .iter()
             .any(|candidate| candidate.load.saturating_add(MIN_FREE_SLOTS) <= candidate.slots)
@@ -117,7 +118,7 @@
         jobs.map(|(key, _)| self.ready_work(key)).sum()
     }
 
-    fn ready_work(&self, key: JobKey) -> Work {
+    pub(super) fn ready_work(&self, key: JobKey) -> Work {
         let job = &self.jobs[key];
         let ready = job.ready_count();
         if ready == 0 {
@@ -130,7 +131,7 @@
     }
 
     /// The work of a submission's tasks that can start at once.
-    fn initial_work(submission: &Submission) -> Work {
+    pub(super) fn initial_work(submission: &Submission) -> Work {
         let steps = submission.steps();
         let first = steps.iter().filter(|step| step.after.is_empty());
         first
--- a/crates/lagoonhill_core/src/entry/machine/mod.rs
+++ b/crates/lagoonhill_core/src/entry/machine/mod.rs
@@ -2,6 +2,7 @@
 //! submodule implements the part of the behaviour that it is named after.
 
 mod admission;
+mod containment;
 mod crashes;
 mod dispatch;
 mod drains;
@@ -21,9 +22,9 @@
 use slotmap::SlotMap;
 
 use super::{
-    CallerId, Decision, DecisionKind, EntryConfig, EntryEffect, EntryStatus, Fleet, Job, JobKey,
-    Placement, Records, RunTimes, StartupDiscovery, TeamUsage, Throughput, TieredQueue, Worker,
-    WorkerKey, WorkerStatus,
+    CallerId, CrashContainment, Decision, DecisionKind, EntryConfig, EntryEffect, EntryStatus,
+    Fleet, Job, JobKey, Placement, Records, RunTimes, StartupDiscovery, TeamUsage, Throughput,
+    TieredQueue, Worker, WorkerKey, WorkerStatus,
 };
 use crate::{DrainSync, FrameHeader, Heartbeat, Liveness, RulesSync};
 
@@ -65,6 +66,7 @@
     last_rush_ms: HashMap<ServiceName, TimestampMs>,
     run_times: RunTimes,
     throughput: HashMap<(ServiceName, Class), Throughput>,
+    containment: CrashContainment,
     records: Records,
     entries: BTreeSet<EntryAddress>,
     discovery: StartupDiscovery,
@@ -102,6 +104,7 @@
             last_rush_ms: HashMap::new(),
             run_times: RunTimes::default(),
             throughput: HashMap::new(),
+            containment: CrashContainment::default(),
             records: Records::default(),
             entries,
             discovery: StartupDiscovery::start(now),
@@ -181,6 +184,7 @@
             workers: self.fleet.iter().map(worker).collect(),
             entries: self.entries.iter().copied().collect(),
             drained_zones: self.drains.drained_zones(),
+            contained: self.contained_kinds(),
         }
     }
 
@@ -281,6 +285,7 @@
                 self.check_session(key, frozen, now);
             }
             self.quarantine_stuck(now);
+            self.update_containment(now);
         }
         self.abandon_unowned_jobs(now);
         self.store_due_progress(now);
--- a/crates/lagoonhill_core/src/entry/machine/outcomes.rs
+++ b/crates/lagoonhill_core/src/entry/machine/outcomes.rs
@@ -26,6 +26,9 @@
         };
         let worker = worker.id.clone();
         self.release_quota(&dispatched.team);
+        if matches!(result, TaskResult::Done(_)) {
+            self.containment.retract_crash(&worker);
+        }
         self.learn(key, task.job, &dispatched, &result, run_ms, now);
         let must_store =
             dispatched.durable && matches!(result, TaskResult::Done(_) | TaskResult::Failed(_));
@@ -66,6 +69,9 @@
             }
             TaskResult::Interrupted(why) if self.jobs[job_key].may_rerun() => {
                 let interruption = Interruption::from(why.as_str());
+                if !dispatched.is_withdrawn {
+                    self.confirm_crash(key, &dispatched.kind.service, false, now);
+                }
                 let kind = DecisionKind::Rerun {
                     worker: worker.clone(),
                     why,
--- a/crates/lagoonhill_core/src/entry/machine/sessions.rs
+++ b/crates/lagoonhill_core/src/entry/machine/sessions.rs
@@ -143,7 +143,7 @@
     pub(super) fn on_message(&mut self, key: WorkerKey, message: Message, now: TimestampMs) {
         match message {
             Message::Outcome(outcome) => self.on_outcome(key, outcome, now),
-            Message::Target(target) => self.fleet.set_target(key, target, now),
+            Message::Target(target) => self.on_target(key, target, now),
             Message::Leaving => {
                 if let Some(worker) = self.fleet.get_mut(key) {
                     worker.leaving = true;
--- a/crates/lagoonhill_core/src/entry/mod.rs
+++ b/crates/lagoonhill_core/src/entry/mod.rs
@@ -2,14 +2,18 @@
 
 mod answer;
 mod config;
+mod containment_change;
+mod crash_containment;
 mod crash_count;
 mod decision;
 mod durable_job;
 mod effect;
 mod fleet;
+mod fleet_parts;
 mod health;
 mod job;
 mod job_queue;
+mod kind_demand;
 mod limits;
 mod machine;
 mod peer_load;
@@ -31,6 +35,8 @@
 
 pub use answer::{Answer, Cause, JobFailure, RunCertainty};
 pub use config::{DEFAULT_LOOK_AHEAD, EntryConfig};
+pub use containment_change::{ContainmentChange, ContainmentEvent};
+pub use crash_containment::{CrashContainment, PartMember};
 pub use crash_count::{CrashCount, Verdict};
 pub use decision::{Decision, DecisionKind, DrainSource};
 pub use durable_job::{
@@ -38,9 +44,11 @@
 };
 pub use effect::EntryEffect;
 pub use fleet::Fleet;
+pub use fleet_parts::FleetParts;
 pub use health::Health;
 pub use job::{Job, JobKey, JobPlan, NextRun, Promise, QueueSettings, TaskState};
 pub use job_queue::{Charge, JobQueue};
+pub use kind_demand::KindDemand;
 pub use limits::{TeamUsage, TokenBucket};
 pub use machine::Entry;
 pub use peer_load::{MeanPeerLoad, PeerLoad};
--- a/crates/lagoonhill_core/src/entry/status.rs
+++ b/crates/lagoonhill_core/src/entry/status.rs
@@ -5,7 +5,7 @@
 use lagoonhill_protocol::EntryAddress;
 use lagoonhill_types::prelude::*;
 
-use super::WorkerState;
+use super::{WorkKind, WorkerState};
 
 /// State of one worker, as shown by `status`.
 #[derive(Clone, Debug)]
@@ -47,4 +47,6 @@
     pub entries: Vec<EntryAddress>,
     /// Zones that are drained beside the rules.
     pub drained_zones: BTreeSet<AvailabilityZone>,
+    /// Contained kinds of work, with the number of workers set aside for each.
+    pub contained: Vec<(WorkKind, usize)>,
 }
--- a/crates/lagoonhill_entry/src/api.rs
+++ b/crates/lagoonhill_entry/src/api.rs
@@ -349,6 +349,7 @@
         | Cause::QueueFull(_)
         | Cause::TooLate { .. }
         | Cause::Backlog { .. }
+        | Cause::Contained { .. }
         | Cause::NoTaker { .. }
         | Cause::OwnerUnreachable
         | Cause::StoreUnavailable => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/lagoonhill_entry/src/metrics.rs
+++ b/crates/lagoonhill_entry/src/metrics.rs
@@ -20,6 +20,8 @@
     platform_failures: IntCounterVec,
     by_state: IntGaugeVec,
     zone_drained: IntGaugeVec,
+    containment: IntCounterVec,
+    contained: IntGaugeVec,
     queued: IntGauge,
     running_jobs: IntGauge,
     workers: IntGauge,
@@ -74,6 +76,16 @@
                 "1 for each zone that operators drain beside the rules.",
                 "zone",
             ),
+            containment: meters.counters(
+                "lagoonhill_containment_total",
+                "Kinds of work that were kept to a part of the fleet, resized or released.",
+                "event",
+            ),
+            contained: meters.gauges(
+                "lagoonhill_contained_workers",
+                "Workers set aside for each kind of work whose tasks crash workers.",
+                "kind",
+            ),
             by_state: meters.gauges(
                 "lagoonhill_workers_by_state",
                 "Workers with a session, by what is believed of them.",
@@ -127,6 +139,10 @@
                 }
             }
             DecisionKind::Rerun { .. } => return self.rerun.inc(),
+            DecisionKind::Containment(change) => {
+                let event = change.event.label();
+                return self.containment.with_label_values(&[event]).inc();
+            }
             DecisionKind::TakenOver { .. } => return self.count_change("adopted"),
             DecisionKind::Abandoned { .. } => return self.count_change("given_up"),
             DecisionKind::InDoubt { .. }
@@ -169,6 +185,12 @@
             let gauge = self.zone_drained.with_label_values(&[zone.as_str()]);
             gauge.set(1);
         }
+        self.contained.reset();
+        for (kind, workers) in &status.contained {
+            let queue = kind.queue.as_ref().map(QueueName::as_str);
+            let kind = queue.unwrap_or(kind.service.as_str());
+            gauge(&self.contained.with_label_values(&[kind]), *workers);
+        }
         self.by_state.reset();
         for worker in &status.workers {
             let state = if worker.quarantined {
