--- a/crates/lagoonhill_core/src/entry/crash_count.rs
+++ b/crates/lagoonhill_core/src/entry/crash_count.rs
@@ -37,6 +37,15 @@
     Convicted,
 }
 
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Suspected => "suspected",
+            Self::Convicted => "convicted",
+        })
+    }
+}
+
 impl CrashCount {
     /// Whether any worker has crashed under the task.
     pub fn is_zero(self) -> bool {
@@ -73,9 +82,3 @@
             || self.at_work.saturating_add(self.at_start) >= MAX_CRASHES_WITH_UNCONFIRMED
     }
 }
-
-impl fmt::Display for CrashCount {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}+{}", self.at_work, self.at_start)
-    }
-}
--- a/crates/lagoonhill_core/src/entry/decision.rs
+++ b/crates/lagoonhill_core/src/entry/decision.rs
@@ -6,7 +6,7 @@
 use lagoonhill_rules::ZoneDrain;
 use lagoonhill_types::prelude::*;
 
-use super::{Cause, DurableJobState, RunCertainty};
+use super::{Cause, CrashCount, DurableJobState, RunCertainty, Verdict};
 
 /// From where an entry learned whether a zone is drained.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -83,6 +83,22 @@
         /// Reason for the end of the run.
         why: String,
     },
+    /// A worker crashed under a task.
+    Crashed {
+        /// The worker that crashed.
+        worker: WorkerId,
+        /// Crashes under the task so far.
+        crashes: CrashCount,
+        /// Whether the run was placed beside no other suspect.
+        is_isolated: bool,
+        /// What follows for the task.
+        verdict: Verdict,
+    },
+    /// A suspect is done, so it is none any more.
+    Cleared {
+        /// Worker that ran it.
+        worker: WorkerId,
+    },
     /// A task is in doubt: its worker was lost. It is queued again at `in_doubt_until_ms`.
     InDoubt {
         /// Worker on which it may still run.
@@ -227,6 +243,17 @@
             DecisionKind::Rerun { worker, why } => {
                 write!(f, "rerun from={worker} why={}", Quoted(why))
             }
+            DecisionKind::Crashed {
+                worker,
+                crashes,
+                is_isolated,
+                verdict,
+            } => write!(
+                f,
+                "crashed worker={worker} at_work={} at_start={} isolated={is_isolated} verdict={verdict}",
+                crashes.at_work, crashes.at_start
+            ),
+            DecisionKind::Cleared { worker } => write!(f, "cleared worker={worker}"),
             DecisionKind::InDoubt {
                 worker,
                 in_doubt_until_ms,
--- a/crates/lagoonhill_core/src/entry/machine/crashes.rs
+++ b/crates/lagoonhill_core/src/entry/machine/crashes.rs
@@ -9,7 +9,7 @@
 
 use super::Entry;
 use crate::entry::{
-    Candidate, Cause, JobKey, Needs, Placement, SlotLimit, Verdict, Worker, WorkerKey,
+    Candidate, Cause, DecisionKind, JobKey, Needs, Placement, SlotLimit, Verdict, Worker, WorkerKey,
 };
 
 impl<P: Placement> Entry<P> {
@@ -28,6 +28,14 @@
         let (worker_key, worker) = worker;
         let job = &mut self.jobs[key];
         let (verdict, crashes) = job.add_crash(index, worker_key, interruption, is_isolated)?;
+        let id = job.plan.id;
+        let kind = DecisionKind::Crashed {
+            worker: worker.clone(),
+            crashes,
+            is_isolated,
+            verdict,
+        };
+        self.log_decision(now, Some(id), Some(index), kind);
         self.record_crash(key, worker_key, now);
         if verdict == Verdict::Suspected {
             // Without the delay of other progress, as the task starts again at once.
--- a/crates/lagoonhill_core/src/entry/machine/outcomes.rs
+++ b/crates/lagoonhill_core/src/entry/machine/outcomes.rs
@@ -45,6 +45,11 @@
                 let Some(released) = job.finish(index, key, payload) else {
                     return self.schedule_save(job_key, now);
                 };
+                if dispatched.is_suspect {
+                    let kind = DecisionKind::Cleared { worker };
+                    self.log_decision(now, Some(task.job), Some(index), kind);
+                }
+                let job = &self.jobs[job_key];
                 if job.is_complete() {
                     self.complete_job(job_key, now);
                 } else if released > 0 && !job.is_ending() {
--- a/crates/lagoonhill_core/tests/deadly_tasks.rs
+++ b/crates/lagoonhill_core/tests/deadly_tasks.rs
@@ -182,6 +182,24 @@
         }
     }
 
+    crashes_suspects_and_verdicts_are_logged => {
+        let mut world = fleet(1, 4, 10);
+        world.record_decisions = true;
+        world.submit_durable(0, durable("bad", &["deadly"], 10));
+        world.run_for(20_000);
+        world.submit_durable(0, durable("sound", &["sound"], 300));
+        world.run_for(100);
+        for agent in 0..4 {
+            world.crash_target(agent);
+        }
+        world.run_for(20_000);
+        let lines: Vec<String> = world.decisions.iter().map(ToString::to_string).collect();
+        let count = |part: &str| lines.iter().filter(|line| line.contains(part)).count();
+        assert_eq!(count("at_work=1 at_start=0 isolated=false verdict=suspected"), 2, "{lines:#?}");
+        assert_eq!(count("at_work=2 at_start=0 isolated=true verdict=convicted"), 1, "{lines:#?}");
+        assert_eq!(count("cleared worker="), 1, "{lines:#?}");
+    }
+
     one_crash_gives_up_no_task => {
         let mut world = fleet(1, 2, 5);
         let caller = world.submit(0, job("sound", &["sound"; 4], 300, false));
--- a/crates/lagoonhill_entry/src/metrics.rs
+++ b/crates/lagoonhill_entry/src/metrics.rs
@@ -13,6 +13,7 @@
     placed: IntCounter,
     moved: IntCounter,
     rerun: IntCounter,
+    crashes: IntCounterVec,
     times: HistogramVec,
     refusals: IntCounterVec,
     ownership: IntCounterVec,
@@ -49,6 +50,11 @@
                 "lagoonhill_tasks_rerun_total",
                 "Tasks queued again after a run without success.",
             ),
+            crashes: meters.counters(
+                "lagoonhill_task_crashes_total",
+                "Workers that crashed under a task, by what followed: the task is suspected or convicted. Suspects that are done: cleared.",
+                "verdict",
+            ),
             times: meters.time_histograms(
                 "lagoonhill_job_seconds",
                 "Time since a job was admitted, at each of its tasks' placements and at its end.",
@@ -127,6 +133,10 @@
                 }
             }
             DecisionKind::Rerun { .. } => return self.rerun.inc(),
+            DecisionKind::Crashed { verdict, .. } => {
+                return self.count_crash(&verdict.to_string());
+            }
+            DecisionKind::Cleared { .. } => return self.count_crash("cleared"),
             DecisionKind::TakenOver { .. } => return self.count_change("adopted"),
             DecisionKind::Abandoned { .. } => return self.count_change("given_up"),
             DecisionKind::InDoubt { .. }
@@ -145,6 +155,10 @@
         self.ownership.with_label_values(&[change]).inc();
     }
 
+    fn count_crash(&self, verdict: &str) {
+        self.crashes.with_label_values(&[verdict]).inc();
+    }
+
     fn count_refusal(&self, cause: &Cause) {
         self.refusals.with_label_values(&[cause.reason()]).inc();
     }
