--- a/crates/lagoonhill_core/src/entry/containment_change.rs
+++ b/crates/lagoonhill_core/src/entry/containment_change.rs
@@ -31,7 +31,7 @@
             Self::Contained => "contained",
             Self::Grown => "grown",
             Self::Shrunk => "shrunk",
-            Self::Cleared => "cleared",
+            Self::Cleared => "rejoined",
             Self::Released => "released",
         }
     }
