--- a/crates/lagoonhill_core/src/entry/decision.rs
+++ b/crates/lagoonhill_core/src/entry/decision.rs
@@ -200,8 +200,9 @@
     pub kind: DecisionKind,
 }
 
-impl fmt::Display for Decision {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+impl Decision {
+    /// Writes the request, job and task that it concerns.
+    fn fmt_subject(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         if let Some(request) = &self.request {
             write!(f, "request={request} ")?;
         }
@@ -211,6 +212,13 @@
         if let Some(index) = self.index {
             write!(f, "task={index} ")?;
         }
+        Ok(())
+    }
+}
+
+impl fmt::Display for Decision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.fmt_subject(f)?;
         match &self.kind {
             DecisionKind::Admitted {
                 tasks,
