--- a/crates/lagoonhill_core/src/entry/answer.rs
+++ b/crates/lagoonhill_core/src/entry/answer.rs
@@ -100,6 +100,16 @@
         /// Time needed for the backlog.
         wait_ms: DurationMs,
     },
+    /// The job's kind of work is kept to a part of the fleet, which is down or full.
+    #[error(
+        "tasks like these crash the workers that start them, and the {workers} workers that are set aside for `{kind}` are down or full: send the request again later"
+    )]
+    Contained {
+        /// The queue, or the service of jobs without one.
+        kind: String,
+        /// Number of workers set aside.
+        workers: usize,
+    },
     /// The deadline passed.
     #[error("the deadline of {deadline_ms} passed: allow more time or send smaller jobs")]
     DeadlinePassed {
@@ -140,6 +150,18 @@
         /// Error message of the target in the last run.
         message: String,
     },
+    /// Workers crashed while they ran a task.
+    #[error(
+        "{crashes} workers crashed while they ran task {index}, the last {worker}: correct the task before sending it again"
+    )]
+    CrashedWorkers {
+        /// Index of the task in the job.
+        index: TaskIndex,
+        /// Number of workers that crashed.
+        crashes: u16,
+        /// The worker that crashed last.
+        worker: WorkerId,
+    },
     /// A task was returned unstarted too often.
     #[error("no worker would take task {index}: send the request again later")]
     NoTaker {
@@ -204,10 +226,12 @@
             Self::QueueFull(_) => "queue_full",
             Self::TooLate { .. } => "too_late",
             Self::Backlog { .. } => "backlog",
+            Self::Contained { .. } => "contained",
             Self::DeadlinePassed { .. } => "deadline_passed",
             Self::TaskFailed { .. } => "task_failed",
             Self::WorkerLost { .. } => "worker_lost",
             Self::AttemptsUsedUp { .. } => "attempts_used_up",
+            Self::CrashedWorkers { .. } => "crashed_workers",
             Self::NoTaker { .. } => "no_taker",
             Self::Cancelled => "cancelled",
             Self::KeyReused => "key_reused",
--- a/crates/lagoonhill_core/src/entry/decision.rs
+++ b/crates/lagoonhill_core/src/entry/decision.rs
@@ -6,7 +6,7 @@
 use lagoonhill_rules::ZoneDrain;
 use lagoonhill_types::prelude::*;
 
-use super::{Cause, DurableJobState, RunCertainty};
+use super::{Cause, ContainmentChange, CrashCount, DurableJobState, RunCertainty, Verdict};
 
 /// From where an entry learned whether a zone is drained.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -83,6 +83,22 @@
         /// Reason for the end of the run.
         why: String,
     },
+    /// A worker crashed under a task.
+    Crashed {
+        /// The worker that crashed.
+        worker: WorkerId,
+        /// Crashes under the task so far.
+        crashes: CrashCount,
+        /// Whether the run was placed beside no other suspect.
+        is_isolated: bool,
+        /// What follows for the task.
+        verdict: Verdict,
+    },
+    /// A suspect is done, so it is none any more.
+    Cleared {
+        /// Worker that ran it.
+        worker: WorkerId,
+    },
     /// A task is in doubt: its worker was lost. It is queued again at `in_doubt_until_ms`.
     InDoubt {
         /// Worker on which it may still run.
@@ -162,6 +178,8 @@
         /// Other zones that changed at the same time.
         other_zones: usize,
     },
+    /// A kind of work is kept to a part of the fleet, or no longer.
+    Containment(ContainmentChange),
     /// Newer rules came into force.
     Rules {
         /// Revision of the rules.
@@ -184,8 +202,9 @@
     pub kind: DecisionKind,
 }
 
-impl fmt::Display for Decision {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+impl Decision {
+    /// Writes the request, job and task that it concerns.
+    fn fmt_subject(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         if let Some(request) = &self.request {
             write!(f, "request={request} ")?;
         }
@@ -195,6 +214,13 @@
         if let Some(index) = self.index {
             write!(f, "task={index} ")?;
         }
+        Ok(())
+    }
+}
+
+impl fmt::Display for Decision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.fmt_subject(f)?;
         match &self.kind {
             DecisionKind::Admitted {
                 tasks,
@@ -229,6 +255,17 @@
             DecisionKind::Rerun { worker, why } => {
                 write!(f, "rerun from={worker} why={}", Quoted(why))
             }
+            DecisionKind::Crashed {
+                worker,
+                crashes,
+                is_isolated,
+                verdict,
+            } => write!(
+                f,
+                "crashed worker={worker} at_work={} at_start={} isolated={is_isolated} verdict={verdict}",
+                crashes.at_work, crashes.at_start
+            ),
+            DecisionKind::Cleared { worker } => write!(f, "cleared worker={worker}"),
             DecisionKind::InDoubt {
                 worker,
                 in_doubt_until_ms,
@@ -277,6 +314,7 @@
                 f,
                 "{drain} source={source} workers={workers} other_zones={other_zones}"
             ),
+            DecisionKind::Containment(change) => change.fmt(f),
             DecisionKind::Rules { revision } => write!(f, "rules revision={revision}"),
         }
     }
--- a/crates/lagoonhill_core/src/entry/machine/dispatch.rs
+++ b/crates/lagoonhill_core/src/entry/machine/dispatch.rs
@@ -23,8 +23,12 @@
 struct Blocked {
     jobs: HashSet<JobKey>,
     classes: HashSet<Class>,
+    /// Kinds of work whose part of the fleet is full or down, for suspects or others.
+    kinds: HashSet<(WorkKind, bool)>,
     /// Needs for which no worker has free capacity.
     needs: Option<Resources>,
+    /// Whether no worker may get another suspect.
+    suspects: bool,
     unplaced: usize,
 }
 
@@ -89,6 +93,7 @@
                 let job = &self.jobs[key];
                 eligible.retain(|candidate| job.step_tasks_at(candidate.key) < limit);
             }
+            let is_kept_apart = self.retain_allowed(key, &mut eligible);
             let job = &self.jobs[key];
             if eligible
                 .iter()
@@ -96,6 +101,8 @@
             {
                 eligible.retain(|candidate| !job.next_failed_on(candidate.key));
             }
+            let is_suspect = self.jobs[key].is_next_suspect();
+            self.keep_suspects_apart(&mut eligible, key, &needs, now);
             let context = self.context(key, now);
             // Probes go first: a policy that prefers other workers would never
             // detect that this one has recovered.
@@ -109,6 +116,13 @@
                 {
                     blocked.classes.insert(self.jobs[key].plan.class);
                 }
+                None if is_kept_apart => {
+                    blocked.kinds.insert((self.work_kind_of(key), is_suspect));
+                }
+                None if is_suspect && eligible.is_empty() && needs.label.is_none() => {
+                    blocked.suspects = true;
+                    blocked.jobs.insert(key);
+                }
                 None => {
                     blocked.unplaced += 1;
                     blocked.jobs.insert(key);
@@ -168,8 +182,14 @@
         let queue = self.queues.get(service)?;
         let is_owner = self.is_owner(now);
         let may_run = |key: JobKey| {
-            let is_durable = self.jobs[key].is_durable();
-            (is_owner || !is_durable) && self.holds_name(key, now)
+            let job = &self.jobs[key];
+            let is_suspect = job.is_next_suspect();
+            let is_blocked = (blocked.suspects && is_suspect)
+                || (!blocked.kinds.is_empty()
+                    && blocked
+                        .kinds
+                        .contains(&(self.work_kind_of(key), is_suspect)));
+            (is_owner || !job.is_durable()) && !is_blocked && self.holds_name(key, now)
         };
         queue.next(
             |class| !blocked.classes.contains(&class),
@@ -237,7 +257,7 @@
         rule.map_or(DEFAULT_RUN_TIME_MS, |rule| rule.run_time_ms)
     }
 
-    fn work_kind_of(&self, key: JobKey) -> WorkKind {
+    pub(super) fn work_kind_of(&self, key: JobKey) -> WorkKind {
         let plan = &self.jobs[key].plan;
         WorkKind {
             service: plan.service.clone(),
@@ -261,6 +281,7 @@
         let is_learned = self.run_times.is_learned(&kind);
         let job = &mut self.jobs[key];
         let declared_ms = job.next_declared_ms();
+        let is_suspect = job.is_next_suspect();
         let Some(next) = job.dispatch_next(chosen.key) else {
             return;
         };
@@ -309,6 +330,7 @@
             expected_ms,
             declared_ms,
             is_withdrawn: false,
+            is_suspect,
             durable: self.jobs[key].is_durable(),
             is_abandoned: false,
         };
--- a/crates/lagoonhill_core/src/entry/machine/mod.rs
+++ b/crates/lagoonhill_core/src/entry/machine/mod.rs
@@ -2,6 +2,8 @@
 //! submodule implements the part of the behaviour that it is named after.
 
 mod admission;
+mod containment;
+mod crashes;
 mod dispatch;
 mod drains;
 mod durable_jobs;
@@ -22,9 +24,9 @@
 
 use self::names::PendingName;
 use super::{
-    CallerId, Decision, DecisionKind, EntryConfig, EntryEffect, EntryStatus, Fleet, Job, JobKey,
-    NameLeases, Placement, Records, RunTimes, StartupDiscovery, TeamUsage, Throughput, TieredQueue,
-    Worker, WorkerKey, WorkerStatus,
+    CallerId, CrashContainment, Decision, DecisionKind, EntryConfig, EntryEffect, EntryStatus,
+    Fleet, Job, JobKey, NameLeases, Placement, Records, RunTimes, StartupDiscovery, TeamUsage,
+    Throughput, TieredQueue, Worker, WorkerKey, WorkerStatus,
 };
 use crate::{DrainSync, FrameHeader, Heartbeat, Liveness, RulesSync};
 
@@ -66,6 +68,7 @@
     last_rush_ms: HashMap<ServiceName, TimestampMs>,
     run_times: RunTimes,
     throughput: HashMap<(ServiceName, Class), Throughput>,
+    containment: CrashContainment,
     records: Records,
     /// Leases on job names that this entry has granted.
     name_leases: NameLeases,
@@ -113,6 +116,7 @@
             last_rush_ms: HashMap::new(),
             run_times: RunTimes::default(),
             throughput: HashMap::new(),
+            containment: CrashContainment::default(),
             records: Records::default(),
             name_leases: NameLeases::default(),
             pending_names: BTreeMap::new(),
@@ -197,6 +201,7 @@
             workers: self.fleet.iter().map(worker).collect(),
             entries: self.entries.iter().copied().collect(),
             drained_zones: self.drains.drained_zones(),
+            contained: self.contained_kinds(),
         }
     }
 
@@ -297,6 +302,7 @@
                 self.check_session(key, frozen, now);
             }
             self.quarantine_stuck(now);
+            self.update_containment(now);
         }
         if frozen {
             self.suspend_own_leases(now);
--- a/crates/lagoonhill_core/src/entry/machine/outcomes.rs
+++ b/crates/lagoonhill_core/src/entry/machine/outcomes.rs
@@ -1,6 +1,6 @@
 //! Task outcomes: results, moves and reruns, learned run times, worker health.
 
-use lagoonhill_protocol::{Message, NotRunReason, Outcome, TaskResult};
+use lagoonhill_protocol::{Interruption, Message, NotRunReason, Outcome, TaskResult};
 use lagoonhill_types::prelude::*;
 
 use super::Entry;
@@ -26,6 +26,9 @@
         };
         let worker = worker.id.clone();
         self.release_quota(&dispatched.team);
+        if matches!(result, TaskResult::Done(_)) {
+            self.containment.retract_crash(&worker);
+        }
         self.learn(key, task.job, &dispatched, &result, run_ms, now);
         let must_store =
             dispatched.durable && matches!(result, TaskResult::Done(_) | TaskResult::Failed(_));
@@ -45,6 +48,11 @@
                 let Some(released) = job.finish(index, key, payload) else {
                     return self.schedule_save(job_key, now);
                 };
+                if dispatched.is_suspect {
+                    let kind = DecisionKind::Cleared { worker };
+                    self.log_decision(now, Some(task.job), Some(index), kind);
+                }
+                let job = &self.jobs[job_key];
                 if job.is_complete() {
                     self.complete_job(job_key, now);
                 } else if released > 0 && !job.is_ending() {
@@ -65,12 +73,27 @@
                 self.fail_job(job_key, cause, now);
             }
             TaskResult::Interrupted(why) if self.jobs[job_key].may_rerun() => {
+                let interruption = Interruption::from(why.as_str());
+                if !dispatched.is_withdrawn {
+                    self.confirm_crash(key, &dispatched.kind.service, false, now);
+                }
                 let kind = DecisionKind::Rerun {
                     worker: worker.clone(),
                     why,
                 };
                 self.log_decision(now, Some(task.job), Some(index), kind);
+                let crash = self.count_crash(
+                    job_key,
+                    index,
+                    &interruption,
+                    (key, &worker),
+                    dispatched.is_suspect,
+                    now,
+                );
                 self.requeue(job_key, index, key, &worker, None, now);
+                if let Some(cause) = crash {
+                    self.fail_job(job_key, cause, now);
+                }
             }
             TaskResult::MayHaveRun(_) | TaskResult::Interrupted(_) => {
                 self.fail_job(job_key, Cause::WorkerLost { index, worker }, now);
--- a/crates/lagoonhill_core/src/entry/mod.rs
+++ b/crates/lagoonhill_core/src/entry/mod.rs
@@ -2,14 +2,19 @@
 
 mod answer;
 mod config;
+mod containment_change;
+mod crash_containment;
+mod crash_count;
 mod decision;
 mod durable_job;
 mod effect;
 mod fleet;
+mod fleet_parts;
 mod health;
 mod held_name;
 mod job;
 mod job_queue;
+mod kind_demand;
 mod limits;
 mod machine;
 mod name_leases;
@@ -32,16 +37,21 @@
 
 pub use answer::{Answer, Cause, JobFailure, RunCertainty};
 pub use config::{DEFAULT_LOOK_AHEAD, EntryConfig};
+pub use containment_change::{ContainmentChange, ContainmentEvent};
+pub use crash_containment::{CrashContainment, PartMember};
+pub use crash_count::{CrashCount, Verdict};
 pub use decision::{Decision, DecisionKind, DrainSource};
 pub use durable_job::{
     DurableJob, DurableJobState, DurableState, PendingWrite, Progress, StoreOutcome, StoreRequest,
 };
 pub use effect::EntryEffect;
 pub use fleet::Fleet;
+pub use fleet_parts::FleetParts;
 pub use health::Health;
 pub use held_name::HeldName;
 pub use job::{Job, JobKey, JobPlan, NextRun, Promise, QueueSettings, TaskState};
 pub use job_queue::{Charge, JobQueue};
+pub use kind_demand::KindDemand;
 pub use limits::{TeamUsage, TokenBucket};
 pub use machine::Entry;
 pub use name_leases::{NameHolder, NameLeases};
--- a/crates/lagoonhill_core/src/entry/submission.rs
+++ b/crates/lagoonhill_core/src/entry/submission.rs
@@ -30,6 +30,12 @@
             ..Self::default()
         }
     }
+
+    /// Whether a target of this capacity with these labels meets the requirements.
+    pub fn suit(&self, capacity: Resources, labels: &[Label]) -> bool {
+        let has_label = |label: &Label| labels.contains(label);
+        self.resources.fits_in(capacity) && self.label.as_ref().is_none_or(has_label)
+    }
 }
 
 impl fmt::Display for Needs {
--- a/crates/lagoonhill_core/src/entry/worker.rs
+++ b/crates/lagoonhill_core/src/entry/worker.rs
@@ -64,6 +64,8 @@
     pub is_withdrawn: bool,
     /// Whether its job is durable, so that its end must be stored.
     pub durable: bool,
+    /// Whether a worker has crashed under the task before.
+    pub is_suspect: bool,
     /// Whether this entry has abandoned its job, so that its end is never stored.
     pub is_abandoned: bool,
 }
@@ -80,6 +82,9 @@
 /// Fewer overdue tasks than this in an agent's report don't count against its worker.
 const MIN_OVERDUE: u16 = 2;
 
+/// Time in which a target that has crashed is usually back.
+const RETURN_MS: DurationMs = DurationMs(4_000);
+
 /// An entry's state of one worker, for the length of one session.
 #[derive(Debug)]
 pub struct Worker {
@@ -93,6 +98,8 @@
     pub target: Option<Target>,
     /// The most of each resource that its target has had.
     largest_capacity: Resources,
+    /// The target that it had last, and when it lost it.
+    lost_target: Option<(Target, TimestampMs)>,
     /// Session with its agent.
     pub session: Session,
     /// Whether its agent has sent a leave message.
@@ -127,6 +134,7 @@
                 .as_ref()
                 .map_or_else(Resources::default, |target| target.capacity),
             target,
+            lost_target: None,
             session,
             leaving: false,
             operator_state: ServingState::Serve,
@@ -149,31 +157,46 @@
         }
     }
 
-    /// Run time relative to the average, estimated from the runs of all entries
-    /// that its agent reported.
-    pub fn slowness(&self) -> Slowness {
-        estimated_slowness(self.load.speed)
-    }
-
-    /// Replaces its announced target.
-    pub fn set_target(&mut self, target: Option<Target>) {
+    /// Replaces the target that its agent has announced.
+    pub fn set_target(&mut self, target: Option<Target>, now: TimestampMs) {
+        if let (Some(lost), None) = (&self.target, &target) {
+            self.lost_target = Some((lost.clone(), now));
+        }
         if let Some(target) = &target {
             self.largest_capacity = self.largest_capacity.max(target.capacity);
         }
         self.target = target;
     }
 
+    /// Whether its target is gone and may be back soon for a task of these needs.
+    pub fn may_return_for(&self, service: &ServiceName, needs: &Needs, now: TimestampMs) -> bool {
+        let is_away = self.target.is_none() && !self.leaving;
+        let serves = self.operator_state == ServingState::Serve && !self.session.is_silent();
+        let suits = self.lost_target.as_ref().is_some_and(|(target, lost_ms)| {
+            now.since(*lost_ms) < RETURN_MS
+                && target.service == *service
+                && needs.suit(target.capacity, &target.labels)
+        });
+        is_away && serves && suits
+    }
+
+    /// Run time relative to the average, estimated from the runs of all entries
+    /// that its agent reported.
+    pub fn slowness(&self) -> Slowness {
+        estimated_slowness(self.load.speed)
+    }
+
     /// Whether its target meets the requirements.
     pub fn fits(&self, needs: &Needs) -> bool {
         let target = self.target.as_ref();
-        target.is_some_and(|target| meets(needs, target.capacity, &target.labels))
+        target.is_some_and(|target| needs.suit(target.capacity, &target.labels))
     }
 
     /// Whether its target meets the requirements, or would with all the capacity that it
     /// has had in this session.
     pub fn has_fitted(&self, needs: &Needs) -> bool {
         let target = self.target.as_ref();
-        target.is_some_and(|target| meets(needs, self.largest_capacity, &target.labels))
+        target.is_some_and(|target| needs.suit(self.largest_capacity, &target.labels))
     }
 
     /// Load from peer entries in the agent's last report, as a share of the
@@ -228,6 +251,11 @@
         }
     }
 
+    /// Whether it holds a task under which a worker has crashed.
+    pub fn holds_suspect(&self) -> bool {
+        self.dispatched_tasks.values().any(|task| task.is_suspect)
+    }
+
     /// Marks a task as withdrawn.
     pub fn mark_withdrawn(&mut self, task: TaskId) {
         if let Some(dispatched) = self.dispatched_tasks.get_mut(&task) {
@@ -355,12 +383,6 @@
     }
 }
 
-/// Whether a target of this capacity with these labels meets the requirements.
-fn meets(needs: &Needs, capacity: Resources, labels: &[Label]) -> bool {
-    let label = needs.label.as_ref();
-    needs.resources.fits_in(capacity) && label.is_none_or(|label| labels.contains(label))
-}
-
 /// How often `needs` fit into `free`.
 fn fit_count(free: Resources, needs: Resources) -> u16 {
     let count = |free: u64, need: u64| free.checked_div(need).unwrap_or(u64::MAX);
--- a/crates/lagoonhill_entry/src/metrics.rs
+++ b/crates/lagoonhill_entry/src/metrics.rs
@@ -13,6 +13,7 @@
     placed: IntCounter,
     moved: IntCounter,
     rerun: IntCounter,
+    crashes: IntCounterVec,
     times: HistogramVec,
     refusals: IntCounterVec,
     ownership: IntCounterVec,
@@ -20,6 +21,8 @@
     platform_failures: IntCounterVec,
     by_state: IntGaugeVec,
     zone_drained: IntGaugeVec,
+    containment: IntCounterVec,
+    contained: IntGaugeVec,
     queued: IntGauge,
     running_jobs: IntGauge,
     workers: IntGauge,
@@ -49,6 +52,11 @@
                 "lagoonhill_tasks_rerun_total",
                 "Tasks queued again after a run without success.",
             ),
+            crashes: meters.counters(
+                "lagoonhill_task_crashes_total",
+                "Workers that crashed under a task, by what followed: the task is suspected or convicted. Suspects that are done: cleared.",
+                "verdict",
+            ),
             times: meters.time_histograms(
                 "lagoonhill_job_seconds",
                 "Time since a job was admitted, at each of its tasks' placements and at its end.",
@@ -74,6 +82,16 @@
                 "1 for each zone that operators drain beside the rules.",
                 "zone",
             ),
+            containment: meters.counters(
+                "lagoonhill_containment_total",
+                "Kinds of work that were kept to a part of the fleet, resized or released.",
+                "event",
+            ),
+            contained: meters.gauges(
+                "lagoonhill_contained_workers",
+                "Workers set aside for each kind of work whose tasks crash workers.",
+                "kind",
+            ),
             by_state: meters.gauges(
                 "lagoonhill_workers_by_state",
                 "Workers with a session, by what is believed of them.",
@@ -128,6 +146,14 @@
             }
             DecisionKind::Unleased => "unleased",
             DecisionKind::Rerun { .. } => return self.rerun.inc(),
+            DecisionKind::Containment(change) => {
+                let event = change.event.label();
+                return self.containment.with_label_values(&[event]).inc();
+            }
+            DecisionKind::Crashed { verdict, .. } => {
+                return self.count_crash(&verdict.to_string());
+            }
+            DecisionKind::Cleared { .. } => return self.count_crash("cleared"),
             DecisionKind::TakenOver { .. } => return self.count_change("adopted"),
             DecisionKind::Abandoned { .. } => return self.count_change("given_up"),
             DecisionKind::InDoubt { .. }
@@ -146,6 +172,10 @@
         self.ownership.with_label_values(&[change]).inc();
     }
 
+    fn count_crash(&self, verdict: &str) {
+        self.crashes.with_label_values(&[verdict]).inc();
+    }
+
     fn count_refusal(&self, cause: &Cause) {
         self.refusals.with_label_values(&[cause.reason()]).inc();
     }
@@ -170,6 +200,12 @@
             let gauge = self.zone_drained.with_label_values(&[zone.as_str()]);
             gauge.set(1);
         }
+        self.contained.reset();
+        for (kind, workers) in &status.contained {
+            let queue = kind.queue.as_ref().map(QueueName::as_str);
+            let kind = queue.unwrap_or(kind.service.as_str());
+            gauge(&self.contained.with_label_values(&[kind]), *workers);
+        }
         self.by_state.reset();
         for worker in &status.workers {
             let state = if worker.quarantined {
