Crash evidence of all runs is taken before the first of them ends

Each run was told how long before the last one it had started, but runs that had been ended already were left out: with the last one gone first, an earlier one counted as the last, and a sound task could be given up with its second crash. The order is that of a hash map: target_crashes::a_run_of_a_target_that_is_gone_has_crashed_it failed in one of two runs (0 instead of 80 ms) and passes six of six now.

--- a/crates/lagoonhill_core/src/leased/runs/crashes.rs
+++ b/crates/lagoonhill_core/src/leased/runs/crashes.rs
@@ -34,27 +34,32 @@
 }
 
 impl LeasedRuns {
-    /// How the target has crashed under a run, if it has: its life ended while the run's
-    /// lease was valid, and it had not announced that it would.
-    pub(super) fn crash_under(&self, run: &Run) -> Option<Interruption> {
+    /// Records under which runs the target has crashed, if it is gone: its life ended
+    /// while their lease was valid, and it had not announced that it would.
+    pub(super) fn mark_gone(&mut self) {
         let is_over = self.refusals.show_an_end_before(self.lease_expires_ms);
-        if !is_over || self.present.as_ref().is_none_or(Present::is_leaving) {
-            return None;
+        if is_over && !self.is_leaving() {
+            self.mark_all();
         }
-        self.held_by_target(run)
     }
 
     /// Records under which runs the present life has crashed, as another one answers.
     pub(super) fn mark_crashed(&mut self, now: TimestampMs) {
-        let is_leaving = self.present.as_ref().is_none_or(Present::is_leaving);
-        if is_leaving || now >= self.lease_expires_ms {
-            return;
+        if now < self.lease_expires_ms && !self.is_leaving() {
+            self.mark_all();
         }
-        let keys: Vec<TaskKey> = self.runs.keys().copied().collect();
-        for key in keys {
-            let crash = self.held_by_target(&self.runs[&key]);
+    }
+
+    fn is_leaving(&self) -> bool {
+        self.present.as_ref().is_none_or(Present::is_leaving)
+    }
+
+    fn mark_all(&mut self) {
+        let crash = |(key, run): (&TaskKey, &Run)| Some((*key, self.held_by_target(run)?));
+        let crashes: Vec<_> = self.runs.iter().filter_map(crash).collect();
+        for (key, crash) in crashes {
             if let Some(run) = self.runs.get_mut(&key) {
-                run.crash = crash;
+                run.crash.get_or_insert(crash);
             }
         }
     }
--- a/crates/lagoonhill_core/src/leased/runs/mod.rs
+++ b/crates/lagoonhill_core/src/leased/runs/mod.rs
@@ -392,6 +392,9 @@
         let is_open = |run: &Run| matches!(run.phase, Phase::Stopping { since_ms: None, .. });
         let open = self.runs.iter().filter(|(_, run)| is_open(run));
         let keys: Vec<TaskKey> = open.map(|(key, _)| *key).collect();
+        if !keys.is_empty() {
+            self.mark_gone();
+        }
         for key in keys {
             self.interrupt(key, "its stop was not accepted and its lease has lapsed");
         }
@@ -788,6 +791,7 @@
     }
 
     fn interrupt_all(&mut self, why: &str) {
+        self.mark_gone();
         let keys: Vec<TaskKey> = self.runs.keys().copied().collect();
         for key in keys {
             self.interrupt(key, why);
@@ -799,8 +803,8 @@
         let Some(run) = self.runs.get(&key) else {
             return;
         };
-        let crash = run.crash.clone().or_else(|| self.crash_under(run));
-        let why = crash.map_or_else(|| why.to_owned(), |crash| crash.to_string());
+        let crash = run.crash.as_ref().map(ToString::to_string);
+        let why = crash.unwrap_or_else(|| why.to_owned());
         self.end(key, TaskResult::Interrupted(why));
     }
 
