A suspect waits 4 s at most for a worker of its own

An entry that uses one worker for its suspects ran hundreds of them one after the other. A suspect now goes to any worker without one of this entry's 4 s after its crash; a crash there convicts it only as its third. many_suspects_are_done_soon_after_a_crash_of_all_workers guards against it.

--- a/crates/lagoonhill_core/src/entry/crash_count.rs
+++ b/crates/lagoonhill_core/src/entry/crash_count.rs
@@ -82,3 +82,10 @@
             || self.at_work.saturating_add(self.at_start) >= MAX_CRASHES_WITH_UNCONFIRMED
     }
 }
+
+impl fmt::Display for CrashCount {
+    /// Writes the fields of a log line.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "at_work={} at_start={}", self.at_work, self.at_start)
+    }
+}
--- a/crates/lagoonhill_core/src/entry/decision.rs
+++ b/crates/lagoonhill_core/src/entry/decision.rs
@@ -183,6 +183,24 @@
     },
 }
 
+impl DecisionKind {
+    fn fmt_crash(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self::Crashed {
+            worker,
+            crashes,
+            is_isolated,
+            verdict,
+        } = self
+        else {
+            return Ok(());
+        };
+        write!(
+            f,
+            "crashed worker={worker} {crashes} isolated={is_isolated} verdict={verdict}"
+        )
+    }
+}
+
 /// One routing or placement decision, for the log and `explain`.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Decision {
@@ -243,16 +261,7 @@
             DecisionKind::Rerun { worker, why } => {
                 write!(f, "rerun from={worker} why={}", Quoted(why))
             }
-            DecisionKind::Crashed {
-                worker,
-                crashes,
-                is_isolated,
-                verdict,
-            } => write!(
-                f,
-                "crashed worker={worker} at_work={} at_start={} isolated={is_isolated} verdict={verdict}",
-                crashes.at_work, crashes.at_start
-            ),
+            crashed @ DecisionKind::Crashed { .. } => crashed.fmt_crash(f),
             DecisionKind::Cleared { worker } => write!(f, "cleared worker={worker}"),
             DecisionKind::InDoubt {
                 worker,
--- a/crates/lagoonhill_core/src/entry/job.rs
+++ b/crates/lagoonhill_core/src/entry/job.rs
@@ -44,6 +44,8 @@
     failed_before: u16,
     /// Crashes of workers under the task, also under earlier owners.
     crashes: CrashCount,
+    /// When a worker last crashed under it here.
+    crashed_ms: Option<TimestampMs>,
 }
 
 impl Task {
@@ -169,6 +171,7 @@
             failed_on: Vec::new(),
             failed_before: 0,
             crashes: CrashCount::default(),
+            crashed_ms: None,
         };
         let rank_ms = plan.accepted_ms.0;
         let mut job = Self {
@@ -499,10 +502,12 @@
         worker: WorkerKey,
         interruption: &Interruption,
         is_isolated: bool,
+        now: TimestampMs,
     ) -> Option<(Verdict, CrashCount)> {
         let task = self.sent_task(index, worker)?;
         let verdict = task.crashes.add(interruption, is_isolated)?;
         let crashes = task.crashes;
+        task.crashed_ms = Some(now);
         if let Some(durable) = &mut self.durable {
             durable.dirty = true;
         }
@@ -511,9 +516,14 @@
 
     /// Whether a worker has crashed under the next ready task.
     pub fn is_next_suspect(&self) -> bool {
-        self.ready
-            .front()
-            .is_some_and(|index| !self.tasks[usize::from(index.0)].crashes.is_zero())
+        let next = self.ready.front();
+        next.is_some_and(|index| !self.tasks[usize::from(index.0)].crashes.is_zero())
+    }
+
+    /// When a worker last crashed under the next ready task here.
+    pub fn next_crashed_ms(&self) -> Option<TimestampMs> {
+        let index = self.ready.front()?;
+        self.tasks[usize::from(index.0)].crashed_ms
     }
 
     /// Marks a task of a lost worker as in doubt: it may run until `in_doubt_until_ms`.
--- a/crates/lagoonhill_core/src/entry/machine/crashes.rs
+++ b/crates/lagoonhill_core/src/entry/machine/crashes.rs
@@ -9,9 +9,14 @@
 
 use super::Entry;
 use crate::entry::{
-    Candidate, Cause, DecisionKind, JobKey, Needs, Placement, SlotLimit, Verdict, Worker, WorkerKey,
+    Candidate, Cause, DecisionKind, JobKey, Needs, Placement, SlotLimit, Suspicion, Verdict,
+    Worker, WorkerKey,
 };
 
+/// Time for which a suspect waits for a worker that no other entry uses for suspects: a
+/// worker that has crashed is usually back by then.
+const OWN_WORKER_WAIT_MS: DurationMs = DurationMs(4_000);
+
 impl<P: Placement> Entry<P> {
     /// Counts a crash under a task that the worker held. Returns the cause for which the
     /// job is to be given up, if it is. `is_isolated`: the run was placed beside no other
@@ -27,7 +32,8 @@
     ) -> Option<Cause> {
         let (worker_key, worker) = worker;
         let job = &mut self.jobs[key];
-        let (verdict, crashes) = job.add_crash(index, worker_key, interruption, is_isolated)?;
+        let (verdict, crashes) =
+            job.add_crash(index, worker_key, interruption, is_isolated, now)?;
         let id = job.plan.id;
         let kind = DecisionKind::Crashed {
             worker: worker.clone(),
@@ -50,9 +56,9 @@
     }
 
     /// Removes the candidates where a task must not run, as a crash there would not show
-    /// its cause. A suspect goes to the emptiest of the workers without one, among those
-    /// that no other entry uses for suspects if there are any or one may be back soon;
-    /// other tasks avoid the workers with one while there is free capacity elsewhere.
+    /// its cause. A suspect goes to the emptiest of the workers without one, at first only
+    /// to one that no other entry uses for suspects; other tasks avoid the workers with one
+    /// while there is free capacity elsewhere.
     pub(super) fn keep_suspects_apart(
         &self,
         eligible: &mut Vec<Candidate>,
@@ -73,7 +79,9 @@
             let own_may_return = |(_, worker): (WorkerKey, &Worker)| {
                 worker.may_return_for(service, needs, now) && self.tests_suspects_at(worker)
             };
-            if eligible.iter().any(is_own) || self.fleet.iter().any(own_may_return) {
+            if self.waits_for_own_worker(job, now)
+                && (eligible.iter().any(is_own) || self.fleet.iter().any(own_may_return))
+            {
                 eligible.retain(is_own);
             }
             eligible.retain(|candidate| !holds_suspect(candidate));
@@ -89,6 +97,23 @@
         }
     }
 
+    /// Whether a job's next task is a suspect that waits for a worker that no other entry
+    /// uses for suspects.
+    pub(super) fn waits_for_own_worker(&self, job: JobKey, now: TimestampMs) -> bool {
+        let crashed_ms = self.jobs[job].next_crashed_ms();
+        crashed_ms.is_some_and(|crashed_ms| now.since(crashed_ms) < OWN_WORKER_WAIT_MS)
+    }
+
+    /// How a suspect runs that is placed at a worker without one.
+    pub(super) fn suspicion_at(&self, key: WorkerKey) -> Suspicion {
+        let worker = self.fleet.get(key);
+        if worker.is_some_and(|worker| self.tests_suspects_at(worker)) {
+            Suspicion::Isolated
+        } else {
+            Suspicion::Suspect
+        }
+    }
+
     /// Whether this entry is the one, of all live ones, that places its suspects at a
     /// worker: the one of the highest weight (rendezvous hashing).
     fn tests_suspects_at(&self, worker: &Worker) -> bool {
--- a/crates/lagoonhill_core/src/entry/machine/dispatch.rs
+++ b/crates/lagoonhill_core/src/entry/machine/dispatch.rs
@@ -9,7 +9,7 @@
 use super::{DEFAULT_RUN_TIME_MS, Entry};
 use crate::entry::{
     Candidate, Cause, Charge, DecisionKind, DispatchedTask, JobKey, Needs, Placement,
-    PlacementContext, SlotLimit, Tier, Work, WorkKind,
+    PlacementContext, SlotLimit, Suspicion, Tier, Work, WorkKind,
 };
 
 /// How long slots stay reserved after a job of the most urgent class.
@@ -27,6 +27,8 @@
     needs: Option<Resources>,
     /// Whether no worker may get another suspect.
     suspects: bool,
+    /// Whether none may get one that waits for a worker of its own.
+    waiting_suspects: bool,
     unplaced: usize,
 }
 
@@ -114,7 +116,9 @@
                     blocked.classes.insert(self.jobs[key].plan.class);
                 }
                 None if is_suspect && eligible.is_empty() && needs.label.is_none() => {
-                    blocked.suspects = true;
+                    let is_waiting = self.waits_for_own_worker(key, now);
+                    blocked.waiting_suspects = true;
+                    blocked.suspects |= !is_waiting;
                     blocked.jobs.insert(key);
                 }
                 None => {
@@ -177,7 +181,9 @@
         let is_owner = self.is_owner(now);
         let may_run = |key: JobKey| {
             let job = &self.jobs[key];
-            let is_blocked = blocked.suspects && job.is_next_suspect();
+            let is_blocked = (blocked.suspects || blocked.waiting_suspects)
+                && job.is_next_suspect()
+                && (blocked.suspects || self.waits_for_own_worker(key, now));
             (is_owner || !job.is_durable()) && !is_blocked
         };
         queue.next(
@@ -271,6 +277,12 @@
         let job = &mut self.jobs[key];
         let declared_ms = job.next_declared_ms();
         let is_suspect = job.is_next_suspect();
+        let suspicion = if is_suspect {
+            self.suspicion_at(chosen.key)
+        } else {
+            Suspicion::None
+        };
+        let job = &mut self.jobs[key];
         let Some(next) = job.dispatch_next(chosen.key) else {
             return;
         };
@@ -319,7 +331,7 @@
             expected_ms,
             declared_ms,
             is_withdrawn: false,
-            is_suspect,
+            suspicion,
             durable: self.jobs[key].is_durable(),
             is_abandoned: false,
         };
--- a/crates/lagoonhill_core/src/entry/machine/outcomes.rs
+++ b/crates/lagoonhill_core/src/entry/machine/outcomes.rs
@@ -5,7 +5,7 @@
 
 use super::Entry;
 use crate::entry::{
-    Cause, DecisionKind, DispatchedTask, Health, JobKey, Placement, Worker, WorkerKey,
+    Cause, DecisionKind, DispatchedTask, Health, JobKey, Placement, Suspicion, Worker, WorkerKey,
 };
 
 /// A probe that took more than this many times the nominal run time has failed.
@@ -45,7 +45,7 @@
                 let Some(released) = job.finish(index, key, payload) else {
                     return self.schedule_save(job_key, now);
                 };
-                if dispatched.is_suspect {
+                if dispatched.suspicion != Suspicion::None {
                     let kind = DecisionKind::Cleared { worker };
                     self.log_decision(now, Some(task.job), Some(index), kind);
                 }
@@ -81,7 +81,7 @@
                     index,
                     &interruption,
                     (key, &worker),
-                    dispatched.is_suspect,
+                    dispatched.suspicion == Suspicion::Isolated,
                     now,
                 );
                 self.requeue(job_key, index, key, &worker, None, now);
--- a/crates/lagoonhill_core/src/entry/mod.rs
+++ b/crates/lagoonhill_core/src/entry/mod.rs
@@ -55,4 +55,4 @@
 pub use throughput::Throughput;
 pub use tiered_queue::{QueuePosition, Tier, TieredQueue};
 pub use work::Work;
-pub use worker::{DispatchedTask, Worker, WorkerKey, WorkerState};
+pub use worker::{DispatchedTask, Suspicion, Worker, WorkerKey, WorkerState};
--- a/crates/lagoonhill_core/src/entry/worker.rs
+++ b/crates/lagoonhill_core/src/entry/worker.rs
@@ -45,6 +45,17 @@
     }
 }
 
+/// Whether a dispatched task is a suspect, a task under which a worker has crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Suspicion {
+    /// It is none.
+    None,
+    /// It is one, and suspects of other entries may be beside it.
+    Suspect,
+    /// It is one, and no other suspect is beside it.
+    Isolated,
+}
+
 /// A dispatched task without an outcome.
 #[derive(Clone, Debug)]
 pub struct DispatchedTask {
@@ -65,7 +76,7 @@
     /// Whether its job is durable, so that its end must be stored.
     pub durable: bool,
     /// Whether a worker has crashed under the task before.
-    pub is_suspect: bool,
+    pub suspicion: Suspicion,
     /// Whether this entry has abandoned its job, so that its end is never stored.
     pub is_abandoned: bool,
 }
@@ -237,7 +248,8 @@
 
     /// Whether it holds a task under which a worker has crashed.
     pub fn holds_suspect(&self) -> bool {
-        self.dispatched_tasks.values().any(|task| task.is_suspect)
+        let mut tasks = self.dispatched_tasks.values();
+        tasks.any(|task| task.suspicion != Suspicion::None)
     }
 
     /// Marks a task as withdrawn.
--- a/crates/lagoonhill_core/tests/deadly_tasks.rs
+++ b/crates/lagoonhill_core/tests/deadly_tasks.rs
@@ -200,6 +200,23 @@
         assert_eq!(count("cleared worker="), 1, "{lines:#?}");
     }
 
+    // Guards against a suspect that waits for good for a worker of its own.
+    many_suspects_are_done_soon_after_a_crash_of_all_workers => {
+        let mut world = fleet(3, 3, 11);
+        for number in 0..3 {
+            world.submit_durable(number, durable(&format!("sound-{number}"), &["sound"; 4], 500));
+        }
+        world.run_for(100);
+        for agent in 0..3 {
+            world.crash_target(agent);
+        }
+        world.run_for(15_000);
+        for number in 0..3 {
+            let state = state(&world, &format!("sound-{number}"));
+            assert_eq!(state, Some(DurableJobState::Complete), "{number}");
+        }
+    }
+
     one_crash_gives_up_no_task => {
         let mut world = fleet(1, 2, 5);
         let caller = world.submit(0, job("sound", &["sound"; 4], 300, false));
--- a/crates/lagoonhill_entry/tests/crash_records.rs
+++ b/crates/lagoonhill_entry/tests/crash_records.rs
@@ -21,10 +21,11 @@
 
 /// Stores an open job with another field beside those of the first release.
 fn put_open(platform: &PlatformStandin, field: &str, value: &Value) {
-    let resources = json!({"processors": 100, "memory_bytes": 0, "accelerators": 0});
+    let resources = json!({"processors": 0, "memory_bytes": 0, "accelerators": 0});
     let step = json!({"count": 2, "after": [], "resources": resources, "estimate_ms": 100});
+    let input = json!({"run_ms": 20}).to_string();
     let mut record = json!({"epoch": 1, "service": "dispatch", "team": "jobs", "queue": "jobs",
-        "name": "job", "steps": [step], "inputs": ["1"]});
+        "name": "job", "steps": [step], "inputs": [input]});
     record[field] = value.clone();
     let state = json!({"owner": GONE, "state": "open"}).to_string();
     platform.put(&format!("{JOBS_PREFIX}job"), state.as_bytes());
