--- a/crates/lagoonhill_core/tests/support/restarting_target.rs
+++ b/crates/lagoonhill_core/tests/support/restarting_target.rs
@@ -158,6 +158,10 @@
 /// The target answers polls, and stops while [`Self::answers_stops`]; each test
 /// decides what becomes of starts. A run that is reported as interrupted while the
 /// target runs it fails the test, and so does one that starts after such a report.
+#[allow(
+    clippy::struct_excessive_bools,
+    reason = "each test turns one of them on or off"
+)]
 #[derive(Debug)]
 pub(crate) struct RestartingTarget {
     pub(crate) runs: LeasedRuns,
