--- a/crates/lagoonhill_core/src/entry/machine/dispatch.rs
+++ b/crates/lagoonhill_core/src/entry/machine/dispatch.rs
@@ -9,7 +9,7 @@
 use super::{DEFAULT_RUN_TIME_MS, Entry};
 use crate::entry::{
     Candidate, Cause, Charge, DecisionKind, DispatchedTask, JobKey, Needs, Placement,
-    PlacementContext, SlotLimit, Tier, Work, WorkKind,
+    PlacementContext, SlotLimit, Suspicion, Tier, Work, WorkKind,
 };
 
 /// How long slots stay reserved after a job of the most urgent class.
@@ -29,6 +29,8 @@
     needs: Option<Resources>,
     /// Whether no worker may get another suspect.
     suspects: bool,
+    /// Whether none may get one that waits for a worker of its own.
+    waiting_suspects: bool,
     unplaced: usize,
 }
 
@@ -120,7 +122,9 @@
                     blocked.kinds.insert((self.work_kind_of(key), is_suspect));
                 }
                 None if is_suspect && eligible.is_empty() && needs.label.is_none() => {
-                    blocked.suspects = true;
+                    let is_waiting = self.waits_for_own_worker(key, now);
+                    blocked.waiting_suspects = true;
+                    blocked.suspects |= !is_waiting;
                     blocked.jobs.insert(key);
                 }
                 None => {
@@ -184,11 +188,14 @@
         let may_run = |key: JobKey| {
             let job = &self.jobs[key];
             let is_suspect = job.is_next_suspect();
-            let is_blocked = (blocked.suspects && is_suspect)
-                || (!blocked.kinds.is_empty()
-                    && blocked
-                        .kinds
-                        .contains(&(self.work_kind_of(key), is_suspect)));
+            let is_blocked_suspect = is_suspect
+                && (blocked.suspects
+                    || blocked.waiting_suspects && self.waits_for_own_worker(key, now));
+            let is_blocked_kind = !blocked.kinds.is_empty()
+                && blocked
+                    .kinds
+                    .contains(&(self.work_kind_of(key), is_suspect));
+            let is_blocked = is_blocked_suspect || is_blocked_kind;
             (is_owner || !job.is_durable()) && !is_blocked && self.holds_name(key, now)
         };
         queue.next(
@@ -282,6 +289,12 @@
         let job = &mut self.jobs[key];
         let declared_ms = job.next_declared_ms();
         let is_suspect = job.is_next_suspect();
+        let suspicion = if is_suspect {
+            self.suspicion_at(chosen.key)
+        } else {
+            Suspicion::None
+        };
+        let job = &mut self.jobs[key];
         let Some(next) = job.dispatch_next(chosen.key) else {
             return;
         };
@@ -330,7 +343,7 @@
             expected_ms,
             declared_ms,
             is_withdrawn: false,
-            is_suspect,
+            suspicion,
             durable: self.jobs[key].is_durable(),
             is_abandoned: false,
         };
