Entry: a lease comes from one home at a time, and is held before a task starts

The next home is asked only when the first counts as lost, after 250 ms and a request repeated on a new connection. A job was also dispatched before its lease was recorded; now after.

--- a/crates/lagoonhill_core/src/entry/machine/names.rs
+++ b/crates/lagoonhill_core/src/entry/machine/names.rs
@@ -16,9 +16,6 @@
 };
 use crate::on_slow_clock;
 
-/// Time after which the next home is asked too: several round trips between zones.
-const NAME_REPLY_MS: DurationMs = DurationMs(40);
-
 /// Time after which the request is repeated on a new connection: an open one may have
 /// gone silent for good.
 const NAME_REPEAT_MS: DurationMs = DurationMs(100);
@@ -38,7 +35,10 @@
 const NAME_MARGIN_MS: DurationMs = DurationMs(200);
 
 /// Time for which a lost home is passed over.
-const SILENT_HOME_MS: DurationMs = DurationMs(1_000);
+const SILENT_HOME_MS: DurationMs = DurationMs(2_000);
+
+/// Homes that are asked for a lease, one after the other.
+const MAX_HOMES: u8 = 2;
 
 /// What a lease is requested for.
 #[derive(Clone, Debug)]
@@ -55,8 +55,8 @@
     purpose: NamePurpose,
     name: RequestKey,
     home: EntryAddress,
-    /// The home that was asked too, as the first one did not answer in time.
-    next_home: Option<EntryAddress>,
+    /// Homes asked so far, this one included.
+    homes: u8,
     sent_ms: TimestampMs,
     is_repeated: bool,
     /// When this entry began to wait: the time of sending, or of its last wake-up.
@@ -73,12 +73,6 @@
     hash ^ (hash >> 33)
 }
 
-impl PendingName {
-    fn asked(&self) -> impl Iterator<Item = EntryAddress> {
-        std::iter::once(self.home).chain(self.next_home)
-    }
-}
-
 impl<P: Placement> Entry<P> {
     /// Submits a best-effort job under the name that its caller gave to it. A repeated
     /// submission joins the job; one that another entry runs is refused.
@@ -98,7 +92,7 @@
         self.records.insert(key, fingerprint, record);
         let id = NameLeaseId(self.next_number());
         let purpose = NamePurpose::Admission(name.clone());
-        self.request_name(id, purpose, name, now);
+        self.request_name(id, purpose, name, 1, now);
     }
 
     /// Removes a caller from a submission that waits for its lease.
@@ -117,28 +111,18 @@
 
     /// The home of a name: the same at all entries that know the same live ones.
     fn home_of(&self, name: &RequestKey, now: TimestampMs) -> EntryAddress {
-        self.home_beside(name, None, now)
-            .unwrap_or(self.config.address)
-    }
-
-    /// The home of a name if `passed_over` is lost.
-    fn home_beside(
-        &self,
-        name: &RequestKey,
-        passed_over: Option<EntryAddress>,
-        now: TimestampMs,
-    ) -> Option<EntryAddress> {
-        let is_candidate = |entry: &&EntryAddress| {
-            Some(**entry) != passed_over && !self.is_silent_home(entry.incarnation, now)
-        };
+        let answers = |entry: &&EntryAddress| !self.is_silent_home(entry.incarnation, now);
         let weight = |entry: &&EntryAddress| {
             let mut hasher = FnvHasher::default();
             hasher.write_u64(entry.incarnation.0);
             hasher.write(name.as_str().as_bytes());
             (mixed(hasher.finish()), entry.incarnation)
         };
-        let candidates = self.entries.iter().filter(is_candidate);
-        candidates.max_by_key(weight).copied()
+        let answering = self.entries.iter().filter(answers);
+        answering
+            .max_by_key(weight)
+            .copied()
+            .unwrap_or(self.config.address)
     }
 
     fn is_silent_home(&self, home: Incarnation, now: TimestampMs) -> bool {
@@ -179,6 +163,7 @@
         id: NameLeaseId,
         purpose: NamePurpose,
         name: RequestKey,
+        homes: u8,
         now: TimestampMs,
     ) {
         let home = match &purpose {
@@ -189,7 +174,7 @@
             purpose,
             name,
             home,
-            next_home: None,
+            homes,
             sent_ms: now,
             is_repeated: false,
             waits_since_ms: now,
@@ -197,7 +182,7 @@
         };
         if home.incarnation == self.config.address.incarnation {
             let is_granted = self.grant_own(&pending.name, id, now);
-            return self.name_answered(id, home, pending, is_granted, now);
+            return self.name_answered(id, pending, is_granted, now);
         }
         self.send_name_request(home, id, pending.name.clone(), false);
         self.pending_names.insert(id, pending);
@@ -273,11 +258,10 @@
         let Some(pending) = self.pending_names.get(&reply.id) else {
             return;
         };
-        let home = pending.asked().find(|home| home.incarnation == reply.home);
-        if let Some(home) = home
+        if pending.home.incarnation == reply.home
             && let Some(pending) = self.pending_names.remove(&reply.id)
         {
-            self.name_answered(reply.id, home, pending, reply.is_granted, now);
+            self.name_answered(reply.id, pending, reply.is_granted, now);
         }
     }
 
@@ -293,17 +277,16 @@
     fn name_answered(
         &mut self,
         id: NameLeaseId,
-        home: EntryAddress,
         pending: PendingName,
         is_granted: bool,
         now: TimestampMs,
     ) {
         if is_granted && pending.outlived_freeze {
-            return self.request_name(id, pending.purpose, pending.name, now);
+            return self.request_name(id, pending.purpose, pending.name, pending.homes, now);
         }
         let held = HeldName {
             id,
-            home,
+            home: pending.home,
             valid_until_ms: pending.sent_ms + NAME_MARGIN_MS,
             renew_ms: pending.sent_ms + NAME_RENEWAL_MS,
         };
@@ -337,7 +320,7 @@
             return;
         };
         if !callers.is_empty() {
-            self.admit_bound(&key, callers, *submission, now);
+            self.admit_callers(&key, callers, *submission, now);
         }
         let admitted = match self.records.get(&key) {
             Some((_, Record::Running { job })) => Some(*job),
@@ -352,6 +335,7 @@
             }
             (None, None) => {}
         }
+        self.dispatch_all(now);
     }
 
     fn refuse_named(&mut self, name: &RequestKey, now: TimestampMs) {
@@ -378,30 +362,23 @@
         self.records.remove(key)
     }
 
-    /// Asks the next home where one has not answered in time, gives up those that are
-    /// lost, and renews leases that are due.
+    /// Asks the next home where one is lost, and renews leases that are due.
     pub(super) fn tick_names(&mut self, now: TimestampMs) {
         self.name_leases.expire(now);
         self.silent_homes.retain(|_, until_ms| now < *until_ms);
-        self.ask_next_homes(now);
         self.repeat_name_requests(now);
         let is_lost = |pending: &PendingName| now.since(pending.waits_since_ms) >= NAME_TIMEOUT_MS;
-        let lost: Vec<NameLeaseId> = self
-            .pending_names
-            .iter()
+        let lost = self.pending_names.iter();
+        let lost: Vec<NameLeaseId> = lost
             .filter(|(_, pending)| is_lost(pending))
             .map(|(id, _)| *id)
             .collect();
-        let lost: Vec<(NameLeaseId, PendingName)> = lost
-            .into_iter()
-            .filter_map(|id| self.pending_names.remove_entry(&id))
-            .collect();
-        for home in lost.iter().flat_map(|(_, pending)| pending.asked()) {
-            let until_ms = now + SILENT_HOME_MS;
-            self.silent_homes.insert(home.incarnation, until_ms);
-        }
-        for (id, pending) in lost {
-            self.after_lost_homes(id, pending, now);
+        for id in lost {
+            if let Some(pending) = self.pending_names.remove(&id) {
+                let until_ms = now + SILENT_HOME_MS;
+                self.silent_homes.insert(pending.home.incarnation, until_ms);
+                self.ask_next_home(id, pending, now);
+            }
         }
         while let Some(&(renew_ms, key)) = self.name_renewals.first()
             && renew_ms <= now
@@ -409,32 +386,16 @@
             self.name_renewals.pop_first();
             let job = self.jobs.get(key);
             if let Some((name, held)) = job.and_then(|job| job.name().zip(job.held_name)) {
-                self.request_name(held.id, NamePurpose::Renewal(key), name, now);
+                self.request_name(held.id, NamePurpose::Renewal(key), name, 1, now);
             }
         }
     }
 
-    /// Asks the next home where the first has not answered in time, unless this entry is
-    /// the next: the first home may have granted the lease to another entry.
-    fn ask_next_homes(&mut self, now: TimestampMs) {
-        let own = self.config.address;
-        let is_due = |pending: &PendingName| {
-            pending.next_home.is_none() && now.since(pending.waits_since_ms) >= NAME_REPLY_MS
-        };
-        let next = |(id, pending): (&NameLeaseId, &PendingName)| {
-            let next = self.home_beside(&pending.name, Some(pending.home), now)?;
-            (next != own).then(|| (*id, pending.name.clone(), next))
-        };
-        let due = self
-            .pending_names
-            .iter()
-            .filter(|(_, pending)| is_due(pending));
-        let due: Vec<(NameLeaseId, RequestKey, EntryAddress)> = due.filter_map(next).collect();
-        for (id, name, next_home) in due {
-            if let Some(pending) = self.pending_names.get_mut(&id) {
-                pending.next_home = Some(next_home);
-            }
-            self.send_name_request(next_home, id, name, false);
+    fn ask_next_home(&mut self, id: NameLeaseId, pending: PendingName, now: TimestampMs) {
+        if pending.homes < MAX_HOMES {
+            self.request_name(id, pending.purpose, pending.name, pending.homes + 1, now);
+        } else {
+            self.go_without_lease(pending.purpose, now);
         }
     }
 
@@ -450,7 +411,7 @@
             if is_due(pending) {
                 pending.is_repeated = true;
                 let name = &pending.name;
-                due.extend(pending.asked().map(|home| (home, *id, name.clone())));
+                due.push((pending.home, *id, name.clone()));
             }
         }
         for (home, id, name) in due {
@@ -463,22 +424,6 @@
         }
     }
 
-    /// Goes without a lease, unless this entry is the next home: the one that other
-    /// entries ask by then.
-    fn after_lost_homes(&mut self, id: NameLeaseId, pending: PendingName, now: TimestampMs) {
-        let own = self.config.address;
-        if self.home_beside(&pending.name, None, now) != Some(own) {
-            return self.go_without_lease(pending.purpose, now);
-        }
-        let is_granted = self.grant_own(&pending.name, id, now);
-        let pending = PendingName {
-            sent_ms: now,
-            outlived_freeze: false,
-            ..pending
-        };
-        self.name_answered(id, own, pending, is_granted, now);
-    }
-
     fn go_without_lease(&mut self, purpose: NamePurpose, now: TimestampMs) {
         match purpose {
             NamePurpose::Admission(name) => self.admit_named(&name, None, now),
--- a/crates/lagoonhill_core/src/entry/machine/submissions.rs
+++ b/crates/lagoonhill_core/src/entry/machine/submissions.rs
@@ -136,7 +136,19 @@
         }
     }
 
-    pub(super) fn admit_bound(
+    fn admit_bound(
+        &mut self,
+        key: &RecordKey,
+        callers: Vec<CallerId>,
+        submission: Submission,
+        now: TimestampMs,
+    ) {
+        self.admit_callers(key, callers, submission, now);
+        self.dispatch_all(now);
+    }
+
+    /// Admits a submission for all of its callers, and starts nothing yet.
+    pub(super) fn admit_callers(
         &mut self,
         key: &RecordKey,
         callers: Vec<CallerId>,
@@ -157,7 +169,6 @@
                 self.refuse(caller, key.request(), failure, now);
             }
         }
-        self.dispatch_all(now);
     }
 
     /// Attaches a caller to the submission already known by its key or ticket;
