--- a/crates/lagoonhill_core/src/entry/machine/names.rs
+++ b/crates/lagoonhill_core/src/entry/machine/names.rs
@@ -1,4 +1,4 @@
-//! Leases on the names of best-effort jobs. A caller without an answer sends its job
+//! Leases on the names of jobs that are not durable. A caller without an answer sends its job
 //! again to any entry, while the first request may still be on its way, or its job may
 //! run unnoticed. The lease is granted by the name's home: an entry chosen by
 //! rendezvous hashing, so that it costs two packets a job however many entries there are.
@@ -74,7 +74,7 @@
 }
 
 impl<P: Placement> Entry<P> {
-    /// Submits a best-effort job under the name that its caller gave to it. A repeated
+    /// Submits a job that is not durable under the name that its caller gave to it. A repeated
     /// submission joins the job; one that another entry runs is refused.
     pub fn submit_named(&mut self, caller: CallerId, submission: Submission, now: TimestampMs) {
         let Some(name) = submission.name() else {
--- a/crates/lagoonhill_entry/src/control.rs
+++ b/crates/lagoonhill_entry/src/control.rs
@@ -23,7 +23,7 @@
 #[derive(Clone, Debug)]
 pub(crate) enum SubmissionKind {
     Plain,
-    /// A best-effort job of a queue, under the name that its caller gave to it.
+    /// A job of a queue that is not durable, under the name that its caller gave to it.
     Named,
     Ticket(Ticket),
     Key {
--- a/crates/lagoonhill_standin/src/world.rs
+++ b/crates/lagoonhill_standin/src/world.rs
@@ -548,7 +548,7 @@
         caller
     }
 
-    /// Submits a best-effort job of a queue under its own name.
+    /// Submits a job of a queue that is not durable under its own name.
     pub fn submit_named(&mut self, entry: usize, submission: Submission) -> CallerId {
         let caller = self.new_caller(entry);
         self.with_entry(entry, |machine, now| {
