--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -2,7 +2,9 @@
 //! broken, 0 if it held, 2 if the case couldn't run.
 
 mod json;
+mod long_job;
 mod late_progress;
+mod waiting_count;
 mod world;
 
 use std::path::PathBuf;
@@ -15,6 +17,8 @@
     };
     let folder = PathBuf::from(folder);
     let code = match name.as_str() {
+        "long-job" => long_job::play(&folder),
+        "waiting-count" => waiting_count::play(&folder),
         "late-progress" => late_progress::play(&folder),
         _ => {
             eprintln!("no such case: {name}");
