--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -4,6 +4,7 @@
 mod json;
 mod long_job;
 mod late_progress;
+mod same_rack;
 mod waiting_count;
 mod world;
 
@@ -19,6 +20,7 @@
     let code = match name.as_str() {
         "long-job" => long_job::play(&folder),
         "waiting-count" => waiting_count::play(&folder),
+        "same-rack" => same_rack::play(&folder),
         "late-progress" => late_progress::play(&folder),
         _ => {
             eprintln!("no such case: {name}");
--- a/review/standins-2/world.rs
+++ b/review/standins-2/world.rs
@@ -1061,10 +1061,17 @@
     }
 }
 
-/// A desired state with one queue and one service.
+/// A desired state with one service and two queues, one of them for large jobs.
 pub fn config(version: u64) -> String {
+    let route = |name: &str, priority: u64| {
+        format!(
+            r#"{{"name":"{name}-queue","host":"{HOST}","prefix":"/{name}/","service":"desk","timeout-ms":1500,"priority":{priority},"max-attempts":4,"slack-factor":2.0,"target-latency-ms":60}}"#
+        )
+    };
     format!(
-        r#"{{"version":{version},"routes":[{{"name":"desk-queue","host":"{HOST}","prefix":"/desk/","service":"desk","timeout-ms":1500,"priority":0,"max-attempts":4,"slack-factor":2.0,"target-latency-ms":60}}],"services":[{{"name":"desk","health-path":"/health","enforces-capacity":false}}],"limits":{{}}}}"#
+        r#"{{"version":{version},"routes":[{},{}],"services":[{{"name":"desk","health-path":"/health","enforces-capacity":false}}],"limits":{{}}}}"#,
+        route("desk", 0),
+        route("large", 2)
     )
 }
 
