--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -5,6 +5,7 @@
 mod long_job;
 mod late_progress;
 mod same_rack;
+mod two_owners;
 mod waiting_count;
 mod world;
 
@@ -21,6 +22,7 @@
         "long-job" => long_job::play(&folder),
         "waiting-count" => waiting_count::play(&folder),
         "same-rack" => same_rack::play(&folder),
+        "two-owners" => two_owners::play(&folder),
         "late-progress" => late_progress::play(&folder),
         _ => {
             eprintln!("no such case: {name}");
--- a/review/standins-2/world.rs
+++ b/review/standins-2/world.rs
@@ -15,6 +15,17 @@
 
 use crate::json::{Json, obj};
 
+/// Ids of all processes started so far that were not waited for.
+static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends the processes that were started, and this one with 2: the case could not run.
+fn give_up() -> ! {
+    for id in CHILDREN.lock().unwrap().iter() {
+        let _ = Command::new("kill").arg("-KILL").arg(id.to_string()).status();
+    }
+    std::process::exit(2);
+}
+
 pub fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
@@ -80,7 +91,7 @@
     let raw = text.as_bytes();
     let mut at = 0;
     while at < raw.len() {
-        if raw[at] == b'%' && at + 2 < raw.len() + 0 {
+        if raw[at] == b'%' && at + 2 < raw.len() {
             let hex = std::str::from_utf8(&raw[at + 1..at + 3]).unwrap_or("20");
             bytes.push(u8::from_str_radix(hex, 16).unwrap_or(b' '));
             at += 3;
@@ -237,8 +248,14 @@
     /// This share of the writes, in thousandths, gets no answer and is carried out one to
     /// six seconds later, if its condition still holds.
     LateWrites { permille: u64 },
+    /// Every answer takes this long.
+    Slow { ms: u64 },
 }
 
+/// What the store returns at once: about so many items, or so many bytes.
+const PAGE_ITEMS: usize = 500;
+const PAGE_BYTES: usize = 1 << 20;
+
 #[derive(Clone)]
 pub struct Store {
     pub address: SocketAddr,
@@ -286,12 +303,12 @@
         self.lock().put(key, &base64(value.as_bytes()), 0);
     }
 
-    pub fn operator_drop(&self, key: &str) {
-        self.lock().drop_key(key);
-    }
-
     fn answer(&self, request: &Request) -> Answer {
-        thread::sleep(ms(4));
+        let delay = match *self.fault.lock().unwrap() {
+            StoreFault::Slow { ms } => ms,
+            StoreFault::None | StoreFault::LateWrites { .. } => 4,
+        };
+        thread::sleep(ms(delay));
         let field = |name: &str| request.query.get(name).cloned().unwrap_or_default();
         match (request.method.as_str(), request.path.as_str()) {
             ("GET", "/api/kv-key") => {
@@ -309,10 +326,18 @@
                 let state = self.lock();
                 let (prefix, after) = (field("prefix"), field("after"));
                 let found = |(key, _): &(&String, &Item)| key.starts_with(&prefix) && **key > after;
-                let mut items: Vec<Json> =
-                    state.items.iter().filter(found).take(501).map(|(key, item)| item_json(key, item)).collect();
-                let more = items.len() > 500;
-                items.truncate(500);
+                let mut bytes = 0;
+                let mut found = state.items.iter().filter(found).peekable();
+                let mut items: Vec<Json> = Vec::new();
+                while let Some((key, item)) = found.peek() {
+                    bytes += key.len() + item.value.len();
+                    if items.len() == PAGE_ITEMS || !items.is_empty() && bytes > PAGE_BYTES {
+                        break;
+                    }
+                    items.push(item_json(key, item));
+                    found.next();
+                }
+                let more = found.peek().is_some();
                 Answer::Send(
                     200,
                     obj(&[
@@ -861,39 +886,34 @@
         match child {
             Ok(child) => {
                 record.line(&format!("process {} starts, id {}", self.name, child.id()));
+                CHILDREN.lock().unwrap().push(child.id());
                 self.child = Some(child);
             }
             Err(error) => {
                 eprintln!("{} did not start: {error}", self.name);
-                std::process::exit(2);
+                give_up();
             }
         }
     }
 
-    pub fn signal(&self, signal: &str, record: &Record) {
-        if let Some(child) = &self.child {
-            record.line(&format!("process {} gets SIG{signal}", self.name));
-            let _ = Command::new("kill").arg(format!("-{signal}")).arg(child.id().to_string()).status();
-        }
-    }
-
     pub fn kill(&mut self, record: &Record) {
-        if let Some(mut child) = self.child.take() {
+        if let Some(child) = self.child.take() {
             record.line(&format!("process {} is killed", self.name));
-            let _ = (child.kill(), child.wait());
+            end(child);
         }
     }
+}
 
-    /// Whether the process has ended by itself.
-    pub fn has_ended(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
-    }
+fn end(mut child: Child) {
+    let _ = child.kill();
+    let _ = child.wait();
+    CHILDREN.lock().unwrap().retain(|id| *id != child.id());
 }
 
 impl Drop for Process {
     fn drop(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            let _ = (child.kill(), child.wait());
+        if let Some(child) = self.child.take() {
+            end(child);
         }
     }
 }
@@ -921,6 +941,9 @@
     }
 }
 
+/// A script may run for 120 seconds.
+const LONGEST_PLAY: Duration = Duration::from_secs(105);
+
 pub const HOST: &str = "desk.example";
 
 pub fn address(network: u8, group: u8, index: usize, port: u16) -> SocketAddr {
@@ -930,6 +953,11 @@
 impl World {
     /// Starts the store, workers, entries and agents, and waits until entries are ready.
     pub fn start(case: &Path, entries: usize, agents: usize, config: &str) -> Self {
+        thread::spawn(|| {
+            thread::sleep(LONGEST_PLAY);
+            eprintln!("the case took too long");
+            give_up();
+        });
         let record = Record::create(&case.join("record.txt"));
         let seed = std::env::var("SEED").ok().and_then(|seed| seed.parse().ok()).unwrap_or_else(unix_ms);
         record.line(&format!("seed {seed}"));
@@ -1020,10 +1048,7 @@
     pub fn fail_to_run(&self, why: &str) -> ! {
         self.record.line(why);
         eprintln!("{why}");
-        for process in self.entries.iter().chain(&self.agents) {
-            process.signal("KILL", &self.record);
-        }
-        std::process::exit(2);
+        give_up();
     }
 
     pub fn job_id(&self) -> String {
