--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -1,6 +1,7 @@
 //! Plays one case of the review: `cases NAME FOLDER`. Exits with 1 if the rule was
 //! broken, 0 if it held, 2 if the case couldn't run.
 
+mod attempts;
 mod json;
 mod long_job;
 mod same_rack;
@@ -18,6 +19,7 @@
     };
     let folder = PathBuf::from(folder);
     let code = match name.as_str() {
+        "attempts" => attempts::play(&folder),
         "long-job" => long_job::play(&folder),
         "same-rack" => same_rack::play(&folder),
         "two-owners" => two_owners::play(&folder),
--- a/review/standins-2/world.rs
+++ b/review/standins-2/world.rs
@@ -537,6 +537,8 @@
     ledger: Arc<Mutex<Vec<Ran>>>,
     /// Work of each step of a job in milliseconds, by the job's ID, or how it fails.
     plans: Arc<Mutex<HashMap<String, Vec<u64>>>>,
+    /// Jobs of which the first run of each task fails.
+    failing: Arc<Mutex<BTreeSet<String>>>,
     record: Record,
 }
 
@@ -561,6 +563,7 @@
             states: Arc::new(Mutex::new((0..count).map(state).collect())),
             ledger: Arc::default(),
             plans: Arc::default(),
+            failing: Arc::default(),
             record: record.clone(),
         };
         let clock = workers.clone();
@@ -580,6 +583,11 @@
         self.plans.lock().unwrap().insert(job.to_owned(), steps_ms.to_vec());
     }
 
+    /// Lets the first run of each task of a job fail.
+    pub fn fail_first_runs(&self, job: &str) {
+        self.failing.lock().unwrap().insert(job.to_owned());
+    }
+
     pub fn ledger(&self) -> Vec<Ran> {
         self.ledger.lock().unwrap().clone()
     }
@@ -677,7 +685,10 @@
                 let plans = self.plans.lock().unwrap();
                 let work = plans.get(job).and_then(|steps| steps.get(step)).copied();
                 let now = Instant::now();
-                let end = work.map(|work| (now + ms(work), "done"));
+                let is_first = !self.ledger.lock().unwrap().iter().any(|ran| ran.task == task);
+                let fails = is_first && self.failing.lock().unwrap().contains(job);
+                let how = if fails { "failed" } else { "done" };
+                let end = work.map(|work| (now + ms(work), how));
                 state.runs.insert(task.clone(), Run { number: run, since: now, end });
                 self.ledger.lock().unwrap().push(Ran {
                     task: task.clone(),
@@ -1060,15 +1071,20 @@
 
 /// A desired state with one service and two queues, one of them for large jobs.
 pub fn config(version: u64) -> String {
-    let route = |name: &str, priority: u64| {
+    config_with(version, &[("desk", 0), ("large", 2)])
+}
+
+/// A desired state with one service and these queues, each with its priority.
+pub fn config_with(version: u64, queues: &[(&str, u64)]) -> String {
+    let route = |(name, priority): &(&str, u64)| {
         format!(
             r#"{{"name":"{name}-queue","host":"{HOST}","prefix":"/{name}/","service":"desk","timeout-ms":1500,"priority":{priority},"max-attempts":4,"slack-factor":2.0,"target-latency-ms":60}}"#
         )
     };
+    let routes: Vec<String> = queues.iter().map(route).collect();
     format!(
-        r#"{{"version":{version},"routes":[{},{}],"services":[{{"name":"desk","health-path":"/health","enforces-capacity":false}}],"limits":{{}}}}"#,
-        route("desk", 0),
-        route("large", 2)
+        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"desk","health-path":"/health","enforces-capacity":false}}],"limits":{{}}}}"#,
+        routes.join(",")
     )
 }
 
