Durable jobs: the terms of the acceptance are stored, and hold at a takeover

A takeover while the queue was removed fixed that number for good, also after the queue was back. The promise and the class were lost in the same way, and the run limit with the service's rule.

A takeover reads them from there.

Why it works: no setting that was promised is read from a place that can lack it.

--- a/crates/lagoonhill_core/src/entry/answer.rs
+++ b/crates/lagoonhill_core/src/entry/answer.rs
@@ -150,6 +150,15 @@
         /// Error message of the target in the last run.
         message: String,
     },
+    /// A task had failed as often as its queue allows before its entry knew how often
+    /// that is.
+    #[error("task {index} had failed in each of its {attempts} runs under an earlier owner")]
+    NoAttemptLeft {
+        /// Index of the task in the job.
+        index: TaskIndex,
+        /// Number of runs, all failed.
+        attempts: u16,
+    },
     /// Workers crashed while they ran a task.
     #[error(
         "{crashes} workers crashed while they ran task {index}, the last {worker}: correct the task before sending it again"
@@ -231,6 +240,7 @@
             Self::TaskFailed { .. } => "task_failed",
             Self::WorkerLost { .. } => "worker_lost",
             Self::AttemptsUsedUp { .. } => "attempts_used_up",
+            Self::NoAttemptLeft { .. } => "no_attempt_left",
             Self::CrashedWorkers { .. } => "crashed_workers",
             Self::NoTaker { .. } => "no_taker",
             Self::Cancelled => "cancelled",
--- a/crates/lagoonhill_core/src/entry/decision.rs
+++ b/crates/lagoonhill_core/src/entry/decision.rs
@@ -162,6 +162,12 @@
         /// Time before which none of its tasks starts.
         in_doubt_until_ms: TimestampMs,
     },
+    /// A task has failed and waits until the rules have its job's queue again: how often
+    /// it may fail is not known.
+    Withheld {
+        /// Queue of the job.
+        queue: QueueName,
+    },
     /// A durable job was abandoned, because it has another owner or has ended.
     Abandoned {
         /// Its state in the store.
@@ -313,6 +319,7 @@
             } => {
                 write!(f, "adopted epoch={epoch} until={in_doubt_until_ms}")
             }
+            DecisionKind::Withheld { queue } => write!(f, "withheld queue={queue}"),
             DecisionKind::Abandoned { state } => write!(f, "given-up state={state}"),
             DecisionKind::ZoneDrain {
                 drain,
--- a/crates/lagoonhill_core/src/entry/durable_job.rs
+++ b/crates/lagoonhill_core/src/entry/durable_job.rs
@@ -5,7 +5,7 @@
 
 use lagoonhill_types::prelude::*;
 
-use super::{CrashCount, StoreWriteId, Submission, WorkerKey};
+use super::{CrashCount, JobTerms, StoreWriteId, Submission, WorkerKey};
 
 /// State of a durable job in the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,6 +48,8 @@
 pub struct DurableJob {
     /// Submission of the caller.
     pub submission: Arc<Submission>,
+    /// Terms of its acceptance; `None` in records of earlier releases.
+    pub terms: Option<JobTerms>,
     /// Progress at the time of storing.
     pub progress: Progress,
     /// Number of owners so far, including the present one.
@@ -92,6 +94,9 @@
 pub struct DurableState {
     /// Submission of the caller.
     pub submission: Arc<Submission>,
+    /// Terms of its acceptance. `None` until the rules have its queue again, if it was
+    /// taken over from an earlier release while they had not.
+    pub terms: Option<JobTerms>,
     /// Number of owners so far, including this one.
     pub epoch: u32,
     /// Whether the job has been stored.
@@ -110,9 +115,15 @@
 
 impl DurableState {
     /// Creates the state of a job that is to be stored, or already is (`is_stored`).
-    pub fn new(submission: Arc<Submission>, epoch: u32, is_stored: bool) -> Self {
+    pub fn new(
+        submission: Arc<Submission>,
+        terms: Option<JobTerms>,
+        epoch: u32,
+        is_stored: bool,
+    ) -> Self {
         Self {
             submission,
+            terms,
             epoch,
             is_stored,
             pending_write: None,
--- a/crates/lagoonhill_core/src/entry/job.rs
+++ b/crates/lagoonhill_core/src/entry/job.rs
@@ -9,8 +9,8 @@
 use slotmap::new_key_type;
 
 use super::{
-    CallerId, CrashCount, DurableState, HeldName, Needs, Progress, QueuePosition, RecordKey,
-    RunCertainty, Step, Tier, Verdict, WorkerKey,
+    CallerId, CrashCount, DurableState, HeldName, JobTerms, Needs, Progress, QueuePosition,
+    RecordKey, RunCertainty, Step, Tier, Verdict, WorkerKey,
 };
 
 new_key_type! {
@@ -69,8 +69,20 @@
     pub queue: QueueName,
     /// Name that the caller gave to the job.
     pub name: RequestKey,
-    /// Number of failed runs of one task after which the job fails.
-    pub attempts: u16,
+    /// Number of failed runs of one task after which the job fails. `None` until the
+    /// job's terms are known.
+    pub attempts: Option<u16>,
+}
+
+/// What follows for a task after an unsuccessful run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AfterRun {
+    /// It is ready to run again.
+    Ready,
+    /// It has no attempt left.
+    Exhausted,
+    /// It waits until the job's terms are known.
+    Withheld,
 }
 
 /// Properties of a job that are fixed at its admission.
@@ -127,6 +139,8 @@
     tasks: Vec<Task>,
     steps: Vec<StepProgress>,
     ready: VecDeque<TaskIndex>,
+    /// Tasks that have failed and wait until the job's terms are known.
+    withheld: Vec<TaskIndex>,
     done: usize,
     sent: usize,
     has_run: bool,
@@ -188,6 +202,7 @@
             tasks: step_of.into_iter().zip(payloads).map(task).collect(),
             steps: progress,
             ready: VecDeque::new(),
+            withheld: Vec::new(),
             done: 0,
             sent: 0,
             has_run: false,
@@ -338,6 +353,7 @@
     /// Removes all ready tasks from the queue; they are not queued again.
     pub fn clear_ready(&mut self) {
         self.ready.clear();
+        self.withheld.clear();
     }
 
     /// Whether tasks may run again after an unsuccessful run.
@@ -345,10 +361,51 @@
         self.plan.queue_settings.is_some()
     }
 
-    /// Number of failed runs of one task after which the job fails.
-    pub fn attempts(&self) -> u16 {
+    /// Number of failed runs of one task after which the job fails. `None` while the
+    /// job's terms are not known.
+    pub fn attempts(&self) -> Option<u16> {
         let queue_settings = self.plan.queue_settings.as_ref();
-        queue_settings.map_or(1, |settings| settings.attempts)
+        queue_settings.map_or(Some(1), |settings| settings.attempts)
+    }
+
+    /// Number of tasks that wait until the job's terms are known.
+    pub fn withheld_count(&self) -> usize {
+        self.withheld.len()
+    }
+
+    /// Sets the terms of a durable job whose record has none. Returns how many withheld
+    /// tasks became ready, or the first that has no attempt left.
+    pub fn set_terms(&mut self, terms: JobTerms) -> Result<usize, TaskIndex> {
+        if let Some(settings) = &mut self.plan.queue_settings {
+            settings.attempts = Some(terms.attempts);
+        }
+        if let Some(durable) = &mut self.durable {
+            durable.terms = Some(terms);
+            durable.dirty = true;
+        }
+        let withheld = std::mem::take(&mut self.withheld);
+        let failures = |index: &TaskIndex| self.tasks[usize::from(index.0)].failures();
+        let is_exhausted = |index: &&TaskIndex| failures(index) >= usize::from(terms.attempts);
+        if let Some(index) = withheld.iter().find(is_exhausted) {
+            return Err(*index);
+        }
+        let count = withheld.len();
+        self.ready.extend(withheld);
+        Ok(count)
+    }
+
+    /// Makes a task ready, or withholds it: it has failed, and how often it may is not
+    /// known.
+    fn make_ready(&mut self, index: TaskIndex) -> AfterRun {
+        let attempts = self.attempts();
+        let task = &mut self.tasks[usize::from(index.0)];
+        task.state = TaskState::Ready;
+        if attempts.is_none() && task.failures() > 0 {
+            self.withheld.push(index);
+            return AfterRun::Withheld;
+        }
+        self.ready.push_front(index);
+        AfterRun::Ready
     }
 
     /// Number of tasks.
@@ -487,20 +544,29 @@
         Some(moves)
     }
 
-    /// Makes a task ready again after an unsuccessful run. Returns
-    /// whether an attempt is left, or `None` if `worker` does not hold the task.
-    pub fn requeue(&mut self, index: TaskIndex, worker: WorkerKey, failed: bool) -> Option<bool> {
+    /// Makes a task ready again after an unsuccessful run, unless it is to be withheld.
+    /// `None` if `worker` does not hold the task.
+    pub fn requeue(
+        &mut self,
+        index: TaskIndex,
+        worker: WorkerKey,
+        failed: bool,
+    ) -> Option<AfterRun> {
         let attempts = self.attempts();
         let task = self.sent_task(index, worker)?;
         if failed {
             task.failed_on.push(worker);
         }
-        let has_attempt = !failed || task.failures() < usize::from(attempts);
-        task.state = TaskState::Ready;
+        let failures = task.failures();
+        let is_exhausted = attempts.is_some_and(|attempts| failures >= usize::from(attempts));
         self.sent -= 1;
         self.has_run = true;
-        self.ready.push_front(index);
-        Some(has_attempt)
+        let after_run = self.make_ready(index);
+        Some(if failed && is_exhausted {
+            AfterRun::Exhausted
+        } else {
+            after_run
+        })
     }
 
     /// Counts a crash of the worker that holds a task. Returns the verdict and the
@@ -552,18 +618,13 @@
         true
     }
 
-    /// Makes a task ready again if its time in doubt is over; returns whether it was.
-    pub fn resolve_in_doubt(&mut self, index: TaskIndex, now: TimestampMs) -> bool {
-        let Some(task) = self.tasks.get_mut(usize::from(index.0)) else {
-            return false;
-        };
+    /// Makes a task ready again if its time in doubt is over, unless it is to be
+    /// withheld. `None` if it is in doubt still, or was not.
+    pub fn resolve_in_doubt(&mut self, index: TaskIndex, now: TimestampMs) -> Option<AfterRun> {
+        let task = self.tasks.get(usize::from(index.0))?;
         let is_resolved =
             matches!(task.state, TaskState::InDoubt(in_doubt_until_ms) if in_doubt_until_ms <= now);
-        if is_resolved {
-            task.state = TaskState::Ready;
-            self.ready.push_front(index);
-        }
-        is_resolved
+        is_resolved.then(|| self.make_ready(index))
     }
 
     /// The results in task order, once the job is complete.
--- a/crates/lagoonhill_core/src/entry/machine/admission.rs
+++ b/crates/lagoonhill_core/src/entry/machine/admission.rs
@@ -1,12 +1,12 @@
 //! Admission: validates, refuses what can't be served in time, queues the rest.
 
-use lagoonhill_rules::Class;
+use lagoonhill_rules::{Class, ServiceRule};
 use lagoonhill_types::prelude::*;
 
 use super::{DEFAULT_RETRY_MS, Entry};
 use crate::entry::{
-    CallerId, Cause, DecisionKind, DurableState, Job, JobFailure, JobKey, JobPlan, Needs, PERMILLE,
-    Placement, Promise, QueueSettings, Record, RecordKey, Step, Submission, WorkKind,
+    CallerId, Cause, DecisionKind, DurableState, Job, JobFailure, JobKey, JobPlan, JobTerms, Needs,
+    PERMILLE, Placement, Promise, QueueSettings, Record, RecordKey, Step, Submission, WorkKind,
 };
 
 /// A job expires when its answer takes this many times the promised time.
@@ -16,6 +16,8 @@
 #[derive(Debug)]
 struct AdmissionParams {
     class: Class,
+    /// The terms of its queue, if it has one that is known.
+    terms: Option<JobTerms>,
     /// Time allowed until the answer.
     deadline_ms: DurationMs,
     /// Expected run time on a worker of average speed.
@@ -76,8 +78,8 @@
         now: TimestampMs,
     ) {
         let checked = self.validate(&submission).and_then(|()| {
-            let params = self.admission_params(&submission);
-            let promise = self.promise(&submission, params.run_time_ms, now);
+            let params = self.admission_params(&submission, self.terms_of(&submission));
+            let promise = self.promise(&submission, &params, now);
             self.check_containment(&submission, promise, now)?;
             self.check_promise(&submission, params.class, promise, now)?;
             self.check_load(&submission, &params, now)?;
@@ -148,8 +150,8 @@
         now: TimestampMs,
     ) -> Result<JobKey, JobFailure> {
         self.validate(submission)?;
-        let params = self.admission_params(submission);
-        let promise = self.promise(submission, params.run_time_ms, now);
+        let params = self.admission_params(submission, durable.terms);
+        let promise = self.promise(submission, &params, now);
         self.check_containment(submission, promise, now)?;
         self.check_load(submission, &params, now)?;
         Ok(self.insert_durable(submission, durable, number, now))
@@ -162,8 +164,8 @@
         number: u64,
         now: TimestampMs,
     ) -> JobKey {
-        let params = self.admission_params(submission);
-        let promise = self.promise(submission, params.run_time_ms, now);
+        let params = self.admission_params(submission, durable.terms);
+        let promise = self.promise(submission, &params, now);
         let mut job = self.new_job(submission.clone(), params, number, now);
         job.rank_ms = promise.map_or(now.0, |promise| promise.latest_start_ms.0);
         job.promise = promise;
@@ -194,29 +196,56 @@
         self.log_decision(now, Some(id), None, kind);
     }
 
-    fn admission_params(&self, submission: &Submission) -> AdmissionParams {
-        AdmissionParams {
+    /// The terms that the rules in force give to a job of a queue.
+    pub(super) fn terms_of(&self, submission: &Submission) -> Option<JobTerms> {
+        let queued = submission.queued.as_ref()?;
+        let rule = self.rules().queue(&queued.queue)?;
+        Some(JobTerms {
             class: self.class_of(submission),
+            attempts: rule.attempts,
+            objective_ms: rule.objective_ms,
+            slack_permille: rule.slack_permille,
+            run_limit_ms: self.run_limit(submission),
+        })
+    }
+
+    fn run_limit(&self, submission: &Submission) -> DurationMs {
+        let rule = self.rules().service(&submission.service);
+        let run_limit_ms = rule.map_or_else(
+            || ServiceRule::default().run_limit_ms,
+            |rule| rule.run_limit_ms,
+        );
+        run_limit_ms.min(self.deadline(submission))
+    }
+
+    fn admission_params(
+        &self,
+        submission: &Submission,
+        terms: Option<JobTerms>,
+    ) -> AdmissionParams {
+        AdmissionParams {
+            class: terms.map_or_else(|| self.class_of(submission), |terms| terms.class),
+            terms,
             deadline_ms: self.deadline(submission),
             run_time_ms: self.expected_run_time(submission),
             steps: self.steps_of(submission),
         }
     }
 
-    /// The promise that the submission's queue makes for it, if it has a queue.
+    /// The promise that the terms of its queue make for the submission, if it has any.
     fn promise(
         &self,
         submission: &Submission,
-        run_time_ms: DurationMs,
+        params: &AdmissionParams,
         now: TimestampMs,
     ) -> Option<Promise> {
-        let queued = submission.queued.as_ref()?;
-        let rule = self.rules().queue(&queued.queue)?;
+        let terms = params.terms?;
+        let run_time_ms = params.run_time_ms;
         let work_ms = self
             .run_times
             .promise_basis(&Self::work_kind(submission), run_time_ms);
-        let promised_ms = work_ms * u64::from(rule.slack_permille) / PERMILLE;
-        let promised_ms = promised_ms + rule.objective_ms;
+        let promised_ms = work_ms * u64::from(terms.slack_permille) / PERMILLE;
+        let promised_ms = promised_ms + terms.objective_ms;
         let slowness = self.fleet.least_slowness(&submission.service);
         let fastest_ms = slowness.from_nominal(run_time_ms);
         let latest_start = |due_ms: TimestampMs| due_ms - fastest_ms;
@@ -243,22 +272,17 @@
     ) -> Job {
         let AdmissionParams {
             class,
+            terms,
             deadline_ms,
             steps,
             ..
         } = params;
-        let rule = self
-            .rules()
-            .service(&submission.service)
-            .cloned()
-            .unwrap_or_default();
+        let run_limit_ms =
+            terms.map_or_else(|| self.run_limit(&submission), |terms| terms.run_limit_ms);
         let queue_settings = submission.queued.as_ref().map(|queued| QueueSettings {
             queue: queued.queue.clone(),
             name: queued.name.clone(),
-            attempts: self
-                .rules()
-                .queue(&queued.queue)
-                .map_or(1, |rule| rule.attempts),
+            attempts: terms.map(|terms| terms.attempts),
         });
         let plan = JobPlan {
             id: JobId {
@@ -270,7 +294,7 @@
             team: submission.team,
             accepted_ms: now,
             deadline_ms,
-            run_limit_ms: rule.run_limit_ms.min(deadline_ms),
+            run_limit_ms,
             queue_settings,
         };
         Job::new(plan, steps, submission.tasks)
@@ -470,6 +494,7 @@
             deadline_ms,
             run_time_ms,
             ref steps,
+            ..
         } = params;
         let slots = self.slots_for(service, steps).max(1);
         let slots = (slots / self.entries.len().max(1) as u64).max(1);
--- a/crates/lagoonhill_core/src/entry/machine/durable_jobs.rs
+++ b/crates/lagoonhill_core/src/entry/machine/durable_jobs.rs
@@ -13,8 +13,8 @@
 use super::{DEFAULT_RETRY_MS, Entry};
 use crate::entry::{
     Answer, CallerId, Cause, DecisionKind, DurableJob, DurableJobState, DurableState, EntryEffect,
-    Job, JobFailure, JobKey, PendingWrite, Placement, RunCertainty, StoreOutcome, StoreRequest,
-    StoreWrite, StoreWriteId, Submission, WorkerKey,
+    Job, JobFailure, JobKey, JobTerms, PendingWrite, Placement, RunCertainty, StoreOutcome,
+    StoreRequest, StoreWrite, StoreWriteId, Submission, WorkerKey,
 };
 use crate::on_slow_clock;
 
@@ -63,7 +63,8 @@
         }
         let number = self.next_number();
         let submission = Arc::new(submission);
-        let durable = DurableState::new(Arc::clone(&submission), 1, false);
+        let terms = self.terms_of(&submission);
+        let durable = DurableState::new(Arc::clone(&submission), terms, 1, false);
         let admitted = self.admit_durable(&submission, durable, number, now);
         let key = match admitted {
             Ok(key) => key,
@@ -82,7 +83,9 @@
             return;
         }
         let number = self.next_number();
-        let durable = DurableState::new(Arc::clone(&record.submission), record.epoch + 1, true);
+        let terms = record.terms.or_else(|| self.terms_of(&record.submission));
+        let submission = Arc::clone(&record.submission);
+        let durable = DurableState::new(submission, terms, record.epoch + 1, true);
         let key = self.insert_durable(&record.submission, durable, number, now);
         self.durable_jobs.insert(name.clone(), key);
         let timing = self.config.timing;
@@ -110,6 +113,44 @@
         }
     }
 
+    /// Logs that a task waits until the rules have the job's queue again.
+    pub(super) fn log_withheld(&mut self, key: JobKey, index: TaskIndex, now: TimestampMs) {
+        let plan = &self.jobs[key].plan;
+        let Some(settings) = &plan.queue_settings else {
+            return;
+        };
+        let (id, queue) = (plan.id, settings.queue.clone());
+        let kind = DecisionKind::Withheld { queue };
+        self.log_decision(now, Some(id), Some(index), kind);
+    }
+
+    /// Sets the terms of jobs that were taken over without any, where the rules have
+    /// their queue again.
+    pub(super) fn settle_terms(&mut self, now: TimestampMs) {
+        let settled: Vec<(JobKey, JobTerms)> = self
+            .durable_jobs
+            .values()
+            .filter_map(|key| {
+                let durable = self.jobs[*key].durable.as_ref()?;
+                let is_open = durable.terms.is_none() && durable.final_state.is_none();
+                let terms = is_open.then(|| self.terms_of(&durable.submission))??;
+                Some((*key, terms))
+            })
+            .collect();
+        for (key, terms) in settled {
+            match self.jobs[key].set_terms(terms) {
+                Ok(0) => {}
+                Ok(ready) => self.enqueue(key, ready),
+                Err(index) => {
+                    let attempts = terms.attempts;
+                    let cause = Cause::NoAttemptLeft { index, attempts };
+                    self.fail_job(key, cause, now);
+                }
+            }
+            self.schedule_save(key, now);
+        }
+    }
+
     /// Handles the result of a request to the store. That of an earlier job of the same
     /// name, which this entry has abandoned, is ignored.
     pub fn on_stored(
@@ -359,6 +400,7 @@
         let epoch = durable.epoch;
         let record = DurableJob {
             submission: Arc::clone(&durable.submission),
+            terms: durable.terms,
             progress,
             epoch,
         };
--- a/crates/lagoonhill_core/src/entry/machine/mod.rs
+++ b/crates/lagoonhill_core/src/entry/machine/mod.rs
@@ -236,6 +236,7 @@
             self.update_operator_state(key);
         }
         self.fail_all_drained(now);
+        self.settle_terms(now);
         if self.config.shares_rules {
             for (key, worker) in self.fleet.iter_mut() {
                 worker.session.offer_rules(&self.rules);
--- a/crates/lagoonhill_core/src/entry/machine/outcomes.rs
+++ b/crates/lagoonhill_core/src/entry/machine/outcomes.rs
@@ -5,7 +5,8 @@
 
 use super::Entry;
 use crate::entry::{
-    Cause, DecisionKind, DispatchedTask, Health, JobKey, Placement, Suspicion, Worker, WorkerKey,
+    AfterRun, Cause, DecisionKind, DispatchedTask, Health, JobKey, Placement, Suspicion, Worker,
+    WorkerKey,
 };
 
 /// A probe that took more than this many times the nominal run time has failed.
@@ -121,31 +122,37 @@
         now: TimestampMs,
     ) {
         let job = &mut self.jobs[key];
-        let Some(has_attempt) = job.requeue(index, from, failure.is_some()) else {
+        let Some(after_run) = job.requeue(index, from, failure.is_some()) else {
             return;
         };
         let (id, attempts) = (job.plan.id, job.attempts());
         if job.is_ending() {
             return job.clear_ready();
         }
-        self.enqueue(key, 1);
+        if after_run == AfterRun::Withheld {
+            self.log_withheld(key, index, now);
+        } else {
+            self.enqueue(key, 1);
+        }
         let Some(message) = failure else {
             return;
         };
-        if has_attempt {
+        if after_run == AfterRun::Exhausted {
+            let cause = Cause::AttemptsUsedUp {
+                index,
+                attempts: attempts.unwrap_or_default(),
+                worker: worker.clone(),
+                message,
+            };
+            return self.fail_job(key, cause, now);
+        }
+        if after_run == AfterRun::Ready {
             let kind = DecisionKind::Rerun {
                 worker: worker.clone(),
                 why: message,
             };
-            return self.log_decision(now, Some(id), Some(index), kind);
+            self.log_decision(now, Some(id), Some(index), kind);
         }
-        let cause = Cause::AttemptsUsedUp {
-            index,
-            attempts,
-            worker: worker.clone(),
-            message,
-        };
-        self.fail_job(key, cause, now);
     }
 
     /// Queues a job of which `tasks` more tasks have become ready.
@@ -166,12 +173,11 @@
                 return;
             }
             self.in_doubt.pop_first();
-            let is_resolved = self
-                .jobs
-                .get_mut(key)
-                .is_some_and(|job| !job.is_ending() && job.resolve_in_doubt(index, now));
-            if is_resolved {
-                self.enqueue(key, 1);
+            let job = self.jobs.get_mut(key).filter(|job| !job.is_ending());
+            match job.and_then(|job| job.resolve_in_doubt(index, now)) {
+                Some(AfterRun::Withheld) => self.log_withheld(key, index, now),
+                Some(_) => self.enqueue(key, 1),
+                None => {}
             }
         }
     }
--- a/crates/lagoonhill_core/tests/durable_jobs.rs
+++ b/crates/lagoonhill_core/tests/durable_jobs.rs
@@ -22,6 +22,22 @@
 queue jobs service=dispatch attempts=2 objective=60ms slack-permille=1600  # tests
 ";
 
+/// The rules while the queue is removed.
+const WITHOUT_QUEUE: &str = "\
+service dispatch deadline=20s run-time=100ms run-limit=20s  # tests
+";
+
+/// Installs rules at both entries.
+fn install(world: &mut TestWorld, revision: u64, rules: &str) {
+    let lines = parse_rules(rules).expect("the test rules are valid");
+    for entry in 0..2 {
+        let rules = RuleSet::new(Revision(revision), lines.clone());
+        world.with_entry(entry, |machine, now| {
+            machine.install_rules(rules, now);
+        });
+    }
+}
+
 /// A fleet whose entries own their jobs for longer than any test takes.
 fn fleet(entries: usize, targets: usize, seed: u64) -> TestWorld {
     let mut config = config(entries, targets, seed);
@@ -163,6 +179,82 @@
         assert!(first_step.into_iter().all(|(_, count)| *count == 1), "a task with a stored end ran again");
     }
 
+    // Guards against a job that fails after fewer runs than its queue allowed when it was
+    // accepted: it is taken over while the queue is removed (review/10).
+    a_job_taken_over_while_its_queue_is_away_keeps_its_attempts => {
+        let mut world = fleet(2, 1, 8);
+        world.submit_durable(0, simple("hopeless", 1, 100));
+        world.run_for(20);
+        assert_eq!(world.durable_jobs.state(&name("hopeless")), Some(DurableJobState::Open));
+        install(&mut world, 2, WITHOUT_QUEUE);
+        world.kill(NodeId::Entry(0));
+        world.run_for(1_000);
+        world.set_target(0, TargetModel { fails_all: true, ..average_target() });
+        world.take_over(0, 1);
+        install(&mut world, 3, RULES);
+        world.run_for(20_000);
+        assert_eq!(world.durable_jobs.state(&name("hopeless")), Some(DurableJobState::Failed));
+        let starts = world.starts.values().sum::<u32>();
+        assert_eq!(starts, 3, "one run under the first owner and two attempts");
+    }
+
+    // The record was written by a release that stores no terms. How often a task may fail
+    // is not known until the queue is back: it must neither fail for good nor run again.
+    a_job_without_stored_terms_waits_for_its_queue_after_a_failure => {
+        let mut world = fleet(2, 1, 9);
+        world.submit_durable(0, simple("older", 1, 100));
+        world.run_for(20);
+        world.durable_jobs.forget_terms();
+        install(&mut world, 2, WITHOUT_QUEUE);
+        world.kill(NodeId::Entry(0));
+        world.run_for(1_000);
+        world.set_target(0, TargetModel { fails_all: true, ..average_target() });
+        world.take_over(0, 1);
+        world.run_for(20_000);
+        assert_eq!(world.durable_jobs.state(&name("older")), Some(DurableJobState::Open));
+        assert_eq!(world.starts.values().sum::<u32>(), 2, "it ran again without a known limit");
+        world.set_target(0, average_target());
+        install(&mut world, 3, RULES);
+        world.run_for(2_000);
+        assert_eq!(world.durable_jobs.state(&name("older")), Some(DurableJobState::Complete));
+    }
+
+    // As above, but the task has used up all its attempts by the time the queue is back.
+    a_withheld_task_without_an_attempt_left_fails_its_job => {
+        let mut world = fleet(2, 1, 10);
+        world.submit_durable(0, simple("spent", 1, 100));
+        world.run_for(20);
+        world.durable_jobs.forget_terms();
+        install(&mut world, 2, WITHOUT_QUEUE);
+        world.kill(NodeId::Entry(0));
+        world.run_for(1_000);
+        world.set_target(0, TargetModel { fails_all: true, ..average_target() });
+        world.take_over(0, 1);
+        world.run_for(20_000);
+        let starts = world.starts.values().sum::<u32>();
+        install(&mut world, 3, &RULES.replace("attempts=2", "attempts=1"));
+        world.run_for(2_000);
+        assert_eq!(world.durable_jobs.state(&name("spent")), Some(DurableJobState::Failed));
+        assert_eq!(world.starts.values().sum::<u32>(), starts);
+    }
+
+    // A job that waits for its queue for good must not be beyond its caller's control.
+    a_withheld_job_can_be_cancelled => {
+        let mut world = fleet(2, 1, 11);
+        world.submit_durable(0, simple("unwanted", 1, 100));
+        world.run_for(20);
+        world.durable_jobs.forget_terms();
+        install(&mut world, 2, WITHOUT_QUEUE);
+        world.kill(NodeId::Entry(0));
+        world.run_for(1_000);
+        world.set_target(0, TargetModel { fails_all: true, ..average_target() });
+        world.take_over(0, 1);
+        world.run_for(20_000);
+        assert!(world.cancel_durable(1, &name("unwanted")));
+        world.run_for(500);
+        assert_eq!(world.durable_jobs.state(&name("unwanted")), Some(DurableJobState::Cancelled));
+    }
+
     // The store is down when the run ends, and the owner fails before it could store
     // the end. The agent discards the end, and the new owner runs the task again.
     an_end_that_its_owner_did_not_store_is_discarded => {
--- a/crates/lagoonhill_entry/src/api.rs
+++ b/crates/lagoonhill_entry/src/api.rs
@@ -337,6 +337,7 @@
         Cause::RateLimited(_) | Cause::KeyBudget => StatusCode::TOO_MANY_REQUESTS,
         Cause::TaskFailed { .. }
         | Cause::AttemptsUsedUp { .. }
+        | Cause::NoAttemptLeft { .. }
         | Cause::CrashedWorkers { .. }
         | Cause::WorkerLost { .. } => StatusCode::BAD_GATEWAY,
         Cause::DeadlinePassed { .. } => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/lagoonhill_entry/src/job_record.rs
+++ b/crates/lagoonhill_entry/src/job_record.rs
@@ -1,11 +1,13 @@
 //! The stored format of durable jobs.
 
+use std::num::NonZeroU16;
 use std::sync::Arc;
 
 use lagoonhill_core::entry::{
-    CrashCount, DurableJob, DurableJobState, InvalidSteps, Needs, Progress, QueueSubmission, Step,
-    Submission,
+    CrashCount, DurableJob, DurableJobState, InvalidSteps, JobTerms, Needs, Progress,
+    QueueSubmission, Step, Submission,
 };
+use lagoonhill_rules::Class;
 use lagoonhill_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -96,6 +98,9 @@
     queue: QueueName,
     name: RequestKey,
     steps: Vec<StepRecord>,
+    /// Terms of its acceptance. Earlier releases neither write nor read them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    terms: Option<TermsRecord>,
     /// A single input if all tasks have the same one; otherwise one per task.
     inputs: Vec<String>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
@@ -108,6 +113,25 @@
     crashed: Vec<(TaskIndex, u16, u16)>,
 }
 
+/// [`JobTerms`] in stored format.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct TermsRecord {
+    class: ClassRecord,
+    attempts: NonZeroU16,
+    objective_ms: DurationMs,
+    slack_permille: u32,
+    run_limit_ms: DurationMs,
+}
+
+/// A [`Class`] in stored format.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum ClassRecord {
+    Rush,
+    Standard,
+    Office,
+}
+
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct StepRecord {
     count: u16,
@@ -141,6 +165,7 @@
             queue: queued.queue.clone(),
             name: queued.name.clone(),
             steps: queued.steps.iter().map(StepRecord::new).collect(),
+            terms: durable_job.terms.map(TermsRecord::new),
             inputs: inputs.map(text).collect(),
             done: durable_job.progress.done.clone(),
             failed: durable_job.progress.failed.clone(),
@@ -195,6 +220,7 @@
         };
         Ok(DurableJob {
             submission: Arc::new(submission),
+            terms: self.terms.map(TermsRecord::into_terms),
             progress: Progress {
                 done: self.done,
                 failed: self.failed,
@@ -209,6 +235,36 @@
     }
 }
 
+impl TermsRecord {
+    fn new(terms: JobTerms) -> Self {
+        Self {
+            class: match terms.class {
+                Class::Rush => ClassRecord::Rush,
+                Class::Standard => ClassRecord::Standard,
+                Class::Office => ClassRecord::Office,
+            },
+            attempts: NonZeroU16::new(terms.attempts).unwrap_or(NonZeroU16::MIN),
+            objective_ms: terms.objective_ms,
+            slack_permille: terms.slack_permille,
+            run_limit_ms: terms.run_limit_ms,
+        }
+    }
+
+    fn into_terms(self) -> JobTerms {
+        JobTerms {
+            class: match self.class {
+                ClassRecord::Rush => Class::Rush,
+                ClassRecord::Standard => Class::Standard,
+                ClassRecord::Office => Class::Office,
+            },
+            attempts: self.attempts.get(),
+            objective_ms: self.objective_ms,
+            slack_permille: self.slack_permille,
+            run_limit_ms: self.run_limit_ms,
+        }
+    }
+}
+
 impl StepRecord {
     fn new(step: &Step) -> Self {
         Self {
--- a/crates/lagoonhill_entry/src/metrics.rs
+++ b/crates/lagoonhill_entry/src/metrics.rs
@@ -155,6 +155,7 @@
             }
             DecisionKind::Cleared { .. } => return self.count_crash("cleared"),
             DecisionKind::TakenOver { .. } => return self.count_change("adopted"),
+            DecisionKind::Withheld { .. } => return self.count_change("withheld"),
             DecisionKind::Abandoned { .. } => return self.count_change("given_up"),
             DecisionKind::InDoubt { .. }
             | DecisionKind::Joined { .. }
--- a/crates/lagoonhill_entry/tests/odd_records.rs
+++ b/crates/lagoonhill_entry/tests/odd_records.rs
@@ -238,6 +238,20 @@
         change_is_left_unchanged("steps", json!([step(65_536, &[])])).await;
     }
 
+    terms_of_a_class_that_does_not_exist => {
+        change_is_left_unchanged("terms", json!({"class": "urgent", "attempts": 2, "objective_ms": 60, "slack_permille": 1_500, "run_limit_ms": 1_000})).await;
+    }
+
+    terms_without_an_attempt => {
+        change_is_left_unchanged("terms", json!({"class": "rush", "attempts": 0, "objective_ms": 60, "slack_permille": 1_500, "run_limit_ms": 1_000})).await;
+    }
+
+    the_largest_numbers_in_terms => {
+        let terms = json!({"class": "rush", "attempts": u16::MAX, "objective_ms": u64::MAX, "slack_permille": u32::MAX, "run_limit_ms": u64::MAX});
+        let odd = record(ODD, &[("terms", terms)]).to_string();
+        assert_eq!(take_over_beside(odd.as_bytes()).await, None);
+    }
+
     fewer_inputs_than_tasks => {
         let changes = [("steps", json!([step(5, &[])])), ("inputs", json!(["1", "2"]))];
         is_left_unchanged(record(ODD, &changes).to_string().as_bytes()).await;
--- a/crates/lagoonhill_standin/src/durable_job_store.rs
+++ b/crates/lagoonhill_standin/src/durable_job_store.rs
@@ -66,6 +66,13 @@
         self.jobs.get(name).map(|record| record.state)
     }
 
+    /// Removes the terms of all jobs, as in records of releases that store none.
+    pub fn forget_terms(&mut self) {
+        for record in self.jobs.values_mut() {
+            record.job.terms = None;
+        }
+    }
+
     /// Makes entry `to` the owner of the open jobs of entry `from`, and returns
     /// them.
     pub fn take_over(&mut self, from: usize, to: usize) -> Vec<(RequestKey, DurableJob)> {
