Leases on names: two homes, and no wait for homes that have left

Callers saw one job in ten late wherever entries restart, until 15 s after the last restart. The lease on the job's name was requested from entries that had left or from earlier incarnations at the same address, which stayed homes until they counted as dead; their successors dropped the requests, and each waited 250 ms at up to two homes.

- An entry that leaves tells all live entries at once, and forwards requests that still come.
- A later incarnation ends an earlier one at the same inbox address; one that starts tells all.
- A request to an earlier incarnation is answered by the present one.
- The second home is asked after 10 ms (timers run every 20 ms) instead of 250.
- Holders renew at two homes; a home that records a lease tells the first one; an entry that has just started forwards requests to the homes of before.

--- a/crates/lagoonhill_core/src/entry/machine/mod.rs
+++ b/crates/lagoonhill_core/src/entry/machine/mod.rs
@@ -9,6 +9,7 @@
 mod durable_jobs;
 mod endings;
 mod forecast;
+mod name_homes;
 mod names;
 mod outcomes;
 mod sessions;
@@ -22,7 +23,7 @@
 use lagoonhill_types::prelude::*;
 use slotmap::SlotMap;
 
-use self::names::PendingName;
+use self::names::{PendingName, ReconnectedHome, UnansweredHome};
 use super::{
     CallerId, CrashContainment, Decision, DecisionKind, EntryConfig, EntryEffect, EntryStatus,
     Fleet, Job, JobKey, NameLeases, Placement, Records, RunTimes, StartupDiscovery, TeamUsage,
@@ -76,10 +77,15 @@
     pending_names: BTreeMap<NameLeaseId, PendingName>,
     /// Jobs with a lease on their names, by the time of its renewal.
     name_renewals: BTreeSet<(TimestampMs, JobKey)>,
+    /// Requests for leases that were forwarded to another home.
+    forwarded_names: NameLeases,
+    /// Whether this entry is leaving and grants no leases any more.
+    is_retired_home: bool,
+    started_ms: TimestampMs,
+    unanswered_homes: BTreeMap<Incarnation, UnansweredHome>,
     /// Homes that did not answer, until when they are passed over.
     silent_homes: HashMap<Incarnation, TimestampMs>,
-    /// When a new connection to a home was last opened.
-    reconnected_homes: HashMap<Incarnation, TimestampMs>,
+    reconnected_homes: HashMap<Incarnation, ReconnectedHome>,
     entries: BTreeSet<EntryAddress>,
     discovery: StartupDiscovery,
     next_number: u64,
@@ -121,6 +127,10 @@
             name_leases: NameLeases::default(),
             pending_names: BTreeMap::new(),
             name_renewals: BTreeSet::new(),
+            forwarded_names: NameLeases::default(),
+            is_retired_home: false,
+            started_ms: now,
+            unanswered_homes: BTreeMap::new(),
             silent_homes: HashMap::new(),
             reconnected_homes: HashMap::new(),
             entries,
--- a/crates/lagoonhill_core/src/entry/machine/names.rs
+++ b/crates/lagoonhill_core/src/entry/machine/names.rs
@@ -3,29 +3,38 @@
 //! run unnoticed. The lease is granted by the name's home: an entry chosen by
 //! rendezvous hashing, so that it costs two packets a job however many entries there are.
 
-use std::hash::Hasher;
+use std::net::SocketAddr;
 
-use fnv::FnvHasher;
 use lagoonhill_protocol::{EntryAddress, NameLeaseId, NameRelease, NameReply, NameRequest, Packet};
 use lagoonhill_types::prelude::*;
 
 use super::Entry;
 use crate::entry::{
-    CallerId, Cause, DecisionKind, EntryEffect, HeldName, Job, JobFailure, JobKey, NameHolder,
-    Placement, Record, RecordKey, RunCertainty, Submission,
+    CallerId, Cause, DecisionKind, EntryEffect, HeldName, Job, JobFailure, JobKey, Placement,
+    Record, RecordKey, RunCertainty, Submission,
 };
 use crate::on_slow_clock;
 
-/// Time after which the request is repeated on a new connection: an open one may have
+/// Time after which the second home is asked as well.
+const NAME_HEDGE_MS: DurationMs = DurationMs(10);
+
+/// Time after which the request is repeated on new connections: an open one may have
 /// gone silent for good.
 const NAME_REPEAT_MS: DurationMs = DurationMs(100);
 
+/// Time after which all homes are asked. Longer than it takes to repeat a request, so that
+/// the first two homes answer where they can.
+const NAME_SPREAD_MS: DurationMs = DurationMs(150);
+
 /// Shortest time between two new connections to a home.
 const RECONNECT_PAUSE_MS: DurationMs = DurationMs(1_000);
 
-/// Time after which a home that has not answered counts as lost. Longer than the delay
-/// of a path that still carries the tasks of this entry.
-const NAME_TIMEOUT_MS: DurationMs = DurationMs(250);
+/// Time after which a home that has not answered is passed over. Longer than the delay of
+/// a path that still carries the tasks of this entry.
+const HOME_TIMEOUT_MS: DurationMs = DurationMs(250);
+
+/// Time after which a job goes on without a lease.
+const NAME_TIMEOUT_MS: DurationMs = DurationMs(500);
 
 /// Interval between two renewals of a lease: an answer in time comes within the margin.
 const NAME_RENEWAL_MS: DurationMs = DurationMs(120);
@@ -34,11 +43,14 @@
 /// renewal. Tasks start only within this time of one.
 const NAME_MARGIN_MS: DurationMs = DurationMs(200);
 
-/// Time for which a lost home is passed over.
-const SILENT_HOME_MS: DurationMs = DurationMs(2_000);
+/// Time for which a silent home is passed over.
+pub(super) const SILENT_HOME_MS: DurationMs = DurationMs(2_000);
 
-/// Homes that are asked for a lease, one after the other.
-const MAX_HOMES: u8 = 2;
+/// Homes that record a lease.
+const LEASE_HOMES: usize = 2;
+
+/// Most homes that are asked for a lease.
+const MAX_HOMES: usize = 4;
 
 /// What a lease is requested for.
 #[derive(Clone, Debug)]
@@ -54,9 +66,8 @@
 pub(super) struct PendingName {
     purpose: NamePurpose,
     name: RequestKey,
-    home: EntryAddress,
-    /// Homes asked so far, this one included.
-    homes: u8,
+    /// Homes asked so far.
+    asked: Vec<EntryAddress>,
     sent_ms: TimestampMs,
     is_repeated: bool,
     /// When this entry began to wait: the time of sending, or of its last wake-up.
@@ -65,12 +76,19 @@
     outlived_freeze: bool,
 }
 
-/// Finalizer of `MurmurHash3`. FNV's high bits hardly depend on the last bytes, so names
-/// that differ only there would have few homes.
-fn mixed(hash: u64) -> u64 {
-    let hash = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
-    let hash = (hash ^ (hash >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
-    hash ^ (hash >> 33)
+/// A home that has not answered since it was asked.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct UnansweredHome {
+    inbox: SocketAddr,
+    since_ms: TimestampMs,
+}
+
+/// A home that a new connection was opened to.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ReconnectedHome {
+    at_ms: TimestampMs,
+    /// Whether the home was asked to answer on a new connection as well.
+    is_told: bool,
 }
 
 impl<P: Placement> Entry<P> {
@@ -92,7 +110,7 @@
         self.records.insert(key, fingerprint, record);
         let id = NameLeaseId(self.next_number());
         let purpose = NamePurpose::Admission(name.clone());
-        self.request_name(id, purpose, name, 1, now);
+        self.request_name(id, purpose, name, now);
     }
 
     /// Removes a caller from a submission that waits for its lease.
@@ -109,35 +127,6 @@
         }
     }
 
-    /// The home of a name: the same at all entries that know the same live ones.
-    fn home_of(&self, name: &RequestKey, now: TimestampMs) -> EntryAddress {
-        let answers = |entry: &&EntryAddress| !self.is_silent_home(entry.incarnation, now);
-        let weight = |entry: &&EntryAddress| {
-            let mut hasher = FnvHasher::default();
-            hasher.write_u64(entry.incarnation.0);
-            hasher.write(name.as_str().as_bytes());
-            (mixed(hasher.finish()), entry.incarnation)
-        };
-        let answering = self.entries.iter().filter(answers);
-        answering
-            .max_by_key(weight)
-            .copied()
-            .unwrap_or(self.config.address)
-    }
-
-    fn is_silent_home(&self, home: Incarnation, now: TimestampMs) -> bool {
-        let until_ms = self.silent_homes.get(&home);
-        until_ms.is_some_and(|until_ms| now < *until_ms)
-    }
-
-    /// Grants nothing for a while after this process was frozen: other homes have
-    /// granted leases in its place.
-    pub(super) fn suspend_own_leases(&mut self, now: TimestampMs) {
-        let until_ms = now + SILENT_HOME_MS + self.name_lease_ms();
-        self.silent_homes
-            .insert(self.config.address.incarnation, until_ms);
-    }
-
     /// Waits anew for the answers of homes after this process was frozen: the time that
     /// passed meanwhile is not their silence.
     pub(super) fn restart_name_timers(&mut self, now: TimestampMs) {
@@ -145,6 +134,9 @@
             pending.waits_since_ms = now;
             pending.outlived_freeze = true;
         }
+        for home in self.unanswered_homes.values_mut() {
+            home.since_ms = now;
+        }
     }
 
     /// How long runs of this entry may go on after it was last alive.
@@ -154,7 +146,7 @@
 
     /// Covers the runs of a holder that is lost just before a renewal. Callers send a
     /// job again 1,300 ms after their connection broke; the lease ends before that.
-    fn name_lease_ms(&self) -> DurationMs {
+    pub(super) fn name_lease_ms(&self) -> DurationMs {
         self.runs_outlast_ms() + NAME_MARGIN_MS
     }
 
@@ -163,38 +155,62 @@
         id: NameLeaseId,
         purpose: NamePurpose,
         name: RequestKey,
-        homes: u8,
         now: TimestampMs,
     ) {
-        let home = match &purpose {
-            NamePurpose::Renewal(job) => self.home_of_job(*job, now),
-            NamePurpose::Admission(_) => self.home_of(&name, now),
-        };
         let pending = PendingName {
             purpose,
             name,
-            home,
-            homes,
+            asked: Vec::with_capacity(LEASE_HOMES),
             sent_ms: now,
             is_repeated: false,
             waits_since_ms: now,
             outlived_freeze: false,
         };
-        if home.incarnation == self.config.address.incarnation {
-            let is_granted = self.grant_own(&pending.name, id, now);
-            return self.name_answered(id, pending, is_granted, now);
+        let known = self.name_leases.holder(&pending.name, now);
+        if known.is_some_and(|holder| holder != self.own_holder(id)) {
+            return self.name_answered(id, pending, false, now);
         }
-        self.send_name_request(home, id, pending.name.clone(), false);
-        self.pending_names.insert(id, pending);
+        self.ask_homes(id, pending, now);
     }
 
-    fn grant_own(&mut self, name: &RequestKey, id: NameLeaseId, now: TimestampMs) -> bool {
-        let holder = NameHolder {
-            entry: self.config.address.incarnation,
-            id,
+    /// Asks as many homes as the request has waited for.
+    fn ask_homes(&mut self, id: NameLeaseId, mut pending: PendingName, now: TimestampMs) {
+        let own = self.config.address;
+        let waited_ms = now.since(pending.waits_since_ms);
+        let mut wanted = if waited_ms >= NAME_SPREAD_MS {
+            MAX_HOMES
+        } else if waited_ms >= NAME_HEDGE_MS {
+            LEASE_HOMES
+        } else {
+            1
         };
-        let lease_ms = self.name_lease_ms();
-        self.name_leases.grant(name, holder, lease_ms, now)
+        if pending.asked.iter().all(|home| !self.is_home(home, now)) {
+            wanted = wanted.max((pending.asked.len() + 1).min(MAX_HOMES));
+        }
+        let mut own_answer = None;
+        while pending.asked.len() < wanted {
+            // A lease of its own proves nothing while others have not had time to answer.
+            let may_be_own = pending.asked.is_empty() || waited_ms >= NAME_SPREAD_MS;
+            let Some(home) = self.next_home(&pending.name, &pending.asked, may_be_own, now) else {
+                break;
+            };
+            pending.asked.push(home);
+            if home.incarnation == own.incarnation {
+                own_answer = Some(self.grant_own(&pending.name, id, now));
+            } else {
+                self.send_name_request(home, id, pending.name.clone(), now);
+            }
+        }
+        if pending.asked.is_empty() {
+            pending.asked.push(own);
+            own_answer = Some(self.grant_own(&pending.name, id, now));
+        }
+        match own_answer {
+            Some(is_granted) => self.name_answered(id, pending, is_granted, now),
+            None => {
+                self.pending_names.insert(id, pending);
+            }
+        }
     }
 
     fn send_name_request(
@@ -202,8 +218,17 @@
         home: EntryAddress,
         id: NameLeaseId,
         name: RequestKey,
-        on_new_connection: bool,
+        now: TimestampMs,
     ) {
+        let unanswered = self.unanswered_homes.entry(home.incarnation);
+        unanswered.or_insert(UnansweredHome {
+            inbox: home.inbox,
+            since_ms: now,
+        });
+        let on_new_connection = self
+            .reconnected_homes
+            .get_mut(&home.incarnation)
+            .is_some_and(|reconnected| !std::mem::replace(&mut reconnected.is_told, true));
         let request = NameRequest {
             id,
             holder: self.config.address,
@@ -218,60 +243,35 @@
         });
     }
 
-    fn home_of_job(&self, job: JobKey, now: TimestampMs) -> EntryAddress {
-        let held = self.jobs.get(job).and_then(|job| job.held_name);
-        let name = || self.jobs.get(job).and_then(Job::name);
-        held.map(|held| held.home)
-            .filter(|home| !self.is_silent_home(home.incarnation, now))
-            .or_else(|| name().map(|name| self.home_of(&name, now)))
-            .unwrap_or(self.config.address)
-    }
-
-    /// Answers another entry's request for a lease.
-    pub(super) fn on_name_request(&mut self, request: &NameRequest, now: TimestampMs) {
-        let own = self.config.address.incarnation;
-        if request.home != own || self.is_silent_home(own, now) {
-            return;
-        }
-        let holder = NameHolder {
-            entry: request.holder.incarnation,
-            id: request.id,
-        };
-        let lease_ms = request.lease_ms.min(self.config.max_deadline_ms);
-        let is_granted = self.name_leases.grant(&request.name, holder, lease_ms, now);
-        let to = request.holder.inbox;
-        if request.on_new_connection {
-            self.effects.push(EntryEffect::Reconnect { to });
-        }
-        self.effects.push(EntryEffect::Send {
-            to,
-            packet: Packet::NameReply(NameReply {
-                id: request.id,
-                home: own,
-                is_granted,
-            }),
-        });
-    }
-
     pub(super) fn on_name_reply(&mut self, reply: NameReply, now: TimestampMs) {
         self.silent_homes.remove(&reply.home);
-        let Some(pending) = self.pending_names.get(&reply.id) else {
+        self.unanswered_homes.remove(&reply.home);
+        let Some(mut pending) = self.pending_names.remove(&reply.id) else {
+            if !reply.is_granted {
+                self.lose_name(reply.id, now);
+            }
             return;
         };
-        if pending.home.incarnation == reply.home
-            && let Some(pending) = self.pending_names.remove(&reply.id)
-        {
-            self.name_answered(reply.id, pending, reply.is_granted, now);
+        let is_asked = |home: &EntryAddress| home.incarnation == reply.home;
+        if !pending.asked.iter().any(is_asked) {
+            // The request was forwarded.
+            pending
+                .asked
+                .extend(self.entries.iter().copied().find(is_asked));
         }
+        self.name_answered(reply.id, pending, reply.is_granted, now);
     }
 
-    pub(super) fn on_name_release(&mut self, release: &NameRelease, now: TimestampMs) {
-        let holder = NameHolder {
-            entry: release.holder,
-            id: release.id,
+    /// Ends the job of a lease that a further home refuses.
+    fn lose_name(&mut self, id: NameLeaseId, now: TimestampMs) {
+        let holds = |(_, key): &&(TimestampMs, JobKey)| {
+            let job = self.jobs.get(*key);
+            job.and_then(|job| job.held_name.as_ref())
+                .is_some_and(|held| held.id == id)
         };
-        self.name_leases
-            .release(&release.name, holder, release.remaining_ms, now);
+        if let Some((_, key)) = self.name_renewals.iter().find(holds).copied() {
+            self.fail_job(key, Cause::RunsElsewhere, now);
+        }
     }
 
     fn name_answered(
@@ -282,18 +282,26 @@
         now: TimestampMs,
     ) {
         if is_granted && pending.outlived_freeze {
-            return self.request_name(id, pending.purpose, pending.name, pending.homes, now);
+            return self.request_name(id, pending.purpose, pending.name, now);
         }
         let held = HeldName {
             id,
-            home: pending.home,
+            homes: pending.asked,
             valid_until_ms: pending.sent_ms + NAME_MARGIN_MS,
             renew_ms: pending.sent_ms + NAME_RENEWAL_MS,
         };
         match pending.purpose {
             NamePurpose::Admission(name) if is_granted => self.admit_named(&name, Some(held), now),
-            NamePurpose::Admission(name) => self.refuse_named(&name, now),
-            NamePurpose::Renewal(job) if is_granted => self.hold_name(job, held),
+            NamePurpose::Admission(name) => {
+                if held.homes.len() > 1 {
+                    self.release_name(&name, &held, DurationMs::ZERO, now);
+                }
+                self.refuse_named(&name, now);
+            }
+            NamePurpose::Renewal(job) if is_granted => {
+                self.hold_name(job, held);
+                self.register_name(job, now);
+            }
             NamePurpose::Renewal(job) if self.jobs.contains_key(job) => {
                 self.fail_job(job, Cause::RunsElsewhere, now);
             }
@@ -301,10 +309,55 @@
         }
     }
 
-    fn hold_name(&mut self, key: JobKey, held: HeldName) {
+    fn hold_name(&mut self, key: JobKey, mut held: HeldName) {
         if let Some(job) = self.jobs.get_mut(key) {
-            job.held_name = Some(held);
+            if let Some(earlier) = job.held_name.take() {
+                let is_further = |home: &EntryAddress| !held.homes.contains(home);
+                let further: Vec<EntryAddress> =
+                    earlier.homes.into_iter().filter(is_further).collect();
+                held.homes.extend(further);
+                held.homes.truncate(MAX_HOMES);
+            }
             self.name_renewals.insert((held.renew_ms, key));
+            job.held_name = Some(held);
+        }
+    }
+
+    /// Tells the second home of a lease that the first has renewed.
+    fn register_name(&mut self, key: JobKey, now: TimestampMs) {
+        let job = self.jobs.get(key);
+        let Some((name, held)) = job.and_then(|job| job.name().zip(job.held_name.as_ref())) else {
+            return;
+        };
+        let id = held.id;
+        let mut homes = Vec::with_capacity(LEASE_HOMES);
+        while homes.len() < LEASE_HOMES
+            && let Some(home) = self.next_home(&name, &homes, true, now)
+        {
+            homes.push(home);
+        }
+        let granted_by = held.homes.first().map(|home| home.incarnation);
+        homes.retain(|home| Some(home.incarnation) != granted_by);
+        let mut is_refused = false;
+        for home in homes {
+            if home.incarnation == self.config.address.incarnation {
+                is_refused |= !self.grant_own(&name, id, now);
+            } else {
+                self.send_name_request(home, id, name.clone(), now);
+            }
+            self.add_home(key, home);
+        }
+        if is_refused {
+            self.fail_job(key, Cause::RunsElsewhere, now);
+        }
+    }
+
+    fn add_home(&mut self, key: JobKey, home: EntryAddress) {
+        let job = self.jobs.get_mut(key);
+        if let Some(held) = job.and_then(|job| job.held_name.as_mut())
+            && !held.homes.contains(&home)
+        {
+            held.homes.push(home);
         }
     }
 
@@ -328,7 +381,7 @@
         };
         match (admitted, held) {
             (Some(job), Some(held)) => self.hold_name(job, held),
-            (None, Some(held)) => self.release_name(name, held, DurationMs::ZERO, now),
+            (None, Some(held)) => self.release_name(name, &held, DurationMs::ZERO, now),
             (Some(job), None) => {
                 let id = self.jobs[job].plan.id;
                 self.log_decision(now, Some(id), None, DecisionKind::Unleased);
@@ -362,22 +415,22 @@
         self.records.remove(key)
     }
 
-    /// Asks the next home where one is lost, and renews leases that are due.
+    /// Asks further homes where some do not answer, and renews leases that are due.
     pub(super) fn tick_names(&mut self, now: TimestampMs) {
         self.name_leases.expire(now);
+        self.forwarded_names.expire(now);
         self.silent_homes.retain(|_, until_ms| now < *until_ms);
+        self.pass_over_silent_homes(now);
         self.repeat_name_requests(now);
-        let is_lost = |pending: &PendingName| now.since(pending.waits_since_ms) >= NAME_TIMEOUT_MS;
-        let lost = self.pending_names.iter();
-        let lost: Vec<NameLeaseId> = lost
-            .filter(|(_, pending)| is_lost(pending))
-            .map(|(id, _)| *id)
-            .collect();
-        for id in lost {
-            if let Some(pending) = self.pending_names.remove(&id) {
-                let until_ms = now + SILENT_HOME_MS;
-                self.silent_homes.insert(pending.home.incarnation, until_ms);
-                self.ask_next_home(id, pending, now);
+        let waiting: Vec<NameLeaseId> = self.pending_names.keys().copied().collect();
+        for id in waiting {
+            let Some(pending) = self.pending_names.remove(&id) else {
+                continue;
+            };
+            if now.since(pending.waits_since_ms) >= NAME_TIMEOUT_MS {
+                self.go_without_lease(pending.purpose, now);
+            } else {
+                self.ask_homes(id, pending, now);
             }
         }
         while let Some(&(renew_ms, key)) = self.name_renewals.first()
@@ -385,42 +438,50 @@
         {
             self.name_renewals.pop_first();
             let job = self.jobs.get(key);
-            if let Some((name, held)) = job.and_then(|job| job.name().zip(job.held_name)) {
-                self.request_name(held.id, NamePurpose::Renewal(key), name, 1, now);
+            let named = job.and_then(|job| job.name().zip(job.held_name.as_ref()));
+            if let Some((name, id)) = named.map(|(name, held)| (name, held.id)) {
+                self.request_name(id, NamePurpose::Renewal(key), name, now);
             }
         }
     }
 
-    fn ask_next_home(&mut self, id: NameLeaseId, pending: PendingName, now: TimestampMs) {
-        if pending.homes < MAX_HOMES {
-            self.request_name(id, pending.purpose, pending.name, pending.homes + 1, now);
-        } else {
-            self.go_without_lease(pending.purpose, now);
-        }
+    fn pass_over_silent_homes(&mut self, now: TimestampMs) {
+        let silent_homes = &mut self.silent_homes;
+        self.unanswered_homes.retain(|incarnation, home| {
+            let is_silent = now.since(home.since_ms) >= HOME_TIMEOUT_MS;
+            if is_silent {
+                silent_homes.insert(*incarnation, now + SILENT_HOME_MS);
+            }
+            !is_silent
+        });
     }
 
     /// Repeats requests on new connections, which their homes answer on new ones.
     fn repeat_name_requests(&mut self, now: TimestampMs) {
         self.reconnected_homes
-            .retain(|_, at_ms| now.since(*at_ms) < RECONNECT_PAUSE_MS);
-        let is_due = |pending: &PendingName| {
-            !pending.is_repeated && now.since(pending.waits_since_ms) >= NAME_REPEAT_MS
-        };
+            .retain(|_, home| now.since(home.at_ms) < RECONNECT_PAUSE_MS);
+        for (incarnation, home) in &self.unanswered_homes {
+            let is_due = now.since(home.since_ms) >= NAME_REPEAT_MS;
+            if is_due && !self.reconnected_homes.contains_key(incarnation) {
+                let reconnected = ReconnectedHome {
+                    at_ms: now,
+                    is_told: false,
+                };
+                self.reconnected_homes.insert(*incarnation, reconnected);
+                self.effects.push(EntryEffect::Reconnect { to: home.inbox });
+            }
+        }
+        let own = self.config.address.incarnation;
         let mut due = Vec::new();
         for (id, pending) in &mut self.pending_names {
-            if is_due(pending) {
+            if !pending.is_repeated && now.since(pending.waits_since_ms) >= NAME_REPEAT_MS {
                 pending.is_repeated = true;
-                let name = &pending.name;
-                due.push((pending.home, *id, name.clone()));
+                let others = pending.asked.iter().filter(|home| home.incarnation != own);
+                due.extend(others.map(|home| (*home, *id, pending.name.clone())));
             }
         }
         for (home, id, name) in due {
-            let is_first = !self.reconnected_homes.contains_key(&home.incarnation);
-            if is_first {
-                self.reconnected_homes.insert(home.incarnation, now);
-                self.effects.push(EntryEffect::Reconnect { to: home.inbox });
-            }
-            self.send_name_request(home, id, name, is_first);
+            self.send_name_request(home, id, name, now);
         }
     }
 
@@ -439,14 +500,14 @@
 
     /// Whether tasks of a job may start as far as the lease on its name is concerned.
     pub(super) fn holds_name(&self, key: JobKey, now: TimestampMs) -> bool {
-        let held = self.jobs[key].held_name;
+        let held = self.jobs[key].held_name.as_ref();
         held.is_none_or(|held| now < held.valid_until_ms)
     }
 
     /// Ends the lease of a job that has ended. Runs that are being stopped may go on
     /// for a while.
     pub(super) fn release_name_of(&mut self, job: &Job, now: TimestampMs) {
-        let Some((name, held)) = job.name().zip(job.held_name) else {
+        let Some((name, held)) = job.name().zip(job.held_name.as_ref()) else {
             return;
         };
         let remaining_ms = if job.may_be_running() {
@@ -461,7 +522,7 @@
     fn release_name(
         &mut self,
         name: &RequestKey,
-        held: HeldName,
+        held: &HeldName,
         remaining_ms: DurationMs,
         now: TimestampMs,
     ) {
@@ -472,12 +533,15 @@
             name: name.clone(),
             remaining_ms,
         };
-        if held.home.incarnation == own {
-            return self.on_name_release(&release, now);
+        for home in &held.homes {
+            if home.incarnation == own {
+                self.on_name_release(&release, now);
+            } else {
+                self.effects.push(EntryEffect::Send {
+                    to: home.inbox,
+                    packet: Packet::NameRelease(release.clone()),
+                });
+            }
         }
-        self.effects.push(EntryEffect::Send {
-            to: held.home.inbox,
-            packet: Packet::NameRelease(release),
-        });
     }
 }
--- a/crates/lagoonhill_core/src/entry/name_leases.rs
+++ b/crates/lagoonhill_core/src/entry/name_leases.rs
@@ -28,6 +28,12 @@
 }
 
 impl NameLeases {
+    /// The holder of the lease on a name, if one is in force.
+    pub fn holder(&mut self, name: &RequestKey, now: TimestampMs) -> Option<NameHolder> {
+        self.expire(now);
+        self.leases.get(name).map(|lease| lease.holder)
+    }
+
     /// Grants or renews a lease, unless another holder has one on the name.
     pub fn grant(
         &mut self,
--- a/crates/lagoonhill_core/src/membership.rs
+++ b/crates/lagoonhill_core/src/membership.rs
@@ -11,6 +11,7 @@
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 
 use lagoonhill_protocol::{EntryAddress, MemberBeat};
 use lagoonhill_types::prelude::*;
@@ -62,6 +63,8 @@
 pub struct Membership {
     own: MemberBeat,
     members: HashMap<Incarnation, Member>,
+    /// The latest incarnation at each inbox address.
+    latest: HashMap<SocketAddr, Incarnation>,
     /// Entries that have announced that they leave, with when that was received.
     departed: HashMap<Incarnation, TimestampMs>,
     last_round_ms: TimestampMs,
@@ -81,6 +84,7 @@
                 leaving: false,
             },
             members: HashMap::new(),
+            latest: HashMap::from([(own.inbox, own.incarnation)]),
             departed: HashMap::new(),
             last_round_ms: now,
             // Spreads the full exchanges of entries that start at the same time.
@@ -125,6 +129,9 @@
                 self.departed.insert(incarnation, now);
                 continue;
             }
+            if !self.is_latest(reported.address, now) {
+                continue;
+            }
             let fresh = Member {
                 address: reported.address,
                 beat: reported.beat,
@@ -141,6 +148,21 @@
         }
     }
 
+    /// Whether no later process has the inbox address of an entry. An earlier one counts
+    /// as departed.
+    fn is_latest(&mut self, address: EntryAddress, now: TimestampMs) -> bool {
+        let incarnation = address.incarnation;
+        let latest = self.latest.entry(address.inbox).or_insert(incarnation);
+        if incarnation < *latest {
+            return false;
+        }
+        let replaced = std::mem::replace(latest, incarnation);
+        if replaced != incarnation && self.members.remove(&replaced).is_some() {
+            self.departed.insert(replaced, now);
+        }
+        true
+    }
+
     /// Begins a round. Returns the exchanges with some random live peers, and with
     /// one that counts as dead but may be reachable again.
     pub fn begin_round(&mut self, now: TimestampMs) -> Vec<Exchange> {
@@ -156,6 +178,12 @@
         let fresh = |at_ms: TimestampMs| now.since(at_ms) < forget_ms;
         self.members.retain(|_, member| fresh(member.last_rise_ms));
         self.departed.retain(|_, at_ms| fresh(*at_ms));
+        let (own, members, departed) = (self.own.address, &self.members, &self.departed);
+        self.latest.retain(|_, incarnation| {
+            *incarnation == own.incarnation
+                || members.contains_key(incarnation)
+                || departed.contains_key(incarnation)
+        });
         let mut live = self.addresses(|member| now.since(member.last_rise_ms) < dead_ms);
         let mut dead = self.addresses(|member| now.since(member.last_rise_ms) >= dead_ms);
         self.random.shuffle(&mut live);
--- a/crates/lagoonhill_core/tests/membership.rs
+++ b/crates/lagoonhill_core/tests/membership.rs
@@ -285,4 +285,28 @@
         right.merge(&before, now);
         assert_eq!(right.live(now), vec![address(1)]);
     }
+
+    // Guards against an entry that is back at its address and counts twice: its earlier
+    // process was taken for live until it had been silent for 15 s.
+    a_later_process_at_an_address_ends_the_earlier_one => {
+        let now = TimestampMs(5_000);
+        let again = EntryAddress { incarnation: Incarnation(900), ..address(0) };
+        let (mut first, mut other) = (Membership::new(address(0), now), Membership::new(address(1), now));
+        other.merge(&first.digest(false, now), now);
+        let before = first.digest(false, now);
+        other.merge(&Membership::new(again, now).digest(false, now), now);
+        assert_eq!(other.live(now), vec![again, address(1)]);
+        // Others still tell of the earlier one.
+        other.merge(&before, now);
+        assert_eq!(other.live(now), vec![again, address(1)]);
+    }
+
+    // Guards against an entry that counts the process before it as a peer.
+    an_entry_does_not_count_its_own_earlier_process => {
+        let now = TimestampMs(5_000);
+        let again = EntryAddress { incarnation: Incarnation(900), ..address(0) };
+        let mut entry = Membership::new(again, now);
+        entry.add_candidate(address(0), now);
+        assert_eq!(entry.live(now), vec![again]);
+    }
 }
--- a/crates/lagoonhill_entry/src/control.rs
+++ b/crates/lagoonhill_entry/src/control.rs
@@ -96,6 +96,8 @@
         source: DrainSource,
     },
     Entries(Vec<EntryAddress>),
+    /// The entry leaves: it grants no more leases on names.
+    RetireHome,
     Status(oneshot::Sender<EntryStatus>),
     Waiting {
         queue: QueueName,
@@ -183,6 +185,7 @@
                 self.entry.install_drains(drains, source, now);
             }
             ControlEvent::Entries(entries) => self.entry.set_entries(entries),
+            ControlEvent::RetireHome => self.entry.retire_as_home(),
             ControlEvent::Status(reply) => {
                 let _ = reply.send(self.entry.status());
             }
--- a/crates/lagoonhill_entry/src/daemon.rs
+++ b/crates/lagoonhill_entry/src/daemon.rs
@@ -26,7 +26,7 @@
 use crate::handle::ControlHandle;
 use crate::key_binder::KeyBinder;
 use crate::metrics::Metrics;
-use crate::peers::{Peers, exchange};
+use crate::peers::{Peers, announce_leave, exchange};
 use crate::rules_watch::{RulesSource, follow_rules};
 
 /// Time between two checks of whether all jobs have been answered.
@@ -184,6 +184,13 @@
         self.address.http
     }
 
+    /// Tells the other entries that this one leaves. It goes on serving.
+    pub fn announce_leave(&self) {
+        let (peers, control) = (self.state.peers.clone(), self.control.clone());
+        control.send(ControlEvent::RetireHome);
+        tokio::spawn(async move { announce_leave(&peers, &control).await });
+    }
+
     /// Shuts down without dropping a request: reports not ready at once, serves for
     /// the drain delay, then closes each connection after its answer. Returns
     /// whether every accepted job was answered within the drain limit.
@@ -193,6 +200,7 @@
             self.settings.drain_delay_ms
         );
         self.state.draining.store(true, Ordering::Relaxed);
+        self.announce_leave();
         sleep(self.settings.drain_delay_ms.into()).await;
         self.state.closing.store(true, Ordering::Relaxed);
         let _ = self.shutdown.send(true);
@@ -206,7 +214,6 @@
                 self.settings.drain_limit_ms
             );
         }
-        self.state.peers.leave();
         // Agents stop the runs of durable jobs before other entries take these over.
         self.control.send(ControlEvent::Depart);
         let departed = self.control.request(ControlEvent::Status);
--- a/crates/lagoonhill_entry/src/peers.rs
+++ b/crates/lagoonhill_entry/src/peers.rs
@@ -83,6 +83,13 @@
         self.lock().begin_round(self.clock.now())
     }
 
+    /// The other live entries.
+    fn others(&self) -> Vec<EntryAddress> {
+        let mut live = self.live();
+        live.retain(|entry| entry.incarnation != self.address.incarnation);
+        live
+    }
+
     /// Marks this entry as leaving in all further messages.
     pub(crate) fn leave(&self) {
         self.lock().leave();
@@ -98,11 +105,16 @@
 ) {
     let http = HttpClient::new();
     let mut announcement = Announcement::default();
+    let mut is_known = false;
     loop {
         if let Some(store) = &store {
             announcement.refresh(store, &peers).await;
         }
         let others = peers.begin_round();
+        if !is_known && !others.is_empty() {
+            is_known = true;
+            exchange_with_all(&http, &peers, &control).await;
+        }
         let others = others.iter().map(|other| (other.peer.http, other.is_full));
         let balancer = balancer.map(|address| (address, false));
         let mut exchanges: JoinSet<()> = others
@@ -118,6 +130,26 @@
     }
 }
 
+/// Tells every live entry that this one leaves.
+pub(crate) async fn announce_leave(peers: &Peers, control: &ControlHandle) {
+    peers.leave();
+    exchange_with_all(&HttpClient::new(), peers, control).await;
+}
+
+/// Exchanges heartbeats with every live entry at once.
+async fn exchange_with_all(http: &HttpClient, peers: &Peers, control: &ControlHandle) {
+    let exchanges: JoinSet<()> = peers
+        .others()
+        .into_iter()
+        .map(|other| {
+            let (http, peers, control) = (http.clone(), peers.clone(), control.clone());
+            async move { exchange_with(&http, other.http, false, &peers, &control).await }
+        })
+        .collect();
+    exchanges.join_all().await;
+    control.send(ControlEvent::Entries(peers.live()));
+}
+
 async fn exchange_with(
     http: &HttpClient,
     address: std::net::SocketAddr,
--- a/crates/lagoonhill_types/src/clock.rs
+++ b/crates/lagoonhill_types/src/clock.rs
@@ -47,7 +47,7 @@
     /// Creates an incarnation. Later processes get larger ones; random low bits
     /// tell apart processes started in the same millisecond.
     pub fn incarnation(&self) -> Incarnation {
-        const RANDOM_BITS: u32 = 20;
-        Incarnation((self.now().0 << RANDOM_BITS) | fastrand::u64(0..1 << RANDOM_BITS))
+        let random = fastrand::u64(0..1 << Incarnation::RANDOM_BITS);
+        Incarnation((self.now().0 << Incarnation::RANDOM_BITS) | random)
     }
 }
