Back from a loss: entries are found through seeds, callers wait by their work

Change: SeedSearch asks seeds of the settings, at an agent without a session and at an entry for ever; a caller waits for first rules up to twice its declared work, 400 ms at least, within its deadline; a promise counts from the arrival. Tests that took FirstRules::get() without a limit now pass the limit of a 60 ms job, which is the 400 ms of before.

--- a/crates/lagoonhill/src/cli.rs
+++ b/crates/lagoonhill/src/cli.rs
@@ -14,6 +14,10 @@
     /// Address of the platform's balancer, to find entries while the store is down
     #[bpaf(env("LAGOONHILL_BALANCER"), argument("IP:PORT"), optional)]
     pub(crate) balancer: Option<String>,
+    /// HTTP address of an entry that knows the others, if the store can't be read; may
+    /// be given several times
+    #[bpaf(long("seed"), argument("IP:PORT"), many)]
+    pub(crate) seeds: Vec<String>,
     /// Address to receive packets from other lagoonhill processes
     #[bpaf(
         env("LAGOONHILL_INBOX"),
--- a/crates/lagoonhill/src/settings.rs
+++ b/crates/lagoonhill/src/settings.rs
@@ -50,6 +50,12 @@
         text.and_then(|text| self.parse_address(flag, text))
     }
 
+    fn parse_addresses(&mut self, flag: &str, texts: &[String]) -> Option<Vec<SocketAddr>> {
+        let addresses = texts.iter().map(|text| self.parse_address(flag, text));
+        let addresses: Vec<Option<SocketAddr>> = addresses.collect();
+        addresses.into_iter().collect()
+    }
+
     fn parse_required<T: FromStr<Err: Display>>(
         &mut self,
         flag: &str,
@@ -94,6 +100,7 @@
     let advertise = parser.parse_optional_address("advertise", common.advertise.as_deref());
     let platform = parser.parse_optional_address("platform", common.platform.as_deref());
     let balancer = parser.parse_optional_address("balancer", common.balancer.as_deref());
+    let seeds = parser.parse_addresses("seed", &common.seeds);
     let zone = options.zone.as_deref();
     let zone = zone.map(|zone| parser.parse("zone", zone));
     let drain_delay_ms = parser.parse("drain-delay", &options.drain_delay);
@@ -116,6 +123,7 @@
             advertise,
             platform,
             balancer,
+            seeds: seeds?,
             drain_delay_ms: drain_delay_ms?,
             drain_limit_ms: drain_limit_ms?,
             max_body_bytes: max_body_bytes?,
@@ -144,6 +152,7 @@
     let advertise = parser.parse_optional_address("advertise", common.advertise.as_deref());
     let platform = parser.parse_optional_address("platform", common.platform.as_deref());
     let balancer = parser.parse_optional_address("balancer", common.balancer.as_deref());
+    let seeds = parser.parse_addresses("seed", &common.seeds);
     let drain_limit_ms = parser.parse("drain-limit", &common.drain_limit);
     if common.platform.is_none() && common.balancer.is_none() {
         let message =
@@ -157,6 +166,7 @@
         settings.advertise = advertise;
         settings.platform = platform;
         settings.balancer = balancer;
+        settings.seeds = seeds?;
         settings.drain_limit_ms = drain_limit_ms?;
         Some((settings, log?))
     };
--- a/crates/lagoonhill_agent/src/daemon.rs
+++ b/crates/lagoonhill_agent/src/daemon.rs
@@ -5,6 +5,7 @@
 use std::sync::mpsc::{Sender, channel};
 use std::time::Duration;
 
+use lagoonhill_core::SeedSearch;
 use lagoonhill_core::agent::{Agent, AgentConfig};
 use lagoonhill_daemon::{StartError, listen, spawn_control};
 use lagoonhill_http::serve;
@@ -19,7 +20,7 @@
 use crate::AgentSettings;
 use crate::api::Api;
 use crate::control::{AgentHandle, Control, ControlEvent};
-use crate::discovery::discover;
+use crate::discovery::{discover, discover_through_seeds};
 use crate::http_runner::{HttpRunner, RunAnswered};
 use crate::metrics::Metrics;
 use crate::target_runner::TargetRunner;
@@ -83,6 +84,8 @@
                 .is_ok()
         };
         let inbox = inbox.run(deliver).map_err(StartError::Runtime)?;
+        let seed_search = SeedSearch::new(&settings.seeds, None, clock.incarnation().0);
+        let seeds = discover_through_seeds(seed_search, metrics.clone(), control.clone());
         let api = Api {
             worker: settings.worker.clone(),
             zone: settings.zone,
@@ -92,6 +95,7 @@
         let tasks = vec![
             tokio::spawn(serve(listener, api, std::future::pending())),
             tokio::spawn(discover(store, settings.balancer, control.clone())),
+            tokio::spawn(seeds),
         ];
         info!(
             "start: agent of {} takes its target on {http} and packets on {inbox_address}",
--- a/crates/lagoonhill_agent/src/discovery.rs
+++ b/crates/lagoonhill_agent/src/discovery.rs
@@ -1,10 +1,11 @@
-//! Discovery of entries through the platform's store and the balancer.
+//! Discovery of entries through the platform's store, the balancer and the seeds.
 
 use std::net::SocketAddr;
 use std::sync::mpsc::Sender;
 use std::time::Duration;
 
 use hyper::Method;
+use lagoonhill_core::SeedSearch;
 use lagoonhill_http::HttpClient;
 use lagoonhill_platform::{ENTRIES_PREFIX, Store, Versioned};
 use lagoonhill_protocol::{EntryAddress, PeersRequest, PeersResponse};
@@ -14,6 +15,7 @@
 use tokio::time::sleep;
 
 use crate::control::{AgentStatus, ControlEvent};
+use crate::metrics::Metrics;
 
 /// Interval at which an agent with open sessions checks that it still has one.
 const SESSION_POLL_INTERVAL: Duration = Duration::from_millis(500);
@@ -26,6 +28,9 @@
 
 const BALANCER_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time allowed to a seed. Short, because another one may answer.
+const SEED_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Searches for entries while no session is open. Further entries are learned
 /// through sessions.
 pub(crate) async fn discover<S: Store, E: Send + 'static>(
@@ -57,6 +62,34 @@
     }
 }
 
+/// Asks the seeds for entries while no session is open, beside [`discover`]: a store
+/// that does not answer holds up each of its searches.
+pub(crate) async fn discover_through_seeds<E: Send + 'static>(
+    mut search: SeedSearch,
+    metrics: Metrics,
+    control: Sender<ControlEvent<E>>,
+) {
+    let http = HttpClient::new();
+    while let Some(status) = fetch_status(&control).await {
+        if status.sessions > 0 {
+            search.restart();
+            sleep(SESSION_POLL_INTERVAL).await;
+            continue;
+        }
+        let Some(seed) = search.next_seed() else {
+            return;
+        };
+        let answer = query_peers(&http, seed, true, SEED_TIMEOUT).await;
+        metrics.seed_asked(answer.is_some());
+        if let Some(answer) = answer {
+            let entries = answer.entries;
+            info!(target: "decision", "seed-answered seed={seed} entries={}", entries.len());
+            let _ = control.send(ControlEvent::Entries(entries));
+        }
+        sleep(search.next_pause().into()).await;
+    }
+}
+
 async fn fetch_status<E>(control: &Sender<ControlEvent<E>>) -> Option<AgentStatus> {
     let (reply, answer) = oneshot::channel();
     control.send(ControlEvent::Status(reply)).ok()?;
@@ -79,7 +112,7 @@
         }
     }
     if let Some(balancer) = balancer
-        && let Some(answer) = query_balancer(http, balancer).await
+        && let Some(answer) = query_peers(http, balancer, false, BALANCER_TIMEOUT).await
     {
         entries.extend(answer.entries);
         if let Some(rules) = answer.rules.and_then(|document| document.to_rules()) {
@@ -110,27 +143,34 @@
     Some(address)
 }
 
-async fn query_balancer(http: &HttpClient, balancer: SocketAddr) -> Option<PeersResponse> {
+/// Asks an entry, directly or through the balancer, for the entries that it knows.
+async fn query_peers(
+    http: &HttpClient,
+    address: SocketAddr,
+    only_entries: bool,
+    limit: Duration,
+) -> Option<PeersResponse> {
     let request = PeersRequest {
         beats: Vec::new(),
         wants_all: false,
         revision: Revision(0),
         drains_revision: Revision(0),
+        only_entries,
     };
     let body = serde_json::to_vec(&request).ok()?;
     let headers = [("content-type", "application/json")];
     let sent = http.send(
-        balancer,
+        address,
         Method::POST,
         "/v1/peers",
         &headers,
         body.into(),
-        BALANCER_TIMEOUT,
+        limit,
     );
     match sent.await {
         Ok(reply) => serde_json::from_slice(&reply.body).ok(),
         Err(error) => {
-            debug!("the balancer did not answer with entries: {error}");
+            debug!("no entries from {address}: {error}");
             None
         }
     }
--- a/crates/lagoonhill_agent/src/metrics.rs
+++ b/crates/lagoonhill_agent/src/metrics.rs
@@ -10,6 +10,7 @@
     meters: Meters,
     pub(crate) packets: PacketMeter,
     started: IntCounter,
+    seed_requests: IntCounterVec,
     ended: IntCounterVec,
     task_seconds: HistogramVec,
     announcements: IntCounterVec,
@@ -34,6 +35,11 @@
                 "lagoonhill_tasks_started_total",
                 "Tasks given to the target.",
             ),
+            seed_requests: meters.counters(
+                "lagoonhill_seed_requests_total",
+                "Requests to seeds for the entries that they know, by whether they answered.",
+                "outcome",
+            ),
             ended: meters.counters(
                 "lagoonhill_tasks_ended_total",
                 "Runs that are over, by how they ended.",
@@ -105,6 +111,16 @@
             .observe(ran_ms.as_secs_f64());
     }
 
+    /// Counts a request to a seed, by whether it was answered.
+    pub(crate) fn seed_asked(&self, is_answered: bool) {
+        let outcome = if is_answered {
+            "answered"
+        } else {
+            "unanswered"
+        };
+        self.seed_requests.with_label_values(&[outcome]).inc();
+    }
+
     /// Counts the end of a durable run that its entry has stored or discarded.
     pub(crate) fn end_resolved(&self, outcome: &str) {
         self.resolved_ends.with_label_values(&[outcome]).inc();
--- a/crates/lagoonhill_agent/src/settings.rs
+++ b/crates/lagoonhill_agent/src/settings.rs
@@ -21,6 +21,9 @@
     /// Address of the platform's balancer, for finding entries while the store is
     /// down.
     pub balancer: Option<SocketAddr>,
+    /// HTTP addresses of entries that are asked for all others without the store. They
+    /// may be out of date.
+    pub seeds: Vec<SocketAddr>,
     /// Longest wait for running tasks during shutdown.
     pub drain_limit_ms: DurationMs,
     /// Tasks held beyond the target's slots before further ones are refused.
@@ -41,6 +44,7 @@
             advertise: None,
             platform: None,
             balancer: None,
+            seeds: Vec::new(),
             drain_limit_ms: DurationMs::from_secs(60),
             overcommit: 8,
             timing: Timing::default(),
--- a/crates/lagoonhill_bench/src/large_fleet.rs
+++ b/crates/lagoonhill_bench/src/large_fleet.rs
@@ -226,6 +226,7 @@
         service: "dispatch".parse().expect("the name is valid"),
         team: kind.queue.parse().expect("the name is valid"),
         deadline_ms: Some(DurationMs::from_secs(10)),
+        waited_ms: DurationMs::ZERO,
         run_time_ms: Some(DurationMs(declared_ms)),
         needs: Needs::default(),
         tasks: runs.iter().enumerate().map(payload).collect(),
--- a/crates/lagoonhill_bench/src/workload.rs
+++ b/crates/lagoonhill_bench/src/workload.rs
@@ -72,6 +72,7 @@
         service: "dispatch".parse().expect("the name is valid"),
         team: team.parse().expect("the name is valid"),
         deadline_ms: Some(DurationMs::from_secs(120)),
+        waited_ms: DurationMs::ZERO,
         run_time_ms: None,
         needs: Needs::default(),
         tasks: runs.iter().enumerate().map(payload).collect(),
--- a/crates/lagoonhill_core/src/entry/machine/admission.rs
+++ b/crates/lagoonhill_core/src/entry/machine/admission.rs
@@ -249,10 +249,11 @@
         let slowness = self.fleet.least_slowness(&submission.service);
         let fastest_ms = slowness.from_nominal(run_time_ms);
         let latest_start = |due_ms: TimestampMs| due_ms - fastest_ms;
+        let arrived_ms = now - submission.waited_ms;
         Some(Promise {
-            due_ms: now + promised_ms,
-            latest_start_ms: latest_start(now + promised_ms),
-            last_useful_start_ms: latest_start(now + promised_ms * EXPIRY_FACTOR),
+            due_ms: arrived_ms + promised_ms,
+            latest_start_ms: latest_start(arrived_ms + promised_ms),
+            last_useful_start_ms: latest_start(arrived_ms + promised_ms * EXPIRY_FACTOR),
         })
     }
 
--- a/crates/lagoonhill_core/src/entry/submission.rs
+++ b/crates/lagoonhill_core/src/entry/submission.rs
@@ -85,6 +85,8 @@
     pub team: TeamName,
     /// Time allowed for the answer, if not the service's default.
     pub deadline_ms: Option<DurationMs>,
+    /// Time since the job came to this entry, counted against its promise.
+    pub waited_ms: DurationMs,
     /// Declared run time of a task, if any.
     pub run_time_ms: Option<DurationMs>,
     /// Requirements of each task, beyond those of the service.
@@ -100,7 +102,7 @@
 
 impl Submission {
     /// Hash of what is to run, to detect another submission with the same key: all
-    /// but the deadline, which shrinks as a caller tries again.
+    /// but the deadline, which shrinks as a caller tries again, and the time waited.
     pub fn fingerprint(&self) -> u64 {
         let mut hasher = DefaultHasher::new();
         self.service.hash(&mut hasher);
--- a/crates/lagoonhill_core/tests/contained_classes.rs
+++ b/crates/lagoonhill_core/tests/contained_classes.rs
@@ -56,6 +56,7 @@
         service: service(),
         team: queue.parse().expect("the name is valid"),
         deadline_ms: Some(DurationMs(6_000)),
+        waited_ms: DurationMs::ZERO,
         run_time_ms: Some(step.estimate_ms),
         needs: Needs::default(),
         tasks: (0..count).map(payload).collect(),
--- a/crates/lagoonhill_core/tests/deadly_tasks.rs
+++ b/crates/lagoonhill_core/tests/deadly_tasks.rs
@@ -60,6 +60,7 @@
         service: service(),
         team: "jobs".parse().expect("the name is valid"),
         deadline_ms: Some(DurationMs(100_000)),
+        waited_ms: DurationMs::ZERO,
         run_time_ms: Some(DurationMs(run_ms)),
         needs: Needs::default(),
         tasks: marks.iter().enumerate().map(payload).collect(),
--- a/crates/lagoonhill_core/tests/durable_jobs.rs
+++ b/crates/lagoonhill_core/tests/durable_jobs.rs
@@ -77,6 +77,7 @@
         service: service(),
         team: "jobs".parse().expect("the name is valid"),
         deadline_ms: None,
+        waited_ms: DurationMs::ZERO,
         run_time_ms: steps.iter().map(|step| step.estimate_ms).max(),
         needs: Needs::default(),
         tasks,
--- a/crates/lagoonhill_core/tests/odd_packets.rs
+++ b/crates/lagoonhill_core/tests/odd_packets.rs
@@ -221,6 +221,7 @@
         service: "dispatch".parse().expect("the name should be valid"),
         team: "parents".parse().expect("the name should be valid"),
         deadline_ms: None,
+        waited_ms: DurationMs::ZERO,
         run_time_ms: None,
         needs: lagoonhill_core::entry::Needs::default(),
         tasks: vec![Payload::from(text.as_bytes().to_vec()); 3],
--- a/crates/lagoonhill_core/tests/queues.rs
+++ b/crates/lagoonhill_core/tests/queues.rs
@@ -54,6 +54,7 @@
         service: service(),
         team: queue.parse().expect("the name is valid"),
         deadline_ms: Some(DurationMs(6_000)),
+        waited_ms: DurationMs::ZERO,
         run_time_ms: steps.iter().map(|step| step.estimate_ms).max(),
         needs: Needs::default(),
         tasks,
--- a/crates/lagoonhill_core/tests/restarts.rs
+++ b/crates/lagoonhill_core/tests/restarts.rs
@@ -3,7 +3,9 @@
 
 mod support;
 
-use lagoonhill_core::entry::{CallerId, Cause, LeastExpectedFinish, RunCertainty};
+use lagoonhill_core::entry::{
+    CallerId, Cause, Decision, DecisionKind, LeastExpectedFinish, RunCertainty, Submission,
+};
 use lagoonhill_standin::{NodeId, World};
 use lagoonhill_types::prelude::*;
 use support::{TestWorld, config, is_complete, job, queue_job, queue_rules};
@@ -120,4 +122,41 @@
         let later = world.submit(0, queue_job("short", "later", 1, huge, 50));
         assert!(refusal(&world, later).is_some(), "the caller was not refused at once");
     }
+
+    // Callers were held until the store was back and the first rules came. What they
+    // waited counts: a promise made anew would be broken for those who keep theirs.
+    a_job_that_was_held_for_the_rules_is_promised_what_is_left => {
+        let mut config = config(1, 2, 1);
+        config.rules = queue_rules();
+        let mut world: TestWorld = World::new(&config, |_| LeastExpectedFinish::with_seed(1));
+        world.record_decisions = true;
+        let mut promised = |name: &str, waited_ms| {
+            let job = queue_job("short", name, 1, TASK_PROCESSORS, 100);
+            world.submit(0, Submission { waited_ms: DurationMs(waited_ms), ..job });
+            let admitted = |decision: &Decision| match decision.kind {
+                DecisionKind::Admitted { promised_ms, .. } => promised_ms,
+                _ => None,
+            };
+            world.decisions.iter().rev().find_map(admitted).expect("the job was not admitted")
+        };
+        let fresh_ms = promised("fresh", 0);
+        let held_ms = promised("held", 150);
+        assert_eq!(held_ms + DurationMs(150), fresh_ms);
+    }
+
+    // An answer after three times the promise is of no use: the job must not take the
+    // place of another, and its caller must hear at once.
+    a_job_that_was_held_for_too_long_is_refused_when_the_rules_come => {
+        let mut config = config(1, 2, 1);
+        config.rules = queue_rules();
+        let mut world: TestWorld = World::new(&config, |_| LeastExpectedFinish::with_seed(1));
+        let submitted_ms = world.now();
+        let job = queue_job("short", "lost", 1, TASK_PROCESSORS, 100);
+        let lost = world.submit(0, Submission { waited_ms: DurationMs(800), ..job });
+        let (cause, run, at_ms) = refusal(&world, lost).expect("the caller was not refused at once");
+        assert!(matches!(cause, Cause::Backlog { .. }), "{cause}");
+        assert_eq!((run, at_ms), (RunCertainty::NotRun, submitted_ms));
+        world.run_for(1_000);
+        assert!(world.starts.is_empty(), "a refused job was started");
+    }
 }
--- a/crates/lagoonhill_entry/src/api.rs
+++ b/crates/lagoonhill_entry/src/api.rs
@@ -226,6 +226,7 @@
         service: job.service,
         team: job.team,
         deadline_ms: job.deadline_ms.map(DurationMs),
+        waited_ms: DurationMs::ZERO,
         run_time_ms: job.run_time_ms.map(DurationMs),
         needs: Needs::of(Resources {
             memory_bytes: ByteCount(job.memory_bytes),
@@ -435,8 +436,9 @@
     }
     let known = state.control.request(ControlEvent::CurrentRules).await;
     let (rules, drains) = known.map_err(|error| stopped(&error))?;
-    let has_newer_rules = rules.revision > peers_request.revision;
-    let has_newer_drains = drains.revision > peers_request.drains_revision;
+    let is_wanted = !peers_request.only_entries;
+    let has_newer_rules = is_wanted && rules.revision > peers_request.revision;
+    let has_newer_drains = is_wanted && drains.revision > peers_request.drains_revision;
     let (entries, beats) = if is_entry {
         (Vec::new(), state.peers.digest(peers_request.wants_all))
     } else {
--- a/crates/lagoonhill_entry/src/client.rs
+++ b/crates/lagoonhill_entry/src/client.rs
@@ -16,6 +16,7 @@
 use crate::durable_jobs::DurableJobs;
 use crate::first_rules::FirstRules;
 use crate::handle::{ControlHandle, Stopped};
+use crate::metrics::Metrics;
 
 /// The status of a durable job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,6 +56,7 @@
     control: ControlHandle,
     rules: FirstRules,
     durable_jobs: DurableJobs,
+    metrics: Metrics,
 }
 
 impl EntryClient {
@@ -62,11 +64,13 @@
         control: ControlHandle,
         rules: FirstRules,
         durable_jobs: DurableJobs,
+        metrics: Metrics,
     ) -> Self {
         Self {
             control,
             rules,
             durable_jobs,
+            metrics,
         }
     }
 
@@ -186,9 +190,11 @@
         self.rules.watch()
     }
 
-    /// The rules in force. Soon after the start, waits up to 400 ms for the first
+    /// The rules in force. Soon after the start, waits up to `limit_ms` for the first
     /// ones; `None` if there are none.
-    pub async fn first_rules(&self) -> Option<Arc<RuleSet>> {
-        self.rules.get().await
+    pub async fn first_rules(&self, limit_ms: DurationMs) -> Option<Arc<RuleSet>> {
+        let rules = self.rules.get(limit_ms.into()).await;
+        self.metrics.rules_awaited(rules.is_some());
+        rules
     }
 }
--- a/crates/lagoonhill_entry/src/daemon.rs
+++ b/crates/lagoonhill_entry/src/daemon.rs
@@ -26,7 +26,7 @@
 use crate::handle::ControlHandle;
 use crate::key_binder::KeyBinder;
 use crate::metrics::Metrics;
-use crate::peers::{Peers, exchange};
+use crate::peers::{Peers, spawn_exchanges};
 use crate::rules_watch::{RulesSource, follow_rules};
 
 /// Time between two checks of whether all jobs have been answered.
@@ -42,7 +42,6 @@
     settings: EntrySettings,
     state: Arc<ApiState>,
     control: ControlHandle,
-    rules: FirstRules,
     durable_jobs: DurableJobs,
     shutdown: watch::Sender<bool>,
     server: JoinHandle<()>,
@@ -108,15 +107,9 @@
             clock,
             control.clone(),
         );
-        let mut background = vec![
-            tokio::spawn(binder.run(key_queue)),
-            tokio::spawn(exchange(
-                peers.clone(),
-                store.clone(),
-                settings.balancer,
-                control.clone(),
-            )),
-        ];
+        let mut background = vec![tokio::spawn(binder.run(key_queue))];
+        let exchanges = spawn_exchanges(&settings, &peers, store.clone(), &metrics, &control);
+        background.extend(exchanges);
         let (durable_jobs, tasks) = DurableJobs::start(
             store.clone(),
             address.incarnation,
@@ -130,6 +123,12 @@
             background.push(tokio::spawn(following));
         }
 
+        let entry_client = EntryClient::new(
+            control.clone(),
+            rules,
+            durable_jobs.clone(),
+            metrics.clone(),
+        );
         let state = Arc::new(ApiState {
             address,
             control: control.clone(),
@@ -137,7 +136,7 @@
             peers,
             call_counts,
             client: HttpClient::new(),
-            entry_client: EntryClient::new(control.clone(), rules.clone(), durable_jobs.clone()),
+            entry_client,
             max_body_bytes: settings.max_body_bytes,
             ticket_lifetime_ms,
             draining: AtomicBool::new(false),
@@ -156,7 +155,6 @@
             settings,
             state,
             control,
-            rules,
             durable_jobs,
             shutdown,
             server,
@@ -167,11 +165,7 @@
 
     /// A client of the entry for the same process.
     pub fn client(&self) -> EntryClient {
-        EntryClient::new(
-            self.control.clone(),
-            self.rules.clone(),
-            self.durable_jobs.clone(),
-        )
+        self.state.entry_client.clone()
     }
 
     /// The entry's address.
--- a/crates/lagoonhill_entry/src/first_rules.rs
+++ b/crates/lagoonhill_entry/src/first_rules.rs
@@ -9,9 +9,12 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout};
 
-/// How long a caller waits for a new entry's first rules: about the lateness after
-/// which the shorter jobs have expired.
-const CALLER_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long a caller may wait for a new entry's first rules, whatever its job.
+const MIN_WAIT_MS: DurationMs = DurationMs(400);
+
+/// An answer is of use until three times the promise, which is at least the job's
+/// declared work. So a job may wait for this many times its work before it begins.
+const WAIT_FACTOR: u64 = 2;
 
 /// An entry still without rules this long after its start is not expected to get
 /// any soon: its callers get an answer at once.
@@ -38,14 +41,24 @@
         self.rules.clone()
     }
 
-    /// The rules in force. Waits up to 400 ms for the first ones of a new entry;
+    /// The rules in force. Waits up to `limit` for the first ones of a new entry;
     /// `None` if there are still none.
-    pub async fn get(&self) -> Option<Arc<RuleSet>> {
+    pub async fn get(&self, limit: Duration) -> Option<Arc<RuleSet>> {
         let is_known = |rules: &Arc<RuleSet>| rules.revision > Revision(0);
         let left = STARTUP_WINDOW.saturating_sub(self.started_at.elapsed());
         let mut rules = self.rules.clone();
-        let known = timeout(CALLER_TIMEOUT.min(left), rules.wait_for(is_known)).await;
+        let known = timeout(limit.min(left), rules.wait_for(is_known)).await;
         let known = known.ok()?.ok()?;
         Some(Arc::clone(&known))
     }
 }
+
+/// How long a caller may wait for the first rules so that its answer is still of use:
+/// `work_ms` is the declared run time of its job, `deadline_ms` the time after which it
+/// no longer waits for an answer.
+pub fn first_rules_wait(work_ms: DurationMs, deadline_ms: Option<DurationMs>) -> DurationMs {
+    let wait_ms = (work_ms * WAIT_FACTOR).max(MIN_WAIT_MS);
+    deadline_ms.map_or(wait_ms, |deadline_ms| {
+        wait_ms.min(DurationMs(deadline_ms.0.saturating_sub(work_ms.0)))
+    })
+}
--- a/crates/lagoonhill_entry/src/job_record.rs
+++ b/crates/lagoonhill_entry/src/job_record.rs
@@ -208,6 +208,7 @@
             service: self.service,
             team: self.team,
             deadline_ms: None,
+            waited_ms: DurationMs::ZERO,
             run_time_ms,
             needs: Needs::default(),
             tasks,
--- a/crates/lagoonhill_entry/src/lib.rs
+++ b/crates/lagoonhill_entry/src/lib.rs
@@ -25,7 +25,7 @@
 
 pub use client::{EntryClient, JobStatus};
 pub use daemon::EntryDaemon;
-pub use first_rules::FirstRules;
+pub use first_rules::{FirstRules, first_rules_wait};
 pub use handle::Stopped;
 pub use lagoonhill_daemon::StartError;
 pub use rules_watch::RulesSource;
--- a/crates/lagoonhill_entry/src/metrics.rs
+++ b/crates/lagoonhill_entry/src/metrics.rs
@@ -10,6 +10,8 @@
     meters: Meters,
     pub(crate) packets: PacketMeter,
     jobs: IntCounterVec,
+    seed_requests: IntCounterVec,
+    rules_waits: IntCounterVec,
     placed: IntCounter,
     moved: IntCounter,
     rerun: IntCounter,
@@ -40,6 +42,16 @@
                 "Jobs by what became of them.",
                 "outcome",
             ),
+            seed_requests: meters.counters(
+                "lagoonhill_seed_requests_total",
+                "Requests to seeds for the entries that they know, by whether they answered.",
+                "outcome",
+            ),
+            rules_waits: meters.counters(
+                "lagoonhill_first_rules_waits_total",
+                "Requests that waited for the first rules of a new entry, by whether they came in time.",
+                "outcome",
+            ),
             placed: meters.counter(
                 "lagoonhill_tasks_placed_total",
                 "Tasks ordered from workers.",
@@ -169,6 +181,22 @@
         self.jobs.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts a request to a seed, by whether it was answered.
+    pub(crate) fn seed_asked(&self, is_answered: bool) {
+        let outcome = if is_answered {
+            "answered"
+        } else {
+            "unanswered"
+        };
+        self.seed_requests.with_label_values(&[outcome]).inc();
+    }
+
+    /// Counts a request that waited for the first rules.
+    pub(crate) fn rules_awaited(&self, is_known: bool) {
+        let outcome = if is_known { "known" } else { "unknown" };
+        self.rules_waits.with_label_values(&[outcome]).inc();
+    }
+
     fn count_change(&self, change: &str) {
         self.ownership.with_label_values(&[change]).inc();
     }
--- a/crates/lagoonhill_entry/src/peers.rs
+++ b/crates/lagoonhill_entry/src/peers.rs
@@ -5,24 +5,29 @@
 
 use hyper::Method;
 use lagoonhill_core::entry::DrainSource;
-use lagoonhill_core::{Exchange, Membership};
+use lagoonhill_core::{Exchange, Membership, SeedSearch};
 use lagoonhill_http::HttpClient;
 use lagoonhill_platform::Store;
 use lagoonhill_protocol::{EntryAddress, MemberBeat, PeersRequest, PeersResponse};
 use lagoonhill_types::prelude::*;
-use log::debug;
-use tokio::task::JoinSet;
-use tokio::time::sleep;
+use log::{debug, info};
+use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::{sleep, timeout};
 
+use crate::EntrySettings;
 use crate::announcement::Announcement;
 use crate::control::ControlEvent;
 use crate::handle::ControlHandle;
+use crate::metrics::Metrics;
 
 /// Time between two rounds of exchanges with the other entries.
 const EXCHANGE_INTERVAL: Duration = Duration::from_secs(2);
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time allowed to a seed. Short, because another one may answer.
+const SEED_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// The known entries, shared between the exchange and the handler of `/v1/peers`.
 ///
 /// The platform and the balancer only supply addresses. Whether an entry is live
@@ -89,8 +94,23 @@
     }
 }
 
+/// Starts the exchanges with the other entries: those that are known, and the seeds.
+pub(crate) fn spawn_exchanges<S: Store>(
+    settings: &EntrySettings,
+    peers: &Peers,
+    store: Option<S>,
+    metrics: &Metrics,
+    control: &ControlHandle,
+) -> [JoinHandle<()>; 2] {
+    let own = peers.own_address();
+    let search = SeedSearch::new(&settings.seeds, Some(own.http), own.incarnation.0);
+    let with_seeds = exchange_with_seeds(search, peers.clone(), metrics.clone(), control.clone());
+    let with_peers = exchange(peers.clone(), store, settings.balancer, control.clone());
+    [tokio::spawn(with_peers), tokio::spawn(with_seeds)]
+}
+
 /// Exchanges heartbeats and rules with the other entries, for ever.
-pub(crate) async fn exchange<S: Store>(
+async fn exchange<S: Store>(
     peers: Peers,
     store: Option<S>,
     balancer: Option<std::net::SocketAddr>,
@@ -109,7 +129,9 @@
             .chain(balancer)
             .map(|(address, is_full)| {
                 let (http, peers, control) = (http.clone(), peers.clone(), control.clone());
-                async move { exchange_with(&http, address, is_full, &peers, &control).await }
+                async move {
+                    exchange_with(&http, address, is_full, &peers, &control).await;
+                }
             })
             .collect();
         while exchanges.join_next().await.is_some() {}
@@ -118,21 +140,49 @@
     }
 }
 
+/// Exchanges heartbeats and rules with the seeds, for ever, at growing intervals: with
+/// the store away, processes that have just started know nobody else.
+async fn exchange_with_seeds(
+    mut search: SeedSearch,
+    peers: Peers,
+    metrics: Metrics,
+    control: ControlHandle,
+) {
+    let http = HttpClient::new();
+    let mut known = 1;
+    while let Some(seed) = search.next_seed() {
+        let exchange = exchange_with(&http, seed, true, &peers, &control);
+        let is_answered = timeout(SEED_TIMEOUT, exchange).await.unwrap_or(false);
+        metrics.seed_asked(is_answered);
+        if is_answered {
+            let live = peers.live();
+            if live.len() != known {
+                known = live.len();
+                info!(target: "decision", "seed-answered seed={seed} entries={known}");
+            }
+            control.send(ControlEvent::Entries(live));
+        }
+        sleep(search.next_pause().into()).await;
+    }
+}
+
+/// Returns whether the other entry answered.
 async fn exchange_with(
     http: &HttpClient,
     address: std::net::SocketAddr,
     is_full: bool,
     peers: &Peers,
     control: &ControlHandle,
-) {
+) -> bool {
     let Ok((rules, drains)) = control.request(ControlEvent::CurrentRules).await else {
-        return;
+        return false;
     };
     let request = PeersRequest {
         beats: peers.digest(is_full),
         wants_all: is_full,
         revision: rules.revision,
         drains_revision: drains.revision,
+        only_entries: false,
     };
     let body = serde_json::to_vec(&request).expect("a request always serializes");
     let headers = [("content-type", "application/json")];
@@ -152,7 +202,7 @@
         }
     };
     let Some(answer) = answer else {
-        return;
+        return false;
     };
     peers.learn(&answer.beats);
     // First the drains: with its first rules an entry begins to place tasks.
@@ -163,4 +213,5 @@
     if let Some(rules) = answer.rules.and_then(|document| document.to_rules()) {
         control.send(ControlEvent::Rules(rules));
     }
+    true
 }
--- a/crates/lagoonhill_entry/src/queue_api.rs
+++ b/crates/lagoonhill_entry/src/queue_api.rs
@@ -79,6 +79,7 @@
             service,
             team,
             deadline_ms: None,
+            waited_ms: DurationMs::ZERO,
             run_time_ms: steps.iter().map(|step| step.estimate_ms).max(),
             needs: Needs::default(),
             tasks: vec![input; count],
--- a/crates/lagoonhill_entry/src/settings.rs
+++ b/crates/lagoonhill_entry/src/settings.rs
@@ -21,6 +21,9 @@
     /// Address of the platform's balancer, for finding other entries while the store
     /// is down.
     pub balancer: Option<SocketAddr>,
+    /// HTTP addresses of entries that are asked for all others without the store. They
+    /// may be out of date.
+    pub seeds: Vec<SocketAddr>,
     /// How long to go on serving after a shutdown request, so that the balancer can
     /// remove this entry first.
     pub drain_delay_ms: DurationMs,
@@ -61,6 +64,7 @@
             advertise: None,
             platform: None,
             balancer: None,
+            seeds: Vec::new(),
             drain_delay_ms: DurationMs(2_000),
             drain_limit_ms: DurationMs::from_secs(60),
             max_body_bytes: ByteCount(4 << 20),
--- a/crates/lagoonhill_entry/tests/first_rules.rs
+++ b/crates/lagoonhill_entry/tests/first_rules.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lagoonhill_entry::FirstRules;
+use lagoonhill_entry::{FirstRules, first_rules_wait};
 use lagoonhill_rules::RuleSet;
 use lagoonhill_types::prelude::*;
 use tokio::sync::watch;
@@ -21,6 +21,22 @@
     (sender, FirstRules::new(receiver))
 }
 
+/// How long the caller of a job of `work_ms` waits.
+fn wait(work_ms: u64, deadline_ms: Option<u64>) -> Duration {
+    first_rules_wait(DurationMs(work_ms), deadline_ms.map(DurationMs)).into()
+}
+
+/// The rules arrive `after` the start of the entry.
+fn rules_after(after: Duration) -> FirstRules {
+    let (sender, rules) = entry();
+    tokio::spawn(async move {
+        sleep(after).await;
+        sender.send_replace(known());
+        sleep(Duration::from_secs(60)).await;
+    });
+    rules
+}
+
 fn known() -> Arc<RuleSet> {
     Arc::new(RuleSet::new(Revision(1), Vec::new()))
 }
@@ -30,7 +46,7 @@
         let (sender, rules) = entry();
         sender.send_replace(known());
         let start = Instant::now();
-        assert!(rules.get().await.is_some());
+        assert!(rules.get(wait(60, None)).await.is_some());
         assert_eq!(start.elapsed(), Duration::ZERO);
     }
 
@@ -43,14 +59,14 @@
             sleep(Duration::from_secs(60)).await;
         });
         let start = Instant::now();
-        assert!(rules.get().await.is_some(), "the caller was refused; the rules arrived 200 ms later");
+        assert!(rules.get(wait(60, None)).await.is_some(), "the caller was refused; the rules arrived 200 ms later");
         assert!(start.elapsed() < Duration::from_millis(250));
     }
 
     the_wait_for_rules_is_bounded => {
         let (_sender, rules) = entry();
         let start = Instant::now();
-        assert!(rules.get().await.is_none());
+        assert!(rules.get(wait(60, None)).await.is_none());
         assert!(start.elapsed() < Duration::from_millis(500));
     }
 
@@ -58,7 +74,29 @@
         let (_sender, rules) = entry();
         advance(Duration::from_secs(3)).await;
         let start = Instant::now();
-        assert!(rules.get().await.is_none());
+        assert!(rules.get(wait(60, None)).await.is_none());
         assert!(start.elapsed() < Duration::from_millis(10));
     }
+
+    // The store is back a second after all processes were killed. For a job of 900 ms an
+    // answer is then still in time or a little late.
+    a_caller_with_a_long_job_waits_as_long_as_its_answer_is_of_use => {
+        let rules = rules_after(Duration::from_secs(1));
+        assert!(rules.get(wait(900, Some(3_000))).await.is_some(), "the caller was refused");
+    }
+
+    // The answer to a short job would be of no use by then.
+    a_caller_with_a_short_job_is_refused_before => {
+        let rules = rules_after(Duration::from_secs(1));
+        let start = Instant::now();
+        assert!(rules.get(wait(60, Some(3_000))).await.is_none());
+        assert!(start.elapsed() < Duration::from_millis(450), "{:?}", start.elapsed());
+    }
+
+    // A caller that leaves before its job could end is not held for nothing.
+    no_caller_waits_longer_than_its_deadline_leaves_for_the_work => {
+        assert_eq!(wait(900, Some(1_000)), Duration::from_millis(100));
+        assert_eq!(wait(900, Some(800)), Duration::ZERO);
+        assert_eq!(wait(60, Some(300)), Duration::from_millis(240));
+    }
 }
--- a/crates/lagoonhill_entry/tests/odd_bodies.rs
+++ b/crates/lagoonhill_entry/tests/odd_bodies.rs
@@ -91,7 +91,7 @@
         .await
         .expect("the entry should start");
     assert!(
-        entry.client().first_rules().await.is_some(),
+        entry.client().first_rules(DurationMs(400)).await.is_some(),
         "the entry has no rules"
     );
     (platform, entry)
--- a/crates/lagoonhill_operator/src/fleet_status.rs
+++ b/crates/lagoonhill_operator/src/fleet_status.rs
@@ -172,6 +172,7 @@
 /// Fetches the rules in force at an entry.
 pub async fn rules_in_force(http: &HttpClient, address: SocketAddr) -> Result<RuleSet, QueryError> {
     let request = PeersRequest {
+        only_entries: false,
         beats: Vec::new(),
         wants_all: false,
         revision: Revision(0),
--- a/crates/lagoonhill_protocol/src/peers.rs
+++ b/crates/lagoonhill_protocol/src/peers.rs
@@ -58,6 +58,10 @@
     /// Store revision of the drained zones that the sender knows.
     #[serde(default)]
     pub drains_revision: Revision,
+    /// Whether the answer is to contain neither rules nor drains, however old the
+    /// sender's are.
+    #[serde(default)]
+    pub only_entries: bool,
 }
 
 /// Answer to `POST /v1/peers`.
