Leases on names: a home that has just started grants nothing before it knows the others

New test a_home_that_knows_no_entry_yet_grants_nothing (not run on the code before: build folders mixed).

--- a/crates/lagoonhill_core/src/entry/machine/name_homes.rs
+++ b/crates/lagoonhill_core/src/entry/machine/name_homes.rs
@@ -71,8 +71,11 @@
     /// Whether other entries may have granted leases on names whose home this entry has
     /// just become.
     fn is_newly_joined(&self, now: TimestampMs) -> bool {
+        self.has_just_started(now) && self.entries.iter().any(|entry| self.was_before(entry))
+    }
+
+    fn has_just_started(&self, now: TimestampMs) -> bool {
         now.since(self.started_ms) < self.joining_ms()
-            && self.entries.iter().any(|entry| self.was_before(entry))
     }
 
     /// Whether an entry had settled when this one started.
@@ -124,10 +127,9 @@
             id: request.id,
         };
         let recorded = self.name_leases.holder(&request.name, now);
-        if recorded.is_none()
-            && let Some(home) = self.forwards_to(&request.name, holder, now)
-        {
-            return self.pass_on(request, home);
+        if recorded.is_none() && !self.knows_leases(request, now) {
+            let home = self.informed_home(request, now);
+            return home.map_or((), |home| self.pass_on(request, home));
         }
         let lease_ms = request.lease_ms.min(self.config.max_deadline_ms);
         let is_granted = self.name_leases.grant(&request.name, holder, lease_ms, now);
@@ -154,36 +156,39 @@
         }
     }
 
-    /// The home that a request for a lease is forwarded to, if this entry is leaving or may
-    /// not know the leases on the name.
-    fn forwards_to(
-        &mut self,
-        name: &RequestKey,
-        holder: NameHolder,
-        now: TimestampMs,
-    ) -> Option<EntryAddress> {
-        let is_joining = self.is_newly_joined(now);
-        if !is_joining && !self.is_retired_home {
-            return None;
+    /// Whether this entry knows of a lease on a name, if there is one. It does not if it is
+    /// leaving, or has just started: then it may not even know those that were before it.
+    fn knows_leases(&mut self, request: &NameRequest, now: TimestampMs) -> bool {
+        let is_joining = self.is_newly_joined(now)
+            || self.has_just_started(now) && self.was_before(&request.holder);
+        if !is_joining {
+            return !self.is_retired_home || self.informed_home(request, now).is_none();
         }
         // A holder that asks again was granted the lease by another home.
-        let is_first = self.forwarded_names.holder(name, now) != Some(holder);
-        if is_joining && !is_first {
-            return None;
-        }
+        let holder = NameHolder {
+            entry: request.holder.incarnation,
+            id: request.id,
+        };
+        let lease_ms = self.name_lease_ms();
+        let known = self.forwarded_names.holder(&request.name, now);
+        self.forwarded_names
+            .grant(&request.name, holder, lease_ms, now);
+        known == Some(holder)
+    }
+
+    /// The home that knows the leases on a name, as far as it is known here.
+    fn informed_home(&self, request: &NameRequest, now: TimestampMs) -> Option<EntryAddress> {
         let own = self.config.address.incarnation;
-        let is_settled = |entry: &&EntryAddress| {
+        let is_leaving = self.is_retired_home && !self.has_just_started(now);
+        let is_informed = |entry: &&EntryAddress| {
             entry.incarnation != own
                 && self.is_home(entry, now)
-                && (!is_joining || self.was_before(entry))
+                && (is_leaving || self.was_before(entry))
         };
-        let settled = self.entries.iter().filter(is_settled);
-        let home = settled.max_by_key(|entry| weight(entry, name)).copied()?;
-        if is_joining {
-            let lease_ms = self.name_lease_ms();
-            self.forwarded_names.grant(name, holder, lease_ms, now);
-        }
-        Some(home)
+        let informed = self.entries.iter().filter(is_informed);
+        informed
+            .max_by_key(|entry| weight(entry, &request.name))
+            .copied()
     }
 
     fn pass_on(&mut self, request: &NameRequest, home: EntryAddress) {
--- a/crates/lagoonhill_core/tests/name_homes.rs
+++ b/crates/lagoonhill_core/tests/name_homes.rs
@@ -179,6 +179,16 @@
         assert!(reply(&packets).is_some_and(|reply| reply.is_granted));
     }
 
+    // Guards against a second lease from a home that has just started and has not been told
+    // yet of the entries before it.
+    a_home_that_knows_no_entry_yet_grants_nothing => {
+        let holder = address(2, START - DurationMs(60_000));
+        let mut home = entry(&[]);
+        let earlier = address(1, TimestampMs(10_000));
+        let packets = receive(&mut home, request(holder, earlier, "a"), START + DurationMs(5));
+        assert_eq!(reply(&packets), None);
+    }
+
     // Guards against a fleet that has just started as a whole, whose homes all wait for
     // those before.
     homes_that_start_together_grant_at_once => {
