Leases on names: a repeated request is no proof that another home granted it

Only a request 500 ms after the first does now, and a process at the address of one that was asked is no further home.

--- a/crates/lagoonhill_core/src/entry/machine/mod.rs
+++ b/crates/lagoonhill_core/src/entry/machine/mod.rs
@@ -23,6 +23,7 @@
 use lagoonhill_types::prelude::*;
 use slotmap::SlotMap;
 
+use self::name_homes::ForwardedName;
 use self::names::{PendingName, ReconnectedHome, UnansweredHome};
 use super::{
     CallerId, CrashContainment, Decision, DecisionKind, EntryConfig, EntryEffect, EntryStatus,
@@ -77,8 +78,8 @@
     pending_names: BTreeMap<NameLeaseId, PendingName>,
     /// Jobs with a lease on their names, by the time of its renewal.
     name_renewals: BTreeSet<(TimestampMs, JobKey)>,
-    /// Requests for leases that were forwarded to another home.
-    forwarded_names: NameLeases,
+    /// Requests for leases that were forwarded to another home since this entry started.
+    forwarded_names: HashMap<RequestKey, ForwardedName>,
     /// Whether this entry is leaving and grants no leases any more.
     is_retired_home: bool,
     started_ms: TimestampMs,
@@ -127,7 +128,7 @@
             name_leases: NameLeases::default(),
             pending_names: BTreeMap::new(),
             name_renewals: BTreeSet::new(),
-            forwarded_names: NameLeases::default(),
+            forwarded_names: HashMap::new(),
             is_retired_home: false,
             started_ms: now,
             unanswered_homes: BTreeMap::new(),
--- a/crates/lagoonhill_core/src/entry/machine/name_homes.rs
+++ b/crates/lagoonhill_core/src/entry/machine/name_homes.rs
@@ -1,6 +1,7 @@
 //! The homes of job names: which entries they are, and the leases that this entry grants
 //! as one of them.
 
+use std::collections::HashMap;
 use std::hash::Hasher;
 
 use fnv::FnvHasher;
@@ -8,7 +9,7 @@
 use lagoonhill_types::prelude::*;
 
 use super::Entry;
-use super::names::SILENT_HOME_MS;
+use super::names::{NAME_TIMEOUT_MS, SILENT_HOME_MS};
 use crate::entry::{EntryEffect, NameHolder, Placement};
 
 /// Time within which the other entries learn of one that has started.
@@ -29,6 +30,13 @@
     (mixed(hasher.finish()), entry.incarnation)
 }
 
+/// A request for a lease that was forwarded to another home.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ForwardedName {
+    holder: NameHolder,
+    at_ms: TimestampMs,
+}
+
 impl<P: Placement> Entry<P> {
     /// The home of a name after those that have been asked: the same at all entries that
     /// know the same live ones.
@@ -41,10 +49,10 @@
     ) -> Option<EntryAddress> {
         let own = self.config.address.incarnation;
         let may_be_own = may_be_own && !self.is_newly_joined(now);
+        // A process that was started again is at the address of the one that was asked.
+        let is_asked = |entry: &EntryAddress| asked.iter().any(|home| home.inbox == entry.inbox);
         let is_next = |entry: &&EntryAddress| {
-            !asked.contains(entry)
-                && self.is_home(entry, now)
-                && (may_be_own || entry.incarnation != own)
+            !is_asked(entry) && self.is_home(entry, now) && (may_be_own || entry.incarnation != own)
         };
         let next = self.entries.iter().filter(is_next);
         next.max_by_key(|entry| weight(entry, name)).copied()
@@ -164,19 +172,30 @@
         if !is_joining {
             return !self.is_retired_home || self.informed_home(request, now).is_none();
         }
-        // A holder that asks again was granted the lease by another home.
         let holder = NameHolder {
             entry: request.holder.incarnation,
             id: request.id,
         };
-        let lease_ms = self.name_lease_ms();
-        let known = self.forwarded_names.holder(&request.name, now);
-        self.forwarded_names
-            .grant(&request.name, holder, lease_ms, now);
-        known == Some(holder)
+        if let Some(forwarded) = self.forwarded_names.get(&request.name)
+            && forwarded.holder == holder
+        {
+            // A holder that still asks was granted the lease by another home.
+            return now.since(forwarded.at_ms) >= NAME_TIMEOUT_MS;
+        }
+        let forwarded = ForwardedName { holder, at_ms: now };
+        self.forwarded_names.insert(request.name.clone(), forwarded);
+        false
+    }
+
+    /// Forgets what was forwarded once this entry knows the leases itself.
+    pub(super) fn forget_forwarded_names(&mut self, now: TimestampMs) {
+        if !self.forwarded_names.is_empty() && !self.has_just_started(now) {
+            self.forwarded_names = HashMap::new();
+        }
     }
 
-    /// The home that knows the leases on a name, as far as it is known here.
+    /// The home that knows the leases on a name, if one is known here: the holder only if
+    /// there is no other.
     fn informed_home(&self, request: &NameRequest, now: TimestampMs) -> Option<EntryAddress> {
         let own = self.config.address.incarnation;
         let is_leaving = self.is_retired_home && !self.has_just_started(now);
@@ -187,7 +206,7 @@
         };
         let informed = self.entries.iter().filter(is_informed);
         informed
-            .max_by_key(|entry| weight(entry, &request.name))
+            .max_by_key(|entry| (**entry != request.holder, weight(entry, &request.name)))
             .copied()
     }
 
--- a/crates/lagoonhill_core/src/entry/machine/names.rs
+++ b/crates/lagoonhill_core/src/entry/machine/names.rs
@@ -34,7 +34,7 @@
 const HOME_TIMEOUT_MS: DurationMs = DurationMs(250);
 
 /// Time after which a job goes on without a lease.
-const NAME_TIMEOUT_MS: DurationMs = DurationMs(500);
+pub(super) const NAME_TIMEOUT_MS: DurationMs = DurationMs(500);
 
 /// Interval between two renewals of a lease: an answer in time comes within the margin.
 const NAME_RENEWAL_MS: DurationMs = DurationMs(120);
@@ -418,7 +418,7 @@
     /// Asks further homes where some do not answer, and renews leases that are due.
     pub(super) fn tick_names(&mut self, now: TimestampMs) {
         self.name_leases.expire(now);
-        self.forwarded_names.expire(now);
+        self.forget_forwarded_names(now);
         self.silent_homes.retain(|_, until_ms| now < *until_ms);
         self.pass_over_silent_homes(now);
         self.repeat_name_requests(now);
--- a/crates/lagoonhill_core/tests/name_homes.rs
+++ b/crates/lagoonhill_core/tests/name_homes.rs
@@ -159,7 +159,7 @@
             let packets = receive(&mut home, request, START + SETTLED_MS);
             assert_eq!(reply(&packets), None);
             let next = forwarded_to(&packets).expect("the request is forwarded");
-            assert!([holder, other].iter().any(|entry| entry.incarnation == next));
+            assert_eq!(next, other.incarnation);
         }
     }
 
@@ -174,11 +174,44 @@
         let packets = receive(&mut home, asked.clone(), soon);
         assert_eq!(reply(&packets), None);
         assert_eq!(forwarded_to(&packets), Some(earlier_home.incarnation));
-        // The renewal: the home of before has granted the lease.
-        let packets = receive(&mut home, asked, soon + DurationMs(120));
+        // The request is repeated, as the home of before has not answered.
+        let packets = receive(&mut home, asked.clone(), soon + DurationMs(100));
+        assert_eq!(reply(&packets), None);
+        // A renewal: the home of before has granted the lease.
+        let packets = receive(&mut home, asked, soon + DurationMs(600));
         assert!(reply(&packets).is_some_and(|reply| reply.is_granted));
     }
 
+    // Guards against jobs of a fleet of two entries that wait while one of them has just
+    // started: the other knows all leases.
+    a_home_that_has_just_started_asks_the_holder_if_it_is_alone => {
+        let holder = address(2, START - DurationMs(60_000));
+        let mut home = entry(&[holder]);
+        let asked = request(holder, address(1, START), "a");
+        let packets = receive(&mut home, asked, START + DurationMs(500));
+        assert_eq!(forwarded_to(&packets), Some(holder.incarnation));
+    }
+
+    // Guards against a process that is asked as both homes of a name, once by its earlier
+    // incarnation: only it answers, and it does not know the leases.
+    a_home_that_starts_again_is_not_the_second_home => {
+        let now = START + SETTLED_MS;
+        let (earlier, again) = (address(2, START), address(2, now));
+        let third = address(3, START);
+        for name in NAMES {
+            let mut holder = entry(&[earlier, third]);
+            holder.submit_named(CallerId(1), job(name), now);
+            let first = forwarded_to(&sent(&mut holder, now));
+            holder.set_entries([again, third]);
+            let later = now + DurationMs(20);
+            holder.tick(later);
+            let second = forwarded_to(&sent(&mut holder, later));
+            if first == Some(earlier.incarnation) {
+                assert_eq!(second, Some(third.incarnation), "job {name}");
+            }
+        }
+    }
+
     // Guards against a second lease from a home that has just started and has not been told
     // yet of the entries before it.
     a_home_that_knows_no_entry_yet_grants_nothing => {
