--- a/crates/lagoonhill_entry/tests/seeds.rs
+++ b/crates/lagoonhill_entry/tests/seeds.rs
@@ -1,7 +1,7 @@
 //! Processes that have just started while the store is away: they find each other
 //! through seeds, so that workers are known when the store is back.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -19,10 +19,7 @@
 }
 
 /// Nobody listens here: the store that is away, or a seed that is lost.
-const LOST: SocketAddr = SocketAddr::new(
-    std::net::IpAddr::V4(std::net::Ipv4Addr::new(127, 0, 0, 1)),
-    9,
-);
+const LOST: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 9);
 
 const TIMEOUT: Duration = Duration::from_secs(5);
 
