--- a/crates/lagoonhill_bench/src/bin/large.rs
+++ b/crates/lagoonhill_bench/src/bin/large.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
-use lagoonhill_bench::{Burst, LargeResult, LargeRun, LeastOutstanding, TwoChoices, run_large};
+use lagoonhill_bench::{Burst, KindResult, LargeResult, LargeRun, LeastOutstanding, TwoChoices, run_large};
 use lagoonhill_core::Timing;
 use lagoonhill_core::entry::LeastExpectedFinish;
 use plotters::prelude::*;
@@ -32,6 +32,8 @@
     /// Only rows whose names contain this
     #[bpaf(argument("TEXT"), optional)]
     only: Option<String>,
+    /// Print a row for each kind of job instead
+    by_kind: bool,
     /// Write a plot of each day's windows as SVG to this folder
     #[bpaf(argument("FOLDER"), optional)]
     svg: Option<PathBuf>,
@@ -160,6 +162,22 @@
     )
 }
 
+const KIND_COLUMNS: &str = "day,policy,seed,kind,jobs,in_time,late,refused,p50_ms,p99_ms";
+
+fn kind_csv(day: &str, policy: Policy, run: &LargeRun, kind: &KindResult) -> String {
+    format!(
+        "{day},{policy:?},{},{},{},{},{},{},{},{}",
+        run.seed,
+        kind.queue,
+        kind.jobs,
+        kind.in_time,
+        kind.late,
+        kind.refused,
+        kind.taken_ms.value_at_quantile(0.5),
+        kind.taken_ms.value_at_quantile(0.99),
+    )
+}
+
 /// Plots the share earned in each window, one line per policy.
 fn plot(
     day: &str,
@@ -210,7 +228,7 @@
         length_ms: options.seconds * 1_000,
         seed: options.seed,
     };
-    println!("{COLUMNS}");
+    println!("{}", if options.by_kind { KIND_COLUMNS } else { COLUMNS });
     for (day, run) in scenarios(base) {
         let mut lines = Vec::new();
         for policy in POLICIES {
@@ -224,7 +242,13 @@
             }
             eprintln!("running {name}");
             let result = policy.run_once(run);
-            println!("{}", csv(day, policy, &run, &result));
+            if options.by_kind {
+                for kind in &result.kinds {
+                    println!("{}", kind_csv(day, policy, &run, kind));
+                }
+            } else {
+                println!("{}", csv(day, policy, &run, &result));
+            }
             lines.push((policy, result));
         }
         if let Some(folder) = &options.svg
--- a/crates/lagoonhill_bench/src/large_fleet.rs
+++ b/crates/lagoonhill_bench/src/large_fleet.rs
@@ -132,9 +132,41 @@
     pub seed: u64,
 }
 
+/// Outcomes of the jobs of one kind.
+#[derive(Clone, Debug)]
+pub struct KindResult {
+    /// Queue of the kind.
+    pub queue: &'static str,
+    /// Jobs submitted.
+    pub jobs: u64,
+    /// Jobs answered within their objective.
+    pub in_time: u64,
+    /// Jobs answered after it.
+    pub late: u64,
+    /// Jobs refused without having run.
+    pub refused: u64,
+    /// Response time of the answered jobs, in milliseconds.
+    pub taken_ms: Histogram<u64>,
+}
+
+impl KindResult {
+    fn of(kind: &Kind) -> Self {
+        Self {
+            queue: kind.queue,
+            jobs: 0,
+            in_time: 0,
+            late: 0,
+            refused: 0,
+            taken_ms: Histogram::new_with_bounds(1, 1_000_000, 3).expect("the bounds are valid"),
+        }
+    }
+}
+
 /// Result of a run.
 #[derive(Clone, Debug)]
 pub struct LargeResult {
+    /// Outcomes by kind of job, the most urgent first.
+    pub kinds: Vec<KindResult>,
     /// Share of the possible value that was earned in each window of two
     /// seconds.
     pub windows: Vec<f64>,
@@ -176,6 +208,8 @@
 }
 
 struct PlannedJob {
+    /// Index of its kind in [`KINDS`].
+    kind: usize,
     at_ms: u64,
     entry: usize,
     objective_ms: u64,
@@ -260,7 +294,7 @@
         .collect();
     let all: f64 = weights.iter().sum();
     let mut jobs = Vec::new();
-    for kind in &KINDS {
+    for (position, kind) in KINDS.iter().enumerate() {
         let base = kind.rate * run.targets as f64 * run.load / 1_000.0;
         let mut at = 0.0_f64;
         loop {
@@ -284,6 +318,7 @@
             let caller = random.usize(..CALLERS_PER_ZONE);
             let (submission, longest_ms) = submission(&mut random, kind, jobs.len());
             jobs.push(PlannedJob {
+                kind: position,
                 at_ms: at_least_one(at),
                 entry: entry_of_caller[zone][caller],
                 objective_ms: longest_ms * 1_600 / 1_000 + 60,
@@ -380,6 +415,7 @@
     started: TimestampMs,
 ) -> LargeResult {
     let mut result = LargeResult {
+        kinds: KINDS.iter().map(KindResult::of).collect(),
         windows: Vec::new(),
         earned: 0.0,
         ratio_percent: Histogram::new_with_bounds(1, 1_000_000, 3).expect("the bounds are valid"),
@@ -400,6 +436,8 @@
             windows.resize(window + 1, (0.0, 0.0));
         }
         windows[window].1 += job.value;
+        let kind = &mut result.kinds[job.kind];
+        kind.jobs += 1;
         let received = world.received.get(caller).and_then(|all| all.first());
         let Some(received) = received else {
             result.unanswered += 1;
@@ -410,6 +448,9 @@
         match &received.answer.outcome {
             Ok(_) => {
                 let percent = taken_ms * 100 / job.objective_ms;
+                kind.taken_ms.saturating_record(taken_ms);
+                kind.in_time += u64::from(percent <= 100);
+                kind.late += u64::from(percent > 100);
                 result.ratio_percent.saturating_record(percent.max(1));
                 windows[window].0 += if percent <= 100 {
                     job.value
@@ -421,6 +462,7 @@
             }
             Err(failure) if failure.run == RunCertainty::NotRun => {
                 result.refused += 1;
+                kind.refused += 1;
                 result.slowest_refusal_ms = result.slowest_refusal_ms.max(taken_ms);
             }
             Err(_) => result.failed += 1,
--- a/crates/lagoonhill_bench/src/lib.rs
+++ b/crates/lagoonhill_bench/src/lib.rs
@@ -15,7 +15,7 @@
 mod workload;
 
 pub use candidates::{LeastOutstanding, LeastWeightedLoad, Random, RoundRobin, TwoChoices};
-pub use large_fleet::{Burst, LargeResult, LargeRun, run_large};
+pub use large_fleet::{Burst, KindResult, LargeResult, LargeRun, run_large};
 pub use policy_run::{Fault, PolicyResult, PolicyRun, run_policy};
 pub use proc_usage::{CpuTime, Usage, read_usage};
 pub use scrape::{Counters, scrape};
