One order of delay costs decides who waits and who is refused

Callers saw: an organisation of a class was refused because another one flooded the class (58 of 60 jobs), large jobs of the least urgent class starved while urgent ones exceeded the fleet (59 of 60), and short jobs were refused for long ones that are served after them (98 of 120).

Cause: the forecast counted the whole backlog of the class, whatever the queue would serve first; the slots kept for the rush class were taken by waiting rush jobs, so weights never counted.

DelayCost is the order within an organisation's share; queues, the forecast, Retry-After and giving up read it. While rush jobs wait, the weights decide instead of the reserve. Equal costs keep the order of arrival: before, the job's place in memory decided. The line of a refusal has what was weighed, analyze and explain print it, lagoonhill_turned_away_total counts by reason and class.

--- a/crates/lagoonhill_bench/src/bin/large.rs
+++ b/crates/lagoonhill_bench/src/bin/large.rs
@@ -5,7 +5,9 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
-use lagoonhill_bench::{Burst, KindResult, LargeResult, LargeRun, LeastOutstanding, TwoChoices, run_large};
+use lagoonhill_bench::{
+    Burst, KindResult, LargeResult, LargeRun, LeastOutstanding, TwoChoices, run_large,
+};
 use lagoonhill_core::Timing;
 use lagoonhill_core::entry::LeastExpectedFinish;
 use plotters::prelude::*;
@@ -228,7 +230,14 @@
         length_ms: options.seconds * 1_000,
         seed: options.seed,
     };
-    println!("{}", if options.by_kind { KIND_COLUMNS } else { COLUMNS });
+    println!(
+        "{}",
+        if options.by_kind {
+            KIND_COLUMNS
+        } else {
+            COLUMNS
+        }
+    );
     for (day, run) in scenarios(base) {
         let mut lines = Vec::new();
         for policy in POLICIES {
--- a/crates/lagoonhill_core/src/entry/decision.rs
+++ b/crates/lagoonhill_core/src/entry/decision.rs
@@ -3,10 +3,12 @@
 use std::fmt;
 
 use lagoonhill_protocol::NotRunReason;
-use lagoonhill_rules::ZoneDrain;
+use lagoonhill_rules::{Class, ZoneDrain};
 use lagoonhill_types::prelude::*;
 
-use super::{Cause, ContainmentChange, CrashCount, DurableJobState, RunCertainty, Verdict};
+use super::{
+    Cause, ContainmentChange, CrashCount, DurableJobState, RunCertainty, Verdict, Weighed,
+};
 
 /// From where an entry learned whether a zone is drained.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,6 +53,8 @@
     Refused {
         /// Cause of the refusal.
         cause: Cause,
+        /// What was weighed, if it was refused for lack of room.
+        weighed: Option<Box<Weighed>>,
     },
     /// A task was placed.
     Placed {
@@ -119,6 +123,8 @@
         cause: Cause,
         /// Time since the job was admitted.
         took_ms: DurationMs,
+        /// Its class, if it was given up for lack of room.
+        given_up: Option<Class>,
     },
     /// A job runs without the lease on its name, since no home answered.
     Unleased,
@@ -260,7 +266,12 @@
                 )?;
                 promised_ms.map_or(Ok(()), |span| write!(f, " promised={span}"))
             }
-            DecisionKind::Refused { cause } => write!(f, "refused why={}", Quoted(cause)),
+            DecisionKind::Refused { cause, weighed } => {
+                write!(f, "refused why={}", Quoted(cause))?;
+                weighed
+                    .as_ref()
+                    .map_or(Ok(()), |weighed| write!(f, " {weighed}"))
+            }
             DecisionKind::Placed {
                 worker,
                 load,
@@ -292,7 +303,11 @@
                 run,
                 cause,
                 took_ms,
-            } => write!(f, "failed run={run} took={took_ms} why={}", Quoted(cause)),
+                given_up,
+            } => {
+                write!(f, "failed run={run} took={took_ms} why={}", Quoted(cause))?;
+                given_up.map_or(Ok(()), |class| write!(f, " class={class}"))
+            }
             DecisionKind::Unleased => f.write_str("unleased"),
             DecisionKind::Joined { worker } => write!(f, "joined worker={worker}"),
             DecisionKind::DiscoveryComplete {
--- a/crates/lagoonhill_core/src/entry/job.rs
+++ b/crates/lagoonhill_core/src/entry/job.rs
@@ -9,8 +9,8 @@
 use slotmap::new_key_type;
 
 use super::{
-    CallerId, CrashCount, DurableState, HeldName, JobTerms, Needs, Progress, QueuePosition,
-    RecordKey, RunCertainty, Step, Tier, Verdict, WorkerKey,
+    CallerId, CrashCount, DelayCost, DurableState, HeldName, JobTerms, Needs, Progress,
+    QueuePosition, RecordKey, RunCertainty, Step, Verdict, WorkerKey,
 };
 
 new_key_type! {
@@ -130,12 +130,10 @@
     pub held_name: Option<HeldName>,
     /// Durable state; present if the job is durable.
     pub durable: Option<DurableState>,
-    /// Rank among the jobs of its team; the lowest is served first.
-    pub rank_ms: u64,
+    /// Cost of delaying it, among the jobs of its team.
+    pub cost: DelayCost,
     /// The promise of its queue, if there is one.
     pub promise: Option<Promise>,
-    /// Tier of the queue in which it waits.
-    pub tier: Tier,
     tasks: Vec<Task>,
     steps: Vec<StepProgress>,
     ready: VecDeque<TaskIndex>,
@@ -189,16 +187,15 @@
             crashes: CrashCount::default(),
             crashed_ms: None,
         };
-        let rank_ms = plan.accepted_ms.0;
+        let cost = DelayCost::useful(plan.accepted_ms.0, plan.id.number);
         let mut job = Self {
             plan,
             callers: Vec::new(),
             record: None,
             held_name: None,
             durable: None,
-            rank_ms,
+            cost,
             promise: None,
-            tier: Tier::Useful,
             tasks: step_of.into_iter().zip(payloads).map(task).collect(),
             steps: progress,
             ready: VecDeque::new(),
@@ -247,7 +244,7 @@
         QueuePosition {
             class: self.plan.class,
             team: self.plan.team.clone(),
-            rank_ms: self.rank_ms,
+            cost: self.cost,
             job: key,
         }
     }
--- a/crates/lagoonhill_core/src/entry/job_queue.rs
+++ b/crates/lagoonhill_core/src/entry/job_queue.rs
@@ -5,7 +5,7 @@
 use lagoonhill_rules::Class;
 use lagoonhill_types::prelude::*;
 
-use super::JobKey;
+use super::{DelayCost, JobKey};
 
 /// Virtual time charged for one millisecond of work at weight 1.
 const PASS_SCALE: u64 = 1_024;
@@ -15,7 +15,7 @@
 #[derive(Debug, Default)]
 struct TeamQueue {
     pass: u64,
-    jobs: BTreeSet<(u64, JobKey)>,
+    jobs: BTreeSet<(DelayCost, JobKey)>,
 }
 
 #[derive(Debug, Default)]
@@ -34,7 +34,7 @@
 /// The jobs of one service that have ready tasks.
 ///
 /// Classes share the slots by weight, teams share the slots of their class by
-/// weight, and within a team the job of the lowest rank is next.
+/// weight, and within a team the job that costs most to delay is next.
 #[derive(Debug, Default)]
 pub struct JobQueue {
     class_time: u64,
@@ -65,7 +65,7 @@
     }
 
     /// Adds a job, unless it is already there.
-    pub fn insert(&mut self, class: Class, team: &TeamName, rank_ms: u64, job: JobKey) {
+    pub fn insert(&mut self, class: Class, team: &TeamName, cost: DelayCost, job: JobKey) {
         let queue = self.classes.entry(class).or_default();
         if queue.is_empty() {
             queue.pass = queue.pass.max(self.class_time);
@@ -74,20 +74,20 @@
         if team.jobs.is_empty() {
             team.pass = team.pass.max(queue.team_time);
         }
-        team.jobs.insert((rank_ms, job));
+        team.jobs.insert((cost, job));
     }
 
     /// Removes a job.
-    pub fn remove(&mut self, class: Class, team: &TeamName, rank_ms: u64, job: JobKey) {
+    pub fn remove(&mut self, class: Class, team: &TeamName, cost: DelayCost, job: JobKey) {
         if let Some(queue) = self.classes.get_mut(&class)
             && let Some(team_queue) = queue.teams.get_mut(team)
         {
-            team_queue.jobs.remove(&(rank_ms, job));
+            team_queue.jobs.remove(&(cost, job));
         }
     }
 
     /// The next job to serve among the eligible ones: by the pass of the class,
-    /// then of the team, then by rank.
+    /// then of the team, then by the cost of delaying it.
     pub fn next(
         &self,
         class_eligible: impl Fn(Class) -> bool,
@@ -116,11 +116,25 @@
         None
     }
 
+    /// The jobs of a class by team, those that cost most to delay first.
+    pub fn jobs(
+        &self,
+        class: Class,
+    ) -> impl Iterator<Item = (&TeamName, impl Iterator<Item = (DelayCost, JobKey)>)> {
+        let teams = self.classes.get(&class).into_iter();
+        let teams = teams.flat_map(|queue| &queue.teams);
+        teams.map(|(name, team)| (name, team.jobs.iter().copied()))
+    }
+
     /// Jobs whose rank is below the given one.
     pub fn ranked_before(&self, rank_ms: u64) -> Vec<JobKey> {
         let teams = self.classes.values().flat_map(|queue| queue.teams.values());
         teams
-            .flat_map(|team| team.jobs.iter().take_while(|(rank, _)| *rank < rank_ms))
+            .flat_map(|team| {
+                team.jobs
+                    .iter()
+                    .take_while(|(cost, _)| cost.rank_ms < rank_ms)
+            })
             .map(|(_, job)| *job)
             .collect()
     }
--- a/crates/lagoonhill_core/src/entry/machine/admission.rs
+++ b/crates/lagoonhill_core/src/entry/machine/admission.rs
@@ -5,8 +5,9 @@
 
 use super::{DEFAULT_RETRY_MS, Entry};
 use crate::entry::{
-    CallerId, Cause, DecisionKind, DurableState, Job, JobFailure, JobKey, JobPlan, JobTerms, Needs,
-    PERMILLE, Placement, Promise, QueueSettings, Record, RecordKey, Step, Submission, WorkKind,
+    CallerId, Cause, DecisionKind, DelayCost, DurableState, Job, JobFailure, JobKey, JobPlan,
+    JobTerms, Needs, PERMILLE, Placement, Promise, QueueSettings, Record, RecordKey, Refusal, Step,
+    Submission, WorkKind,
 };
 
 /// A job expires when its answer takes this many times the promised time.
@@ -69,6 +70,21 @@
         Ok(())
     }
 
+    /// Checks a submission that is not durable against the rules, the fleet and the load.
+    fn check_submission(
+        &mut self,
+        submission: &Submission,
+        now: TimestampMs,
+    ) -> Result<(AdmissionParams, Option<Promise>), Refusal> {
+        self.validate(submission)?;
+        let params = self.admission_params(submission, self.terms_of(submission));
+        let promise = self.promise(submission, &params, now);
+        self.check_containment(submission, promise, now)?;
+        self.check_promise(submission, params.class, params.deadline_ms, promise, now)?;
+        self.check_load(submission, &params, promise, now)?;
+        Ok((params, promise))
+    }
+
     pub(super) fn admit(
         &mut self,
         caller: CallerId,
@@ -77,20 +93,13 @@
         record: Option<RecordKey>,
         now: TimestampMs,
     ) {
-        let checked = self.validate(&submission).and_then(|()| {
-            let params = self.admission_params(&submission, self.terms_of(&submission));
-            let promise = self.promise(&submission, &params, now);
-            self.check_containment(&submission, promise, now)?;
-            self.check_promise(&submission, params.class, promise, now)?;
-            self.check_load(&submission, &params, now)?;
-            Ok((params, promise))
-        });
+        let checked = self.check_submission(&submission, now);
         let (params, promise) = match checked {
             Ok(checked) => checked,
-            Err(failure) => {
+            Err(refusal) => {
                 let key = || record.as_ref().and_then(RecordKey::request);
                 let request = submission.name().or_else(key);
-                return self.refuse(caller, request, failure, now);
+                return self.refuse(caller, request, refusal, now);
             }
         };
         let fingerprint = submission.fingerprint();
@@ -109,7 +118,7 @@
         let mut job = self.new_job(submission, params, number, now);
         job.callers.push(caller);
         job.record.clone_from(&record);
-        job.rank_ms = rank_ms;
+        job.cost = DelayCost::useful(rank_ms, number);
         job.promise = promise;
         let ready = job.ready_count();
         let (id, class, due_ms) = (job.plan.id, job.plan.class, job.due_ms());
@@ -153,7 +162,7 @@
         let params = self.admission_params(submission, durable.terms);
         let promise = self.promise(submission, &params, now);
         self.check_containment(submission, promise, now)?;
-        self.check_load(submission, &params, now)?;
+        self.check_load(submission, &params, promise, now)?;
         Ok(self.insert_durable(submission, durable, number, now))
     }
 
@@ -167,7 +176,8 @@
         let params = self.admission_params(submission, durable.terms);
         let promise = self.promise(submission, &params, now);
         let mut job = self.new_job(submission.clone(), params, number, now);
-        job.rank_ms = promise.map_or(now.0, |promise| promise.latest_start_ms.0);
+        let rank_ms = promise.map_or(now.0, |promise| promise.latest_start_ms.0);
+        job.cost = DelayCost::useful(rank_ms, number);
         job.promise = promise;
         job.start_run_numbers(durable.epoch);
         job.durable = Some(durable);
@@ -383,6 +393,7 @@
         &mut self,
         submission: &Submission,
         params: &AdmissionParams,
+        promise: Option<Promise>,
         now: TimestampMs,
     ) -> Result<(), JobFailure> {
         let Submission {
@@ -407,7 +418,7 @@
             let cause = Cause::Drained(service.clone());
             return Err(JobFailure::refused_for_now(cause, DEFAULT_RETRY_MS));
         }
-        self.check_queue(submission, params)?;
+        self.check_queue(submission, params, promise)?;
         let rate = self.rules().team(team).and_then(|rule| rule.rate);
         let Some(rate) = rate else {
             return Ok(());
@@ -487,6 +498,7 @@
         &self,
         submission: &Submission,
         params: &AdmissionParams,
+        promise: Option<Promise>,
     ) -> Result<(), JobFailure> {
         let Submission { service, tasks, .. } = submission;
         let &AdmissionParams {
@@ -512,7 +524,9 @@
                 retry_ms,
             ));
         }
-        let is_in_time = wait_ms + own_ms <= deadline_ms || ahead == 0;
+        // The forecast has checked the deadline of a job with a promise.
+        let is_checked = promise.is_some() && !submission.durable;
+        let is_in_time = is_checked || wait_ms + own_ms <= deadline_ms || ahead == 0;
         if is_in_time || self.may_await_workers(submission.durable) {
             return Ok(());
         }
--- a/crates/lagoonhill_core/src/entry/machine/dispatch.rs
+++ b/crates/lagoonhill_core/src/entry/machine/dispatch.rs
@@ -8,7 +8,7 @@
 
 use super::{DEFAULT_RUN_TIME_MS, Entry};
 use crate::entry::{
-    Candidate, Cause, Charge, DecisionKind, DispatchedTask, JobKey, Needs, Placement,
+    Candidate, Cause, Charge, DecisionKind, DelayCost, DispatchedTask, JobKey, Needs, Placement,
     PlacementContext, SlotLimit, Suspicion, Tier, Work, WorkKind,
 };
 
@@ -160,10 +160,9 @@
             else {
                 continue;
             };
-            tiers.remove(Tier::Useful, &job.queue_position(key));
-            job.tier = Tier::Expired;
-            job.rank_ms = promise.last_useful_start_ms.0;
-            tiers.insert(Tier::Expired, &job.queue_position(key));
+            tiers.remove(&job.queue_position(key));
+            job.cost = job.cost.expired(promise.last_useful_start_ms);
+            tiers.insert(&job.queue_position(key));
             expired.push(key);
         }
         expired.retain(|key| !self.jobs[*key].has_started() && !self.jobs[*key].is_durable());
@@ -171,12 +170,27 @@
             return;
         }
         for key in expired {
-            let wait_ms = now.since(self.jobs[key].plan.accepted_ms);
+            let wait_ms = self.wait_if_sent_again(key, now);
             let retry_ms = self.retry_after(wait_ms);
             self.fail_job_for_now(key, Cause::Backlog { wait_ms }, retry_ms, now);
         }
     }
 
+    /// Time that a waiting job would have to wait if it came now.
+    fn wait_if_sent_again(&self, key: JobKey, now: TimestampMs) -> DurationMs {
+        let job = &self.jobs[key];
+        let plan = &job.plan;
+        let latest_start_ms = job
+            .promise
+            .map_or(plan.accepted_ms, |promise| promise.latest_start_ms);
+        let left_ms = latest_start_ms.since(plan.accepted_ms);
+        let cost = DelayCost::useful((now + left_ms).0, self.next_number);
+        let work = self.ready_work(key);
+        let turn = self.turn(&plan.service, plan.class, &plan.team, work, cost, now);
+        let waited_ms = now.since(plan.accepted_ms);
+        turn.wait_ms.unwrap_or(waited_ms)
+    }
+
     fn next_job(
         &self,
         service: &ServiceName,
@@ -216,7 +230,12 @@
     fn context(&self, key: JobKey, now: TimestampMs) -> PlacementContext {
         let plan = &self.jobs[key].plan;
         let kind = self.work_kind_of(key);
-        let keeps_reserve = plan.class > Class::Rush && self.has_recent_rush(&plan.service, now);
+        // While jobs of the most urgent class wait, the weights decide. The reserve is for
+        // those that have not come yet; it would give them all that becomes free.
+        let queue = self.queues.get(&plan.service);
+        let rush_waits = queue.is_some_and(|queue| queue.has_useful_job(Class::Rush));
+        let keeps_reserve =
+            plan.class > Class::Rush && !rush_waits && self.has_recent_rush(&plan.service, now);
         PlacementContext {
             run_time_ms: self.next_run_time_as(key, &kind),
             time_left_ms: self.time_left(key, now),
@@ -232,7 +251,7 @@
     /// Time left to keep a job's promise, unless the job has expired.
     fn time_left(&self, key: JobKey, now: TimestampMs) -> Option<DurationMs> {
         let job = &self.jobs[key];
-        let promise = job.promise.filter(|_| job.tier == Tier::Useful)?;
+        let promise = job.promise.filter(|_| job.cost.tier == Tier::Useful)?;
         Some(promise.due_ms.since(now))
     }
 
@@ -309,7 +328,7 @@
             job.plan.class,
         );
         let (run_limit_ms, emptied) = (job.plan.run_limit_ms, job.ready_count() == 0);
-        let (tier, position) = (job.tier, job.queue_position(key));
+        let position = job.queue_position(key);
         let waited_ms = now.since(job.plan.accepted_ms);
         let charge = Charge {
             run_time_ms: expected_ms,
@@ -322,7 +341,7 @@
         if let Some(queue) = self.queues.get_mut(&service) {
             queue.charge(class, &team, charge);
             if emptied {
-                queue.remove(tier, &position);
+                queue.remove(&position);
             }
         }
         self.usage.entry(team.clone()).or_default().in_flight += 1;
--- a/crates/lagoonhill_core/src/entry/machine/durable_jobs.rs
+++ b/crates/lagoonhill_core/src/entry/machine/durable_jobs.rs
@@ -233,6 +233,7 @@
                 let name = self.jobs[key].name();
                 let kind = DecisionKind::Refused {
                     cause: Cause::StoreUnavailable,
+                    weighed: None,
                 };
                 self.log_decision_for_request(now, None, name, None, kind);
                 self.answer_callers(key, Some(&failure));
@@ -314,6 +315,7 @@
             run: job.certainty(),
             cause,
             took_ms: now.since(job.plan.accepted_ms),
+            given_up: None,
         };
         self.end_durable(key, state, kind, now);
     }
@@ -435,13 +437,13 @@
         let (id, workers) = (job.plan.id, job.workers());
         let ready = job.ready_count();
         let (service, class) = (job.plan.service.clone(), job.plan.class);
-        let (tier, position) = (job.tier, job.queue_position(key));
+        let position = job.queue_position(key);
         job.clear_ready();
         if let Some(count) = self.queued.get_mut(&(service.clone(), class)) {
             *count = count.saturating_sub(ready);
         }
         if let Some(queue) = self.queues.get_mut(&service) {
-            queue.remove(tier, &position);
+            queue.remove(&position);
         }
         for worker in workers {
             self.push_message(worker, Message::CancelJob(id));
--- a/crates/lagoonhill_core/src/entry/machine/endings.rs
+++ b/crates/lagoonhill_core/src/entry/machine/endings.rs
@@ -8,7 +8,7 @@
 use super::{DEFAULT_RETRY_MS, Entry};
 use crate::entry::{
     Answer, CallerId, Cause, DecisionKind, EntryEffect, Job, JobFailure, JobKey, Placement,
-    RunCertainty,
+    Refusal, RunCertainty,
 };
 
 impl<P: Placement> Entry<P> {
@@ -16,11 +16,13 @@
         &mut self,
         caller: CallerId,
         request: Option<RequestKey>,
-        failure: JobFailure,
+        refusal: impl Into<Refusal>,
         now: TimestampMs,
     ) {
+        let Refusal { failure, weighed } = refusal.into();
         let kind = DecisionKind::Refused {
             cause: failure.cause.clone(),
+            weighed,
         };
         self.log_decision_for_request(now, None, request, None, kind);
         self.answer(
@@ -53,7 +55,7 @@
             *count = count.saturating_sub(tasks);
         }
         if let Some(queue) = self.queues.get_mut(&job.plan.service) {
-            queue.remove(job.tier, &job.queue_position(key));
+            queue.remove(&job.queue_position(key));
         }
     }
 
@@ -105,6 +107,7 @@
             run,
             cause: cause.clone(),
             took_ms: now.since(job.plan.accepted_ms),
+            given_up: matches!(cause, Cause::Backlog { .. }).then_some(job.plan.class),
         };
         self.log_end(&job, kind, now);
         self.release_name_of(&job, now);
--- a/crates/lagoonhill_core/src/entry/machine/forecast.rs
+++ b/crates/lagoonhill_core/src/entry/machine/forecast.rs
@@ -9,7 +9,9 @@
 use lagoonhill_types::prelude::*;
 
 use super::{DEFAULT_RETRY_MS, Entry};
-use crate::entry::{Cause, JobFailure, JobKey, Placement, Promise, Submission, Tier, Work};
+use crate::entry::{
+    Cause, DelayCost, JobFailure, JobKey, Placement, Promise, Refusal, Submission, Weighed, Work,
+};
 
 /// An entry assumes at least an even share of the fleet divided by this, whatever
 /// throughput it measured: jobs may wait for other reasons than a full fleet.
@@ -31,38 +33,98 @@
 /// that refused callers don't cause a second flood.
 const RETRY_SPREAD_STEPS: u64 = 16;
 
+/// When a job would be served.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Turn {
+    /// Work that is served before it.
+    pub(super) ahead: Work,
+    /// Time until that work and its own are placed; absent if nothing is placed.
+    pub(super) wait_ms: Option<DurationMs>,
+}
+
 impl<P: Placement> Entry<P> {
-    /// Refuses a job whose promise can't be kept behind the present backlog.
+    /// Refuses a job whose promise or deadline can't be kept behind the work that is
+    /// served before it.
     pub(super) fn check_promise(
         &self,
         submission: &Submission,
         class: Class,
+        deadline_ms: DurationMs,
         promise: Option<Promise>,
         now: TimestampMs,
-    ) -> Result<(), JobFailure> {
+    ) -> Result<(), Refusal> {
         let Some(promise) = promise.filter(|_| !submission.durable) else {
             return Ok(());
         };
         if self.may_await_workers(submission.durable) {
             return Ok(());
         }
-        let service = &submission.service;
-        let backlog = self.class_backlog(service, class);
-        if backlog == Work::default() {
+        let Submission { service, team, .. } = submission;
+        let work = Self::initial_work(submission);
+        let cost = DelayCost::useful(promise.latest_start_ms.0, self.next_number);
+        let turn = self.turn(service, class, team, work, cost, now);
+        if turn.ahead == Work::default() {
             return Ok(());
         }
-        let own = Self::initial_work(submission);
-        let wait_ms = (backlog + own).time_at(self.class_rate(service, class, now));
-        let safe_ms = wait_ms.map(|wait_ms| wait_ms * WAIT_SAFETY_PERCENT / 100);
-        let is_in_time = safe_ms.is_some_and(|safe_ms| now + safe_ms <= promise.latest_start_ms);
+        let run_ms = promise.due_ms.since(promise.latest_start_ms);
+        let latest_start_ms = promise.latest_start_ms.min(now + deadline_ms - run_ms);
+        let safe_ms = turn
+            .wait_ms
+            .map(|wait_ms| wait_ms * WAIT_SAFETY_PERCENT / 100);
+        let is_in_time = safe_ms.is_some_and(|safe_ms| now + safe_ms <= latest_start_ms);
         if is_in_time || self.has_free_worker(submission, now) {
             return Ok(());
         }
-        let wait_ms = wait_ms.unwrap_or(DEFAULT_RETRY_MS);
-        Err(JobFailure::refused_for_now(
-            Cause::Backlog { wait_ms },
-            self.retry_after(wait_ms),
-        ))
+        let wait_ms = turn.wait_ms.unwrap_or(DEFAULT_RETRY_MS);
+        let cause = Cause::Backlog { wait_ms };
+        Err(Refusal {
+            failure: JobFailure::refused_for_now(cause, self.retry_after(wait_ms)),
+            weighed: Some(Box::new(Weighed {
+                class,
+                team: team.clone(),
+                work,
+                ahead: turn.ahead,
+                wait_ms: turn.wait_ms,
+                left_ms: latest_start_ms.since(now),
+            })),
+        })
+    }
+
+    /// When a job that comes now would be served, if its class gets what it has been
+    /// getting: after the work of its organisation that costs more to delay, while other
+    /// organisations of the class get their shares by weight.
+    pub(super) fn turn(
+        &self,
+        service: &ServiceName,
+        class: Class,
+        team: &TeamName,
+        work: Work,
+        cost: DelayCost,
+        now: TimestampMs,
+    ) -> Turn {
+        let weight =
+            |team: &TeamName| u64::from(self.rules().team(team).map_or(1, |rule| rule.weight));
+        let queue = self.queues.get(service);
+        let (mut ahead, mut others) = (Work::default(), Vec::new());
+        for (name, jobs) in queue.iter().flat_map(|queue| queue.useful_jobs(class)) {
+            if name == team {
+                let before = jobs.take_while(|(other, _)| *other < cost);
+                ahead = before.map(|(_, job)| self.ready_work(job)).sum();
+            } else {
+                let waiting: Work = jobs.map(|(_, job)| self.ready_work(job)).sum();
+                others.push((weight(name), waiting));
+            }
+        }
+        let own = ahead + work;
+        let served_meanwhile = others.into_iter().map(|(other_weight, waiting)| {
+            let share = own.0.saturating_mul(other_weight) / weight(team).max(1);
+            waiting.min(Work(share))
+        });
+        let ahead = ahead + served_meanwhile.sum();
+        Turn {
+            ahead,
+            wait_ms: (ahead + work).time_at(self.class_rate(service, class, now)),
+        }
     }
 
     /// Whether a worker is estimated to be free for a task of the submission. It
@@ -101,23 +163,16 @@
             .max(Work(share.0 / MIN_SHARE_DIVISOR))
     }
 
-    /// A class's weighted share of a rate among the classes that have a backlog.
+    /// A class's weighted share of a rate among the classes of which jobs wait.
     fn class_share(&self, service: &ServiceName, class: Class, rate: Work) -> Work {
-        let is_counted =
-            |other: &&Class| **other == class || self.class_backlog(service, **other).0 > 0;
+        let queue = self.queues.get(service);
+        let waits = |other: Class| queue.is_some_and(|queue| queue.has_useful_job(other));
+        let is_counted = |other: &&Class| **other == class || waits(**other);
         let weight = |class: &Class| u64::from(self.rules().class_weight(*class));
         let all: u64 = Class::ALL.iter().filter(is_counted).map(weight).sum();
         Work(rate.0.saturating_mul(weight(&class)) / all.max(1))
     }
 
-    fn class_backlog(&self, service: &ServiceName, class: Class) -> Work {
-        let is_counted = |job: &crate::entry::Job| {
-            job.plan.service == *service && job.plan.class == class && job.tier == Tier::Useful
-        };
-        let jobs = self.jobs.iter().filter(|(_, job)| is_counted(job));
-        jobs.map(|(key, _)| self.ready_work(key)).sum()
-    }
-
     pub(super) fn ready_work(&self, key: JobKey) -> Work {
         let job = &self.jobs[key];
         let ready = job.ready_count();
--- a/crates/lagoonhill_core/src/entry/machine/outcomes.rs
+++ b/crates/lagoonhill_core/src/entry/machine/outcomes.rs
@@ -163,7 +163,7 @@
         self.queues
             .entry(service)
             .or_default()
-            .insert(job.tier, &job.queue_position(key));
+            .insert(&job.queue_position(key));
     }
 
     /// Queues tasks in doubt again once their lost worker can't run them any more.
--- a/crates/lagoonhill_core/src/entry/tiered_queue.rs
+++ b/crates/lagoonhill_core/src/entry/tiered_queue.rs
@@ -10,26 +10,17 @@
 use lagoonhill_rules::Class;
 use lagoonhill_types::prelude::*;
 
-use super::{Charge, JobKey, JobQueue};
+use super::{Charge, DelayCost, JobKey, JobQueue, Tier};
 
-/// Tier of a waiting job; the first tier is served first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Tier {
-    /// The answer is still useful.
-    Useful,
-    /// The job has started or is durable, but is past its usefulness limit.
-    Expired,
-}
-
-/// Position of a waiting job within its tier.
+/// Position of a waiting job.
 #[derive(Clone, Debug)]
 pub struct QueuePosition {
     /// Scheduling class of the job.
     pub class: Class,
     /// Team of the job.
     pub team: TeamName,
-    /// Rank among the jobs of its team; the lowest is served first.
-    pub rank_ms: u64,
+    /// Cost of delaying it, among the jobs of its team.
+    pub cost: DelayCost,
     /// Key of the job.
     pub job: JobKey,
 }
@@ -53,25 +44,15 @@
     }
 
     /// Adds a job, unless it is already there.
-    pub fn insert(&mut self, tier: Tier, position: &QueuePosition) {
-        let queue = self.queues.entry(tier).or_default();
-        queue.insert(
-            position.class,
-            &position.team,
-            position.rank_ms,
-            position.job,
-        );
+    pub fn insert(&mut self, position: &QueuePosition) {
+        let queue = self.queues.entry(position.cost.tier).or_default();
+        queue.insert(position.class, &position.team, position.cost, position.job);
     }
 
     /// Removes a job.
-    pub fn remove(&mut self, tier: Tier, position: &QueuePosition) {
-        if let Some(queue) = self.queues.get_mut(&tier) {
-            queue.remove(
-                position.class,
-                &position.team,
-                position.rank_ms,
-                position.job,
-            );
+    pub fn remove(&mut self, position: &QueuePosition) {
+        if let Some(queue) = self.queues.get_mut(&position.cost.tier) {
+            queue.remove(position.class, &position.team, position.cost, position.job);
         }
     }
 
@@ -86,6 +67,15 @@
             .find_map(|queue| queue.next(&class_eligible, &mut eligible))
     }
 
+    /// The jobs of a class whose answers are still useful, by team.
+    pub fn useful_jobs(
+        &self,
+        class: Class,
+    ) -> impl Iterator<Item = (&TeamName, impl Iterator<Item = (DelayCost, JobKey)>)> {
+        let useful = self.queues.get(&Tier::Useful);
+        useful.into_iter().flat_map(move |queue| queue.jobs(class))
+    }
+
     /// Jobs of a tier whose rank lies before `now`.
     pub fn ranked_before(&self, tier: Tier, now: TimestampMs) -> Vec<JobKey> {
         self.queues
--- a/crates/lagoonhill_core/src/entry/work.rs
+++ b/crates/lagoonhill_core/src/entry/work.rs
@@ -5,6 +5,8 @@
 
 use lagoonhill_types::prelude::*;
 
+use super::PERMILLE;
+
 const MS_PER_S: u64 = 1_000;
 
 /// Processor time, in thousandths of a processor times milliseconds.
@@ -24,6 +26,11 @@
         Self(self.0.saturating_mul(MS_PER_S) / span_ms.0.max(1))
     }
 
+    /// Time that it takes on one processor.
+    pub fn processor_time(self) -> DurationMs {
+        DurationMs(self.0 / PERMILLE)
+    }
+
     /// Time that the work takes at a rate per second; `None` if the rate is zero.
     pub fn time_at(self, per_s: Self) -> Option<DurationMs> {
         let scaled = self.0.saturating_mul(MS_PER_S);
--- a/crates/lagoonhill_core/tests/entry.rs
+++ b/crates/lagoonhill_core/tests/entry.rs
@@ -224,7 +224,7 @@
         let class = lagoonhill_rules::Class::Standard;
         let jobs = [keys.insert(()), keys.insert(())];
         for (team, job) in teams.iter().zip(jobs) {
-            queue.insert(class, team, 0, job);
+            queue.insert(class, team, lagoonhill_core::entry::DelayCost::useful(0, 0), job);
         }
         let mut served = [0_u32; 2];
         for _ in 0..400 {
--- a/crates/lagoonhill_daemon/src/meters.rs
+++ b/crates/lagoonhill_daemon/src/meters.rs
@@ -30,8 +30,13 @@
 
     /// Registers a family of counters with one label.
     pub fn counters(&self, name: &str, help: &str, label: &str) -> IntCounterVec {
+        self.labelled_counters(name, help, &[label])
+    }
+
+    /// Registers a family of counters with several labels.
+    pub fn labelled_counters(&self, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
         let counters =
-            IntCounterVec::new(Opts::new(name, help), &[label]).expect("the name is valid");
+            IntCounterVec::new(Opts::new(name, help), labels).expect("the name is valid");
         self.registry
             .register(Box::new(counters.clone()))
             .expect("the name is unique");
--- a/crates/lagoonhill_entry/src/metrics.rs
+++ b/crates/lagoonhill_entry/src/metrics.rs
@@ -1,6 +1,7 @@
 use lagoonhill_core::entry::{Cause, DecisionKind, EntryStatus, RunCertainty};
 use lagoonhill_daemon::{Meters, PacketMeter};
 use lagoonhill_platform::{CallCounts, CallKind};
+use lagoonhill_rules::Class;
 use lagoonhill_types::prelude::*;
 use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
 
@@ -16,6 +17,7 @@
     crashes: IntCounterVec,
     times: HistogramVec,
     refusals: IntCounterVec,
+    turned_away: IntCounterVec,
     ownership: IntCounterVec,
     platform_calls: IntCounterVec,
     platform_failures: IntCounterVec,
@@ -67,6 +69,11 @@
                 "Jobs refused, or given up before anything ran, by reason.",
                 "reason",
             ),
+            turned_away: meters.labelled_counters(
+                "lagoonhill_turned_away_total",
+                "Jobs refused or given up for lack of room, by reason and class.",
+                &["reason", "class"],
+            ),
             ownership: meters.counters(
                 "lagoonhill_kept_jobs_total",
                 "Kept jobs that changed their owner: adopted here, or given up.",
@@ -122,8 +129,11 @@
             }
             DecisionKind::Moved { .. } => return self.moved.inc(),
             DecisionKind::Admitted { .. } => "admitted",
-            DecisionKind::Refused { cause } => {
+            DecisionKind::Refused { cause, weighed } => {
                 self.count_refusal(cause);
+                if let Some(weighed) = weighed {
+                    self.count_turned_away(cause, weighed.class);
+                }
                 "refused"
             }
             DecisionKind::Completed { took_ms } => {
@@ -134,8 +144,12 @@
                 run,
                 took_ms,
                 cause,
+                given_up,
             } => {
                 self.observe("failed", *took_ms);
+                if let Some(class) = given_up {
+                    self.count_turned_away(cause, *class);
+                }
                 match run {
                     RunCertainty::NotRun => {
                         self.count_refusal(cause);
@@ -181,6 +195,11 @@
         self.refusals.with_label_values(&[cause.reason()]).inc();
     }
 
+    fn count_turned_away(&self, cause: &Cause, class: Class) {
+        let labels = [cause.reason(), class.name()];
+        self.turned_away.with_label_values(&labels).inc();
+    }
+
     fn observe(&self, stage: &str, span_ms: DurationMs) {
         let histogram = self.times.with_label_values(&[stage]);
         histogram.observe(span_ms.as_secs_f64());
--- a/crates/lagoonhill_operator/src/analysis/mod.rs
+++ b/crates/lagoonhill_operator/src/analysis/mod.rs
@@ -112,6 +112,7 @@
     groups: BTreeMap<String, GroupStats>,
     seconds: BTreeMap<i64, SecondStats>,
     refusals: BTreeMap<String, u64>,
+    turned_away: BTreeMap<String, u64>,
     /// Lines about the fleet: drains, rules, quarantines and such.
     events: Vec<(f64, String)>,
     lines: u64,
@@ -130,6 +131,7 @@
             groups: BTreeMap::new(),
             seconds: BTreeMap::new(),
             refusals: BTreeMap::new(),
+            turned_away: BTreeMap::new(),
             events: Vec::new(),
             lines: 0,
             damaged_lines: 0,
@@ -167,6 +169,7 @@
             groups: self.groups,
             seconds: self.seconds,
             refusals: self.refusals,
+            turned_away: self.turned_away,
             events: self.events,
             lines: self.lines,
             damaged_lines: self.damaged_lines,
@@ -223,6 +226,7 @@
                     self.second(refused_s).refused += 1;
                     let why = without_values(message.get("why").unwrap_or_default());
                     *self.refusals.entry(why).or_default() += 1;
+                    self.count_turned_away(message);
                 }
             }
             "zone-drained" | "zone-restored" | "quarantined" | "recovered" | "left" => {
@@ -244,6 +248,14 @@
         }
     }
 
+    /// Counts a refusal for lack of room, by class and organisation.
+    fn count_turned_away(&mut self, message: &LogMessage) {
+        if let (Some(class), Some(team)) = (message.get("class"), message.get("team")) {
+            let subject = format!("class={class} team={team}");
+            *self.turned_away.entry(subject).or_default() += 1;
+        }
+    }
+
     fn task(&mut self, job: &str, message: &LogMessage) -> Option<&mut TaskTrace> {
         let index: usize = message.get("task")?.parse().ok()?;
         self.jobs.get_mut(job)?.tasks.get_mut(index)
--- a/crates/lagoonhill_operator/src/analysis/report.rs
+++ b/crates/lagoonhill_operator/src/analysis/report.rs
@@ -25,6 +25,8 @@
     pub seconds: BTreeMap<i64, SecondStats>,
     /// Refused submissions by reason, without numbers and names.
     pub refusals: BTreeMap<String, u64>,
+    /// Submissions refused for lack of room, by class and organisation.
+    pub turned_away: BTreeMap<String, u64>,
     /// Drains, quarantines and departures, with seconds since the first job.
     pub events: Vec<(f64, String)>,
     /// Lines read.
@@ -59,6 +61,7 @@
             "groups": self.groups,
             "seconds": seconds,
             "refusals": self.refusals,
+            "turned_away": self.turned_away,
             "lines": self.lines,
             "damaged_lines": self.damaged_lines,
             "dropped_lines": self.dropped_lines,
@@ -139,6 +142,12 @@
         for (why, count) in refusals.into_iter().take(MAX_ROWS) {
             writeln!(f, "  {count:>8}  {why}")?;
         }
+        writeln!(f, "refused for lack of room:")?;
+        let mut turned_away: Vec<_> = self.turned_away.iter().collect();
+        turned_away.sort_by_key(|(_, count)| std::cmp::Reverse(**count));
+        for (subject, count) in turned_away.into_iter().take(MAX_ROWS) {
+            writeln!(f, "  {count:>8}  {subject}")?;
+        }
         writeln!(f, "heaviest seconds:  admitted  refused     late   failed")?;
         for (second, stats) in self.heaviest_seconds() {
             writeln!(
--- a/crates/lagoonhill_operator/src/story.rs
+++ b/crates/lagoonhill_operator/src/story.rs
@@ -5,7 +5,7 @@
 
 use jiff::Timestamp;
 
-use crate::LogLine;
+use crate::{LogLine, LogMessage};
 
 /// Shortest wait between two lines of a job that the timeline reports.
 const LONG_WAIT_MS: i64 = 100;
@@ -170,7 +170,7 @@
         }
         self.cause = end.as_ref().and_then(|(message, why)| {
             if message.event != "completed" {
-                return Some(why.clone());
+                return Some(format!("{why}{}", weighed(message)));
             }
             let took_ms = message.get("took").and_then(span_ms)?;
             let promised_ms = limit_ms.filter(|promised| took_ms > *promised)?;
@@ -254,6 +254,22 @@
     Some(span.0)
 }
 
+/// What was weighed at a refusal for lack of room; empty at other ends.
+fn weighed(message: &LogMessage) -> String {
+    let (Some(class), Some(work), Some(ahead), Some(left)) = (
+        message.get("class"),
+        message.get("work"),
+        message.get("ahead"),
+        message.get("left"),
+    ) else {
+        return String::new();
+    };
+    let wait = message.get("wait").unwrap_or("unknown");
+    format!(
+        "; class {class}, needs {work} of a processor behind {ahead} that is served first: wait {wait}, {left} left to start in time"
+    )
+}
+
 fn outstanding(tasks: &BTreeMap<String, TaskState>) -> String {
     if tasks.is_empty() {
         return "no task was with a worker".to_owned();
--- a/crates/lagoonhill_operator/tests/analysis.rs
+++ b/crates/lagoonhill_operator/tests/analysis.rs
@@ -73,6 +73,25 @@
         assert_eq!(refusals, [("all that waits takes #ms, too long".to_owned(), 2)]);
     }
 
+    // Load: too little room. Operators are to see which callers are turned away.
+    refusals_for_lack_of_room_are_counted_by_class_and_organisation => {
+        let refused = |team: &str| format!(
+            "request=r refused why=\"all that waits takes 70ms\" class=office team={team} work=900ms ahead=4000ms wait=70ms left=50ms"
+        );
+        let lines = [
+            admitted(0, "a-1", "short"),
+            line(10, &refused("reports")),
+            line(20, &refused("reports")),
+            line(30, &refused("audits")),
+            line(40, "request=r refused why=\"no worker serves it\""),
+        ];
+        let report = analyze(AnalysisOptions::default(), &lines);
+        let counts = [("class=office team=audits", 1), ("class=office team=reports", 2)];
+        let counts = counts.map(|(subject, count)| (subject.to_owned(), count));
+        assert_eq!(report.turned_away.clone().into_iter().collect::<Vec<_>>(), counts);
+        assert!(report.to_string().contains("2  class=office team=reports"), "{report}");
+    }
+
     // Logs of several processes are collected with some delay.
     lines_of_a_job_may_come_after_its_end => {
         let mut lines = story(0, "a-1", "short", 2, 80);
--- a/crates/lagoonhill_operator/tests/stories.rs
+++ b/crates/lagoonhill_operator/tests/stories.rs
@@ -57,6 +57,16 @@
         assert_eq!((message.event.as_str(), message.get("why")), ("failed", Some("a \"b\"")));
     }
 
+    // Load: too little room. The story of a refused job tells what was weighed.
+    the_cause_of_a_refusal_names_what_was_weighed => {
+        let refused = "request=ab refused why=\"all that waits takes 340ms\" class=office team=t work=900ms ahead=5000ms wait=340ms left=200ms";
+        let story = JobTimeline::from_logs("ab", &logs(&[("entry-1", 0, refused)]));
+        let cause = story.cause().expect("the line tells the cause");
+        for part in ["all that waits takes 340ms", "class office", "900ms", "5000ms", "wait 340ms", "200ms left"] {
+            assert!(cause.contains(part), "`{part}` is missing in `{cause}`");
+        }
+    }
+
     the_collector_prefix_is_the_process_name => {
         let line = "  10.61 edge-a-1 2026-12-04T10:00:00.250000+00:00   INFO decision: control.rs:7 recovered worker=w";
         let line = LogLine::parse(line).expect("the line can be parsed");
