`lagoonhill where`: tells where a job would go now, and why, without sending it

Operators could explain a job only after it had been sent. The command asks each entry that one knows: whether it would admit the job, why not and when to come back, where each task would go, what is known of the worker and how old that is, and which worker is next and why.

An entry tries the job out on a copy of its state, through the same admission and dispatch as real jobs, and discards the copy with its effects: no second copy of a decision. So the state of an entry can be cloned.

--- a/crates/lagoonhill_core/src/entry/machine/mod.rs
+++ b/crates/lagoonhill_core/src/entry/machine/mod.rs
@@ -11,6 +11,7 @@
 mod forecast;
 mod names;
 mod outcomes;
+mod preview;
 mod sessions;
 mod submissions;
 
@@ -40,7 +41,7 @@
 const DEFAULT_RETRY_MS: DurationMs = DurationMs(1_000);
 
 /// Accepts jobs, places their tasks on workers and assembles their answers.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Entry<P> {
     config: EntryConfig,
     placement: P,
--- a/crates/lagoonhill_core/src/entry/name_leases.rs
+++ b/crates/lagoonhill_core/src/entry/name_leases.rs
@@ -14,14 +14,14 @@
     pub id: NameLeaseId,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct NameLease {
     holder: NameHolder,
     expires_ms: TimestampMs,
 }
 
 /// Leases on job names that this entry has granted, at most one on each name.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct NameLeases {
     leases: HashMap<RequestKey, NameLease>,
     expiries: BTreeSet<(TimestampMs, RequestKey)>,
--- a/crates/lagoonhill_core/src/entry/tiered_queue.rs
+++ b/crates/lagoonhill_core/src/entry/tiered_queue.rs
@@ -35,7 +35,7 @@
 }
 
 /// The jobs of one service that have ready tasks, in one queue for each tier.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct TieredQueue {
     queues: BTreeMap<Tier, JobQueue>,
 }
