--- a/crates/lagoonhill_entry/src/peers.rs
+++ b/crates/lagoonhill_entry/src/peers.rs
@@ -130,7 +130,7 @@
             .map(|(address, is_full)| {
                 let (http, peers, control) = (http.clone(), peers.clone(), control.clone());
                 async move {
-                    exchange_with(&http, address, is_full, &peers, &control).await;
+                    exchange_with(&http, address, is_full, false, &peers, &control).await;
                 }
             })
             .collect();
@@ -140,7 +140,7 @@
     }
 }
 
-/// Exchanges heartbeats and rules with the seeds, for ever, at growing intervals: with
+/// Exchanges heartbeats with the seeds, for ever, at growing intervals: with
 /// the store away, processes that have just started know nobody else.
 async fn exchange_with_seeds(
     mut search: SeedSearch,
@@ -151,7 +151,7 @@
     let http = HttpClient::new();
     let mut known = 1;
     while let Some(seed) = search.next_seed() {
-        let exchange = exchange_with(&http, seed, true, &peers, &control);
+        let exchange = exchange_with(&http, seed, true, true, &peers, &control);
         let is_answered = timeout(SEED_TIMEOUT, exchange).await.unwrap_or(false);
         metrics.seed_asked(is_answered);
         if is_answered {
@@ -171,6 +171,7 @@
     http: &HttpClient,
     address: std::net::SocketAddr,
     is_full: bool,
+    only_entries: bool,
     peers: &Peers,
     control: &ControlHandle,
 ) -> bool {
@@ -182,7 +183,7 @@
         wants_all: is_full,
         revision: rules.revision,
         drains_revision: drains.revision,
-        only_entries: false,
+        only_entries,
     };
     let body = serde_json::to_vec(&request).expect("a request always serializes");
     let headers = [("content-type", "application/json")];
