--- a/crates/lagoonhill_entry/src/daemon.rs
+++ b/crates/lagoonhill_entry/src/daemon.rs
@@ -63,10 +63,6 @@
         rules_source: RulesSource,
     ) -> Result<Self, StartError> {
         let (listener, http) = listen(settings.http).await?;
-        let seed_listener = match settings.seed_address {
-            Some(address) => Some(listen(address).await?.0),
-            None => None,
-        };
         let inbox = Inbox::open(settings.inbox)?;
         let clock = Clock::start();
         let address = EntryAddress {
@@ -146,10 +142,7 @@
             draining: AtomicBool::new(false),
             closing: AtomicBool::new(false),
         });
-        if let Some(listener) = seed_listener {
-            let api = Api(Arc::clone(&state));
-            background.push(tokio::spawn(serve(listener, api, std::future::pending())));
-        }
+        background.extend(serve_as_seed(settings.seed_address, Api(Arc::clone(&state))).await?);
         let (shutdown, mut stopping) = watch::channel(false);
         let server = tokio::spawn(serve(listener, Api(Arc::clone(&state)), async move {
             let _ = stopping.wait_for(|stop| *stop).await;
@@ -244,3 +237,19 @@
         self.control.send(ControlEvent::Stop);
     }
 }
+
+/// Serves the HTTP interface at the address under which the entry is a seed, if it is one.
+async fn serve_as_seed(
+    address: Option<SocketAddr>,
+    api: Api,
+) -> Result<Option<JoinHandle<()>>, StartError> {
+    let Some(address) = address else {
+        return Ok(None);
+    };
+    let (listener, _) = listen(address).await?;
+    Ok(Some(tokio::spawn(serve(
+        listener,
+        api,
+        std::future::pending(),
+    ))))
+}
