--- a/crates/lagoonhill/src/cli.rs
+++ b/crates/lagoonhill/src/cli.rs
@@ -219,26 +219,6 @@
     pub(crate) logs: Vec<String>,
 }
 
-/// Options of the preview of a job.
-#[derive(Bpaf, Clone, Debug)]
-pub(crate) struct WhereOptions {
-    /// Address of any entry; each entry that it knows is asked
-    #[bpaf(env("LAGOONHILL_ENTRY"), argument("IP:PORT"))]
-    pub(crate) entry: String,
-    /// The queue of the job, if it is for one
-    #[bpaf(argument("NAME"), optional)]
-    pub(crate) queue: Option<String>,
-    /// The job of the queue need not be kept
-    #[bpaf(switch)]
-    pub(crate) best_effort: bool,
-    /// Print JSON, one line an entry
-    #[bpaf(switch)]
-    pub(crate) json: bool,
-    /// The body that a caller would send, or `-` for standard input
-    #[bpaf(positional("FILE"))]
-    pub(crate) body: String,
-}
-
 /// Options of the demonstration.
 #[derive(Bpaf, Clone, Debug)]
 pub(crate) struct DemoOptions {
@@ -303,9 +283,6 @@
         #[bpaf(positional("JOB"))]
         job: String,
     },
-    /// Tell where a job would go now, and why, without sending it
-    #[bpaf(command)]
-    Where(#[bpaf(external(where_options))] WhereOptions),
     /// Tell from logs where time, work and promises went
     #[bpaf(command)]
     Analyze(#[bpaf(external(analyze_options))] AnalyzeOptions),
--- a/crates/lagoonhill/src/commands.rs
+++ b/crates/lagoonhill/src/commands.rs
@@ -1,4 +1,4 @@
-//! The commands `entry`, `agent`, `rules`, `status`, `explain` and `where`.
+//! The commands `entry`, `agent`, `rules`, `status` and `explain`.
 
 use std::fs::File;
 use std::io::Read as _;
@@ -12,8 +12,8 @@
 use lagoonhill_entry::EntryDaemon;
 use lagoonhill_http::HttpClient;
 use lagoonhill_operator::{
-    JobTimeline, LogLine, PreviewRequest, ProcessRevision, new_edit_id, preview_at, query_entry,
-    query_fleet, read_rules, rules_in_force, submit_edit,
+    JobTimeline, LogLine, ProcessRevision, new_edit_id, query_entry, query_fleet, read_rules,
+    rules_in_force, submit_edit,
 };
 use lagoonhill_platform::EtcdStore;
 use lagoonhill_rules::{Edit, RuleKey, RuleLine, RuleSet, parse_rules};
@@ -22,9 +22,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time::sleep;
 
-use crate::cli::{
-    AgentOptions, CommonOptions, EntryOptions, RulesCommand, StoreOptions, WhereOptions,
-};
+use crate::cli::{AgentOptions, CommonOptions, EntryOptions, RulesCommand, StoreOptions};
 use crate::settings::{check_agent, check_entry, read_address, read_value};
 
 /// The path that means standard input.
@@ -344,58 +342,19 @@
     Ok(ExitCode::SUCCESS)
 }
 
-/// Tells for each entry what it would do with a job now. The exit code is a failure if an
-/// entry could not be asked.
-pub(crate) async fn preview(options: WhereOptions) -> Result<ExitCode, String> {
-    let address = read_address(&options.entry)?;
-    let queue = options.queue.as_deref().map(read_value).transpose()?;
-    if options.best_effort && queue.is_none() {
-        return Err("--best-effort is about jobs of queues: give a queue with --queue".to_owned());
-    }
-    let request = PreviewRequest {
-        queue,
-        durable: !options.best_effort,
-        body: read_text(&options.body)?.into(),
-    };
-    let http = HttpClient::new();
-    let report = query_entry(&http, address).await;
-    let entries = report.map_err(|error| error.to_string())?.entries;
-    let mut exit_code = ExitCode::SUCCESS;
-    for entry in entries {
-        match preview_at(&http, entry.http, &request).await {
-            Ok(report) if options.json => {
-                let line = serde_json::to_string(&report).map_err(|error| error.to_string())?;
-                println!("{line}");
-            }
-            Ok(report) => print!("{report}"),
-            Err(error) => {
-                eprintln!("entry {} at {}: {error}", entry.incarnation, entry.http);
-                exit_code = ExitCode::FAILURE;
-            }
-        }
-    }
-    Ok(exit_code)
-}
-
-/// Reads a file, or standard input.
-fn read_text(path: &str) -> Result<String, String> {
-    let mut text = String::new();
-    let read = if path == STDIN_PATH {
-        std::io::stdin().read_to_string(&mut text)
-    } else {
-        File::open(path).and_then(|mut file| file.read_to_string(&mut text))
-    };
-    read.map_err(|error| format!("{path}: {error}; check the file's name"))?;
-    Ok(text)
-}
-
 /// Explains a job from logs; the exit code is a failure if no line is about the job.
 fn explain_by_logs(logs: &[String], job: &str) -> Result<ExitCode, String> {
     let mut lines = Vec::new();
     for path in logs {
         let process = Path::new(path).file_stem().unwrap_or_default();
         let process = process.to_string_lossy().into_owned();
-        let text = read_text(path)?;
+        let mut text = String::new();
+        let read = if path == STDIN_PATH {
+            std::io::stdin().read_to_string(&mut text)
+        } else {
+            File::open(path).and_then(|mut file| file.read_to_string(&mut text))
+        };
+        read.map_err(|error| format!("{path}: {error}; check the file's name"))?;
         let found = text.lines().filter_map(LogLine::parse);
         lines.extend(found.map(|line| (process.clone(), line)));
     }
--- a/crates/lagoonhill/src/main.rs
+++ b/crates/lagoonhill/src/main.rs
@@ -25,7 +25,6 @@
         Command::Analyze(options) => analyze::analyze(&options),
         Command::Rules(command) => commands::rules(command).await,
         Command::Status { entry } => commands::status(&entry).await,
-        Command::Where(options) => commands::preview(options).await,
         Command::Explain { entry, log, job } => {
             commands::explain(entry.as_deref(), &log, &job).await
         }
--- a/crates/lagoonhill/tests/command_line.rs
+++ b/crates/lagoonhill/tests/command_line.rs
@@ -85,9 +85,7 @@
 fn help_lists_every_command() {
     let output = run(&["--help"]);
     assert!(output.status.success());
-    for command in [
-        "entry", "agent", "rules", "status", "explain", "where", "demo",
-    ] {
+    for command in ["entry", "agent", "rules", "status", "explain", "demo"] {
         assert!(
             text(&output).contains(command),
             "{command} is not in the help"
--- a/crates/lagoonhill_core/src/drain_sync.rs
+++ b/crates/lagoonhill_core/src/drain_sync.rs
@@ -11,7 +11,7 @@
 /// What is known of a zone has the store's revision as of which it holds. Only a
 /// higher one replaces it, so that no late or repeated message brings back a
 /// withdrawn drain or ends one that is in force.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub struct DrainSync {
     known: ZoneDrains,
     /// Zones learned one by one, at a higher revision than `known`.
--- a/crates/lagoonhill_core/src/entry/crash_containment.rs
+++ b/crates/lagoonhill_core/src/entry/crash_containment.rs
@@ -90,7 +90,7 @@
 }
 
 /// Crashes and parts of one service.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 struct ServiceCrashes {
     crashes: VecDeque<Crash>,
     /// Workers that have crashed and are not back.
@@ -106,7 +106,7 @@
 }
 
 /// The kinds of work that are kept to parts of the fleet because workers crash.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub struct CrashContainment {
     demand: KindDemand,
     /// Services with recent crashes.
--- a/crates/lagoonhill_core/src/entry/durable_job.rs
+++ b/crates/lagoonhill_core/src/entry/durable_job.rs
@@ -90,7 +90,7 @@
 }
 
 /// State of a durable job at its owner.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct DurableState {
     /// Submission of the caller.
     pub submission: Arc<Submission>,
--- a/crates/lagoonhill_core/src/entry/effect.rs
+++ b/crates/lagoonhill_core/src/entry/effect.rs
@@ -8,7 +8,7 @@
 use super::{Answer, CallerId, Decision, StoreWrite};
 
 /// Action that the entry asks its daemon to carry out.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub enum EntryEffect {
     /// Send a packet to an agent or another entry.
     Send {
--- a/crates/lagoonhill_core/src/entry/fleet.rs
+++ b/crates/lagoonhill_core/src/entry/fleet.rs
@@ -11,7 +11,7 @@
 use crate::Slowness;
 
 /// The workers with which an entry has sessions.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub struct Fleet {
     workers: SlotMap<WorkerKey, Worker>,
     by_session: HashMap<SessionId, WorkerKey>,
--- a/crates/lagoonhill_core/src/entry/job.rs
+++ b/crates/lagoonhill_core/src/entry/job.rs
@@ -31,7 +31,7 @@
     Done(Payload),
 }
 
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 struct Task {
     step: u16,
     payload: Payload,
@@ -54,7 +54,7 @@
     }
 }
 
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 struct StepProgress {
     step: Step,
     first_index: u16,
@@ -86,7 +86,7 @@
 }
 
 /// Properties of a job that are fixed at its admission.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct JobPlan {
     /// Identifier of the job.
     pub id: JobId,
@@ -118,7 +118,7 @@
 }
 
 /// An admitted job: it completes with the results of all tasks, or fails as a whole.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Job {
     /// Properties fixed at its admission.
     pub plan: JobPlan,
--- a/crates/lagoonhill_core/src/entry/job_queue.rs
+++ b/crates/lagoonhill_core/src/entry/job_queue.rs
@@ -12,13 +12,13 @@
 
 /// Jobs of one team. Stride scheduling: the team or class with the lowest pass,
 /// its use relative to its weight, is next.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 struct TeamQueue {
     pass: u64,
     jobs: BTreeSet<(DelayCost, JobKey)>,
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 struct ClassQueue {
     pass: u64,
     team_time: u64,
@@ -35,7 +35,7 @@
 ///
 /// Classes share the slots by weight, teams share the slots of their class by
 /// weight, and within a team the job that costs most to delay is next.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub struct JobQueue {
     class_time: u64,
     classes: BTreeMap<Class, ClassQueue>,
--- a/crates/lagoonhill_core/src/entry/kind_demand.rs
+++ b/crates/lagoonhill_core/src/entry/kind_demand.rs
@@ -52,7 +52,7 @@
 
 /// Work that was submitted lately, by kind. Refused jobs count too, so that the
 /// demand for a kind doesn't seem to fall while its jobs are refused.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub struct KindDemand {
     by_kind: HashMap<WorkKind, Windows>,
     forget_at: usize,
--- a/crates/lagoonhill_core/src/entry/machine/mod.rs
+++ b/crates/lagoonhill_core/src/entry/machine/mod.rs
@@ -12,7 +12,6 @@
 mod name_homes;
 mod names;
 mod outcomes;
-mod preview;
 mod sessions;
 mod submissions;
 
@@ -43,7 +42,7 @@
 const DEFAULT_RETRY_MS: DurationMs = DurationMs(1_000);
 
 /// Accepts jobs, places their tasks on workers and assembles their answers.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Entry<P> {
     config: EntryConfig,
     placement: P,
--- a/crates/lagoonhill_core/src/entry/name_leases.rs
+++ b/crates/lagoonhill_core/src/entry/name_leases.rs
@@ -14,14 +14,14 @@
     pub id: NameLeaseId,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 struct NameLease {
     holder: NameHolder,
     expires_ms: TimestampMs,
 }
 
 /// Leases on job names that this entry has granted, at most one on each name.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub struct NameLeases {
     leases: HashMap<RequestKey, NameLease>,
     expiries: BTreeSet<(TimestampMs, RequestKey)>,
--- a/crates/lagoonhill_core/src/entry/placement.rs
+++ b/crates/lagoonhill_core/src/entry/placement.rs
@@ -94,7 +94,7 @@
 ///
 /// A worker in the entry's own zone counts as emptier than it is. Ties are broken
 /// at random, so that several entries do not all choose the same worker.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct LeastExpectedFinish {
     random: fastrand::Rng,
 }
--- a/crates/lagoonhill_core/src/entry/records.rs
+++ b/crates/lagoonhill_core/src/entry/records.rs
@@ -40,7 +40,7 @@
 }
 
 /// State of a submission that may run at most once.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub enum Record {
     /// Waiting for the platform to bind the key.
     Binding {
@@ -65,7 +65,7 @@
 ///
 /// A record is retained for longer than its ticket or key can be retried, so a key
 /// without a record has never been started at this entry.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub struct Records {
     records: HashMap<RecordKey, (u64, Record)>,
     expiries: BTreeSet<(TimestampMs, RecordKey)>,
--- a/crates/lagoonhill_core/src/entry/run_times.rs
+++ b/crates/lagoonhill_core/src/entry/run_times.rs
@@ -16,7 +16,7 @@
 }
 
 /// Run times on a worker of average speed, learned by kind of work.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub struct RunTimes {
     learned: HashMap<WorkKind, LearnedRunTime>,
 }
--- a/crates/lagoonhill_core/src/entry/tiered_queue.rs
+++ b/crates/lagoonhill_core/src/entry/tiered_queue.rs
@@ -26,7 +26,7 @@
 }
 
 /// The jobs of one service that have ready tasks, in one queue for each tier.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub struct TieredQueue {
     queues: BTreeMap<Tier, JobQueue>,
 }
--- a/crates/lagoonhill_core/src/entry/worker.rs
+++ b/crates/lagoonhill_core/src/entry/worker.rs
@@ -97,7 +97,7 @@
 const RETURN_MS: DurationMs = DurationMs(4_000);
 
 /// An entry's state of one worker, for the length of one session.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Worker {
     /// Identifier of the worker.
     pub id: WorkerId,
--- a/crates/lagoonhill_core/src/rules_sync.rs
+++ b/crates/lagoonhill_core/src/rules_sync.rs
@@ -12,7 +12,7 @@
 /// The rules in force in one process, and the deltas that led to them.
 ///
 /// The revision only grows: an older set is never installed.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub struct RulesSync {
     rules: RuleSet,
     deltas: VecDeque<RuleDelta>,
--- a/crates/lagoonhill_core/src/session.rs
+++ b/crates/lagoonhill_core/src/session.rs
@@ -31,7 +31,7 @@
 /// Messages are numbered; the receiver accepts each exactly once and in order.
 /// A session survives a lost connection: unacknowledged messages are sent again
 /// on the owner's current connection.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Session {
     id: SessionId,
     timing: Timing,
--- a/crates/lagoonhill_entry/src/api.rs
+++ b/crates/lagoonhill_entry/src/api.rs
@@ -27,7 +27,6 @@
 use crate::handle::{ControlHandle, Stopped};
 use crate::metrics::Metrics;
 use crate::peers::Peers;
-use crate::preview_answer::PreviewAnswer;
 use crate::queue_api;
 
 /// Set on a request that another entry has forwarded: the incarnation that must
@@ -40,9 +39,6 @@
 
 const MAX_TICKETS: u16 = 1_000;
 
-/// Stands for the name of a previewed job.
-const PREVIEW_NAME: &str = "preview";
-
 /// Longest wait for the answer to a forwarded request.
 const FORWARD_TIMEOUT: Duration = Duration::from_secs(130);
 
@@ -113,10 +109,6 @@
             let counted = queue_api::count_waiting(&state.entry_client, queue).await;
             counted.map(|answer| json(&answer))
         }
-        (&Method::POST, ["v1", "where"]) => post_where(state, request).await,
-        (&Method::POST, ["v1", "queues", queue, "where"]) => {
-            post_queue_where(state, request, queue).await
-        }
         (&Method::POST, ["v1", "tickets"]) => post_tickets(state, request).await,
         (&Method::POST, ["v1", "peers"]) => post_peers(state, request).await,
         (&Method::GET, ["v1", "status"]) => get_status(state).await,
@@ -409,46 +401,6 @@
     ))
 }
 
-/// Tells what would become of a job without a queue, and does nothing.
-async fn post_where(state: &ApiState, request: Request<Incoming>) -> Result<Reply, Problem> {
-    let body = read_body(request.into_body(), state.max_body_bytes.0).await?;
-    let job: JobRequest = parse_body(&body)?;
-    preview(state, submission(job)).await
-}
-
-/// Tells what would become of a job of a queue, and does nothing. It need not be kept if the
-/// query is `durable=no`.
-async fn post_queue_where(
-    state: &ApiState,
-    request: Request<Incoming>,
-    queue: &str,
-) -> Result<Reply, Problem> {
-    let is_durable = match request.uri().query() {
-        None | Some("durable=yes") => true,
-        Some("durable=no") => false,
-        Some(query) => {
-            return Err(bad_request(format!(
-                "the query `{query}` is not known: send durable=yes or durable=no"
-            )));
-        }
-    };
-    let body = read_body(request.into_body(), state.max_body_bytes.0).await?;
-    let job = parse_body(&body)?;
-    let mut submission = queue_api::submission(&state.entry_client, queue, PREVIEW_NAME, job)?;
-    submission.durable = is_durable;
-    preview(state, submission).await
-}
-
-async fn preview(state: &ApiState, submission: Submission) -> Result<Reply, Problem> {
-    let submission = Box::new(submission);
-    let preview = state
-        .control
-        .request(|reply| ControlEvent::Preview { submission, reply })
-        .await;
-    let preview = preview.map_err(|error| stopped(&error))?;
-    Ok(json(&PreviewAnswer::new(&state.address, &preview)))
-}
-
 async fn post_tickets(state: &ApiState, request: Request<Incoming>) -> Result<Reply, Problem> {
     let body = read_body(request.into_body(), state.max_body_bytes.0).await?;
     let TicketsRequest { count } = parse_body(&body)?;
--- a/crates/lagoonhill_entry/src/control.rs
+++ b/crates/lagoonhill_entry/src/control.rs
@@ -4,7 +4,7 @@
 
 use lagoonhill_core::entry::{
     Answer, CallerId, Decision, DrainSource, DurableJob, Entry, EntryEffect, EntryStatus,
-    KeyBinding, Placement, Preview, StoreOutcome, StoreWrite, StoreWriteId, Submission,
+    KeyBinding, Placement, StoreOutcome, StoreWrite, StoreWriteId, Submission,
 };
 use lagoonhill_daemon::ControlState;
 use lagoonhill_link::Link;
@@ -110,10 +110,6 @@
         job: JobId,
         reply: oneshot::Sender<Vec<Decision>>,
     },
-    Preview {
-        submission: Box<Submission>,
-        reply: oneshot::Sender<Preview>,
-    },
     Leave,
     Depart,
     Stop,
@@ -131,7 +127,7 @@
     rules: watch::Sender<Arc<RuleSet>>,
 }
 
-impl<P: Placement + Clone, L: Link> ControlState for Control<P, L> {
+impl<P: Placement, L: Link> ControlState for Control<P, L> {
     type Event = ControlEvent;
 
     fn tick(&mut self, now: TimestampMs) {
@@ -207,9 +203,6 @@
                 let about = |decision: &&Decision| decision.job == Some(job);
                 let _ = reply.send(self.decisions.iter().filter(about).cloned().collect());
             }
-            ControlEvent::Preview { submission, reply } => {
-                let _ = reply.send(self.entry.preview(&submission, now));
-            }
             ControlEvent::Leave => self.entry.leave(),
             ControlEvent::Depart => self.entry.send_leave(),
             ControlEvent::Stop => return ControlFlow::Break(()),
--- a/crates/lagoonhill_entry/src/lib.rs
+++ b/crates/lagoonhill_entry/src/lib.rs
@@ -18,7 +18,6 @@
 mod metrics;
 mod ownership;
 mod peers;
-mod preview_answer;
 mod queue_api;
 mod rules_follower;
 mod rules_watch;
--- a/crates/lagoonhill_entry/src/queue_api.rs
+++ b/crates/lagoonhill_entry/src/queue_api.rs
@@ -110,30 +110,20 @@
     }
 }
 
-/// Converts a request for a queue to a submission.
-pub(crate) fn submission(
+/// Submits a job to a queue; answered once the job is stored.
+pub(crate) async fn put_job(
     entry: &EntryClient,
     queue: &str,
     name: &str,
     request: QueueJobRequest,
-) -> Result<Submission, Problem> {
+) -> Result<JobStatusAnswer, Problem> {
     let queue: QueueName = read(queue)?;
     let rules = entry.rules().borrow().clone();
     let rule = rules.queue(&queue).ok_or_else(|| no_queue(&queue))?;
     let service = rule.service.clone().ok_or_else(|| no_queue(&queue))?;
-    request
+    let submission = request
         .into_submission(queue, read(name)?, service)
-        .map_err(|error| Problem::not_run(StatusCode::BAD_REQUEST, error))
-}
-
-/// Submits a job to a queue; answered once the job is stored.
-pub(crate) async fn put_job(
-    entry: &EntryClient,
-    queue: &str,
-    name: &str,
-    request: QueueJobRequest,
-) -> Result<JobStatusAnswer, Problem> {
-    let submission = submission(entry, queue, name, request)?;
+        .map_err(|error| Problem::not_run(StatusCode::BAD_REQUEST, error))?;
     let submitted = entry.submit_durable(submission).await;
     let answer = submitted.map_err(|error| unknown(error.to_string()))?;
     match answer.outcome {
--- a/crates/lagoonhill_operator/src/lib.rs
+++ b/crates/lagoonhill_operator/src/lib.rs
@@ -6,7 +6,6 @@
 mod fleet_status;
 mod log_line;
 mod log_schema;
-mod preview;
 mod story;
 
 pub use analysis::{
@@ -19,7 +18,4 @@
 };
 pub use log_line::{DECISION_TARGET, LogLine, LogMessage};
 pub use log_schema::LogSchema;
-pub use preview::{
-    CandidateReport, PreviewReport, PreviewRequest, RefusalReport, TaskReport, preview_at,
-};
 pub use story::JobTimeline;
