Seeds: the seed address answers requests for entries only

The whole HTTP interface was served there, also to whoever else reaches that address. Test: a_seed_address_answers_requests_for_entries_only (fails before: the other paths are not 404).

--- a/crates/lagoonhill_entry/src/daemon.rs
+++ b/crates/lagoonhill_entry/src/daemon.rs
@@ -28,6 +28,7 @@
 use crate::metrics::Metrics;
 use crate::peers::{Peers, announce_leave, spawn_exchanges};
 use crate::rules_watch::{RulesSource, follow_rules};
+use crate::seed_api::SeedApi;
 
 /// Time between two checks of whether all jobs have been answered.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -142,7 +143,7 @@
             draining: AtomicBool::new(false),
             closing: AtomicBool::new(false),
         });
-        background.extend(serve_as_seed(settings.seed_address, Api(Arc::clone(&state))).await?);
+        background.extend(serve_as_seed(settings.seed_address, &state).await?);
         let (shutdown, mut stopping) = watch::channel(false);
         let server = tokio::spawn(serve(listener, Api(Arc::clone(&state)), async move {
             let _ = stopping.wait_for(|stop| *stop).await;
@@ -238,15 +239,16 @@
     }
 }
 
-/// Serves the HTTP interface at the address under which the entry is a seed, if it is one.
+/// Serves the exchange between entries at the address under which this one is a seed.
 async fn serve_as_seed(
     address: Option<SocketAddr>,
-    api: Api,
+    state: &Arc<ApiState>,
 ) -> Result<Option<JoinHandle<()>>, StartError> {
     let Some(address) = address else {
         return Ok(None);
     };
     let (listener, _) = listen(address).await?;
+    let api = SeedApi(Api(Arc::clone(state)));
     Ok(Some(tokio::spawn(serve(
         listener,
         api,
--- a/crates/lagoonhill_entry/src/lib.rs
+++ b/crates/lagoonhill_entry/src/lib.rs
@@ -21,6 +21,7 @@
 mod queue_api;
 mod rules_follower;
 mod rules_watch;
+mod seed_api;
 mod settings;
 
 pub use client::{EntryClient, JobStatus};
--- a/crates/lagoonhill_entry/src/settings.rs
+++ b/crates/lagoonhill_entry/src/settings.rs
@@ -24,8 +24,8 @@
     /// HTTP addresses of entries that are asked for all others without the store. They
     /// may be out of date.
     pub seeds: Vec<SocketAddr>,
-    /// A further address of this entry's HTTP interface, under which it is listed as a
-    /// seed.
+    /// Address under which this entry is listed as a seed; only other processes' requests
+    /// for entries are answered there.
     pub seed_address: Option<SocketAddr>,
     /// How long to go on serving after a shutdown request, so that the balancer can
     /// remove this entry first.
--- a/crates/lagoonhill_entry/tests/seeds.rs
+++ b/crates/lagoonhill_entry/tests/seeds.rs
@@ -86,4 +86,26 @@
             wait_for(entry, "lagoonhill_workers", 1).await;
         }
     }
+
+    // The seed address may be reachable by others than the processes of the system.
+    a_seed_address_answers_requests_for_entries_only => {
+        let free = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let address = free.local_addr().expect("it is bound");
+        drop(free);
+        let settings = EntrySettings {
+            platform: Some(LOST),
+            seeds: vec![address],
+            seed_address: Some(address),
+            ..EntrySettings::default()
+        };
+        let seed = EntryDaemon::start(settings).await.expect("the entry should start");
+        let _agent = agent(vec![address]).await;
+        wait_for(&seed, "lagoonhill_workers", 1).await;
+        for (method, path) in [(Method::POST, "/v1/jobs"), (Method::GET, "/v1/status"), (Method::GET, "/metrics")] {
+            let client = HttpClient::new();
+            let sent = client.send(address, method, path, &[], Bytes::new(), TIMEOUT);
+            let status = sent.await.expect("the entry should answer").status;
+            assert_eq!(status, hyper::StatusCode::NOT_FOUND, "{path}");
+        }
+    }
 }
