Too little room: the reserve is shared only once urgent jobs have waited for a second

Suspected, not shown: the slots reserved for the most urgent class were shared as soon as one of its jobs waited. Now the weights decide only where urgent jobs have waited for a second without a pause, which a passing crest does not reach and too little room for a minute does (the seven cases of too_little_room hold).

--- a/crates/lagoonhill_core/src/entry/machine/dispatch.rs
+++ b/crates/lagoonhill_core/src/entry/machine/dispatch.rs
@@ -15,6 +15,10 @@
 /// How long slots stay reserved after a job of the most urgent class.
 const RUSH_WINDOW_MS: DurationMs = DurationMs(5_000);
 
+/// Time for which jobs of the most urgent class may wait without a pause before the slots
+/// reserved for them are shared: a passing crest is over by then.
+const RESERVE_LIMIT_MS: DurationMs = DurationMs(1_000);
+
 /// Jobs that may find no worker before a round ends; the next round has the rest.
 const MAX_BLOCKED_JOBS: usize = 64;
 
@@ -66,6 +70,7 @@
         for service in services {
             self.dispatch(&service, now);
         }
+        self.track_waiting_rush(now);
         for ((service, class), throughput) in &mut self.throughput {
             let queue = self.queues.get(service);
             throughput.set_waiting(queue.is_some_and(|queue| queue.has_useful_job(*class)), now);
@@ -230,12 +235,9 @@
     fn context(&self, key: JobKey, now: TimestampMs) -> PlacementContext {
         let plan = &self.jobs[key].plan;
         let kind = self.work_kind_of(key);
-        // While jobs of the most urgent class wait, the weights decide. The reserve is for
-        // those that have not come yet; it would give them all that becomes free.
-        let queue = self.queues.get(&plan.service);
-        let rush_waits = queue.is_some_and(|queue| queue.has_useful_job(Class::Rush));
-        let keeps_reserve =
-            plan.class > Class::Rush && !rush_waits && self.has_recent_rush(&plan.service, now);
+        let keeps_reserve = plan.class > Class::Rush
+            && self.has_recent_rush(&plan.service, now)
+            && !self.rush_exceeds_room(&plan.service, now);
         PlacementContext {
             run_time_ms: self.next_run_time_as(key, &kind),
             time_left_ms: self.time_left(key, now),
@@ -271,6 +273,24 @@
             .expected_declared(kind, declared_ms, prior_ms)
     }
 
+    /// Whether jobs of the most urgent class have waited all the time for
+    /// [`RESERVE_LIMIT_MS`]. The reserve would then give them all that becomes free, so the
+    /// weights decide.
+    fn rush_exceeds_room(&self, service: &ServiceName, now: TimestampMs) -> bool {
+        let since_ms = self.rush_waits_since_ms.get(service);
+        since_ms.is_some_and(|since_ms| now.since(*since_ms) >= RESERVE_LIMIT_MS)
+    }
+
+    fn track_waiting_rush(&mut self, now: TimestampMs) {
+        for (service, queue) in &self.queues {
+            if !queue.has_useful_job(Class::Rush) {
+                self.rush_waits_since_ms.remove(service);
+            } else if !self.rush_waits_since_ms.contains_key(service) {
+                self.rush_waits_since_ms.insert(service.clone(), now);
+            }
+        }
+    }
+
     /// Whether a job of the most urgent class came within [`RUSH_WINDOW_MS`].
     fn has_recent_rush(&self, service: &ServiceName, now: TimestampMs) -> bool {
         let last_ms = self.last_rush_ms.get(service);
--- a/crates/lagoonhill_core/src/entry/machine/mod.rs
+++ b/crates/lagoonhill_core/src/entry/machine/mod.rs
@@ -68,6 +68,8 @@
     usage: HashMap<TeamName, TeamUsage>,
     /// When each service last got a job of the most urgent class.
     last_rush_ms: HashMap<ServiceName, TimestampMs>,
+    /// Since when jobs of the most urgent class have been waiting without a pause.
+    rush_waits_since_ms: HashMap<ServiceName, TimestampMs>,
     run_times: RunTimes,
     throughput: HashMap<(ServiceName, Class), Throughput>,
     containment: CrashContainment,
@@ -121,6 +123,7 @@
             owned_until_ms: TimestampMs(0),
             usage: HashMap::new(),
             last_rush_ms: HashMap::new(),
+            rush_waits_since_ms: HashMap::new(),
             run_times: RunTimes::default(),
             throughput: HashMap::new(),
             containment: CrashContainment::default(),
