--- a/review/standin-3/fleet.rs
+++ b/review/standin-3/fleet.rs
@@ -19,14 +19,6 @@
 pub const QUEUE: &str = "/lohu930/";
 const SERVICE: &str = "huvo11a";
 const ZONES: [&str; 4] = ["cymru-a", "cymru-b", "cymru-c", "cymru-d"];
-const RESTART_DELAY: Duration = Duration::from_millis(500);
-
-unsafe extern "C" {
-    fn kill(pid: i32, signal: i32) -> i32;
-}
-
-pub const SIGKILL: i32 = 9;
-pub const SIGTERM: i32 = 15;
 
 /// The command of a role, as the deploy file has it.
 fn command(role: &str) -> Vec<String> {
@@ -37,7 +29,6 @@
 }
 
 pub struct Process {
-    pub name: String,
     role: &'static str,
     settings: PathBuf,
     log: PathBuf,
@@ -59,29 +50,13 @@
         *self.child.lock().unwrap() = Some(child);
     }
 
-    pub fn signal(&self, signal: i32) {
-        if let Some(child) = self.child.lock().unwrap().as_ref() {
-            unsafe { kill(child.id() as i32, signal) };
-        }
-    }
-
-    /// Waits until the process has ended, at most `limit`; then it is killed, as the platform does.
-    fn wait(&self, limit: Duration) {
-        let until = Instant::now() + limit;
-        let mut child = self.child.lock().unwrap();
-        if let Some(running) = child.as_mut() {
-            while Instant::now() < until && matches!(running.try_wait(), Ok(None)) {
-                thread::sleep(Duration::from_millis(5));
-            }
-            let _ = (running.kill(), running.wait());
-        }
-        *child = None;
-    }
 }
 
 impl Drop for Process {
     fn drop(&mut self) {
-        self.wait(Duration::ZERO);
+        if let Some(mut running) = self.child.lock().unwrap().take() {
+            let _ = (running.kill(), running.wait());
+        }
     }
 }
 
@@ -142,7 +117,7 @@
         let name = format!("{role}-{at}");
         let settings = self.folder.join(format!("{name}.toml"));
         fs::write(&settings, self.settings(role, at)).expect("the settings can be written");
-        Process { settings, log: self.folder.join(format!("{name}.log")), role, name, child: Mutex::new(None) }
+        Process { settings, log: self.folder.join(format!("{name}.log")), role, child: Mutex::new(None) }
     }
 
     fn settings(&self, role: &str, at: usize) -> String {
@@ -203,18 +178,6 @@
             }
         })
     }
-
-    /// Ends an entry by a signal, and starts it again as the platform does.
-    pub fn restart_entry(&self, entry: usize, signal: i32) {
-        let process = &self.entries[entry];
-        self.record.line(format!("{} gets signal {signal}", process.name));
-        process.signal(signal);
-        process.wait(Duration::from_secs(6));
-        self.record.line(format!("{} has ended", process.name));
-        thread::sleep(RESTART_DELAY);
-        process.start();
-        self.record.line(format!("{} is started again", process.name));
-    }
 }
 
 impl Drop for Fleet {
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -26,11 +26,11 @@
     renewed: Instant,
 }
 
-/// Writes that get no answer and are carried out late.
+/// A write that gets no answer and is carried out late.
 #[derive(Default)]
-pub struct LateWrites {
-    /// Of this many writes, the first gets no answer; 0: all writes are answered.
-    pub one_of: usize,
+pub struct LateWrite {
+    /// The first write of a key with this prefix is the one.
+    pub prefix: Option<String>,
     pub delay: Duration,
     pub seen: usize,
     pub late: usize,
@@ -42,7 +42,7 @@
     items: BTreeMap<String, Item>,
     events: Vec<(i64, String, Json)>,
     leases: HashMap<i64, Lease>,
-    late_writes: LateWrites,
+    late_write: LateWrite,
 }
 
 pub struct Store {
@@ -75,17 +75,17 @@
         self.changed.notify_all();
     }
 
-    /// From now on, the first of `one_of` writes gets no answer and is carried out after `delay`.
-    pub fn lose_answers(&self, one_of: usize, delay: Duration) {
+    /// The next write of a key with this prefix gets no answer and is carried out after `delay`.
+    pub fn lose_one(&self, prefix: &str, delay: Duration) {
         let mut state = self.state.lock().unwrap();
-        state.late_writes = LateWrites { one_of, delay, ..LateWrites::default() };
+        state.late_write = LateWrite { prefix: Some(prefix.to_owned()), delay, ..LateWrite::default() };
     }
 
     /// All writes are answered again; returns how many were seen and late.
     pub fn answer_all(&self) -> (usize, usize) {
         let mut state = self.state.lock().unwrap();
-        let late_writes = std::mem::take(&mut state.late_writes);
-        (late_writes.seen, late_writes.late)
+        let late_write = std::mem::take(&mut state.late_write);
+        (late_write.seen, late_write.late)
     }
 
     fn answer(self: &Arc<Self>, request: &Request) -> Answer {
@@ -93,11 +93,13 @@
         if request.path == "/api/kv-txn" {
             let late = {
                 let mut state = self.state.lock().unwrap();
-                let late_writes = &mut state.late_writes;
-                late_writes.seen += 1;
-                let is_late = late_writes.one_of > 0 && (late_writes.seen - 1) % late_writes.one_of == 0;
-                late_writes.late += usize::from(is_late);
-                is_late.then_some(late_writes.delay)
+                let late_write = &mut state.late_write;
+                late_write.seen += 1;
+                let body = Json::parse(&request.body).unwrap_or(Json::Null);
+                let has_key = |prefix: &String| body.get("writes").items().iter().any(|write| write.get("key").as_str().starts_with(prefix.as_str()));
+                let is_late = late_write.prefix.take_if(|prefix| has_key(prefix)).is_some();
+                late_write.late += usize::from(is_late);
+                is_late.then_some(late_write.delay)
             };
             if let Some(delay) = late {
                 let text = describe_write(&request.body);
--- a/review/standin-3/targets.rs
+++ b/review/standin-3/targets.rs
@@ -27,15 +27,18 @@
 
 /// Time from the start of a deadly task to the crash, and for which the worker is down.
 const CRASH_DELAY: Duration = Duration::from_millis(50);
-const DOWN_TIME: Duration = Duration::from_secs(3);
+const DOWN_TIME: Duration = Duration::from_secs(2);
+
+/// Time from the end of a run to a crash of its worker.
+const CRASH_AFTER_END: Duration = Duration::from_millis(4);
 
 /// What the workers saw of the tasks.
 #[derive(Clone, Debug)]
 pub enum Event {
-    Start { at_ms: u64, task: String, run: i64, worker: String },
-    End { at_ms: u64, task: String, run: i64, worker: String, how: &'static str },
+    Start { task: String, run: i64, worker: String },
+    End { task: String, run: i64, worker: String, how: &'static str },
     /// `observed` has reached the end of a run, and the worker's lease has not lapsed since.
-    Noted { at_ms: u64, task: String, run: i64, how: &'static str },
+    Noted { task: String, run: i64, how: &'static str },
 }
 
 pub struct Ledger {
@@ -89,8 +92,10 @@
 struct State {
     /// Until when the worker is down after a crash. It sends nothing meanwhile.
     down_until: Option<Instant>,
-    /// When it crashes under a task.
+    /// When it crashes.
     crashes: Option<Instant>,
+    /// Whether it refuses connections after that crash, or is silent.
+    refuses: bool,
     born_ms: i64,
     started: Instant,
     token: i64,
@@ -110,6 +115,7 @@
         Self {
             down_until: None,
             crashes: None,
+            refuses: false,
             born_ms: born.as_millis() as i64,
             started: Instant::now(),
             token: 0,
@@ -129,6 +135,8 @@
     ledger: Arc<Ledger>,
     state: Mutex<State>,
     is_cut_off: Arc<AtomicBool>,
+    /// A task; the worker crashes [`CRASH_AFTER_END`] after a run of it has ended here.
+    crashes_after: Mutex<Option<String>>,
 }
 
 impl Worker {
@@ -136,6 +144,20 @@
         &self.spec.name
     }
 
+    /// Lets the worker crash right after a run of a task has ended here.
+    pub fn crash_after(&self, task: Option<&str>) {
+        *self.crashes_after.lock().unwrap() = task.map(str::to_owned);
+    }
+
+    /// Ends the worker's process; a new life begins at its address after [`DOWN_TIME`]. Connections
+    /// are refused meanwhile.
+    pub fn crash(&self) {
+        let mut state = self.state.lock().unwrap();
+        self.advance(&mut state);
+        self.end_life(&mut state);
+        self.is_cut_off.store(true, Ordering::Relaxed);
+    }
+
     /// Cuts the worker off from all machines, with connections refused; it runs on. Or heals the cut.
     pub fn cut_off(&self, is_cut_off: bool) {
         self.ledger.record.line(format!("{}  {}", self.spec.name, if is_cut_off { "is cut off and runs on" } else { "is in reach again" }));
@@ -144,7 +166,7 @@
 
     pub fn start(spec: Spec, ledger: Arc<Ledger>) -> Arc<Self> {
         let state = Mutex::new(State::new());
-        let worker = Arc::new(Self { spec, ledger, state, is_cut_off: Arc::default() });
+        let worker = Arc::new(Self { spec, ledger, state, is_cut_off: Arc::default(), crashes_after: Mutex::default() });
         let served = Arc::clone(&worker);
         serve(worker.spec.app, Arc::clone(&worker.is_cut_off), move |request| served.answer(&request));
         let ticking = Arc::clone(&worker);
@@ -168,10 +190,6 @@
         self.state.lock().unwrap().down_until.is_some()
     }
 
-    fn now_ms(&self) -> u64 {
-        self.ledger.record.now_ms()
-    }
-
     fn send_heartbeat(&self) -> bool {
         let body = {
             let mut state = self.state.lock().unwrap();
@@ -250,7 +268,7 @@
                 if spec == DEADLY { state.crashes = Some(Instant::now() + CRASH_DELAY); }
                 state.runs.insert(task.clone(), Run { number: run, ends, how: "done" });
                 let worker = self.spec.name.clone();
-                self.ledger.add(Event::Start { at_ms: self.now_ms(), task, run, worker });
+                self.ledger.add(Event::Start { task, run, worker });
                 (200, clock(state))
             }
             "/api/run-stop" => {
@@ -270,8 +288,7 @@
                 state.finished = rest;
                 for end in noted as Vec<Finished> {
                     if lapsed.is_none_or(|lapsed| lapsed <= end.at) {
-                        let at_ms = self.now_ms();
-                        self.ledger.add(Event::Noted { at_ms, task: end.task, run: end.run, how: end.how });
+                        self.ledger.add(Event::Noted { task: end.task, run: end.run, how: end.how });
                     }
                 }
                 (200, lists(state))
@@ -280,21 +297,27 @@
         }
     }
 
+    fn end_life(&self, state: &mut State) {
+        state.crashes = None;
+        state.down_until = Some(Instant::now() + DOWN_TIME);
+        self.ledger.record.line(format!("{}  crashes", self.spec.name));
+        for (task, run) in std::mem::take(&mut state.runs) {
+            let worker = self.spec.name.clone();
+            self.ledger.add(Event::End { task, run: run.number, worker, how: "crashed" });
+        }
+    }
+
     /// Ends the runs that are due, and all of them if the lease has lapsed.
     fn advance(&self, state: &mut State) {
         let now = Instant::now();
         if state.down_until.is_some_and(|until| until <= now) {
             *state = State::new();
+            self.is_cut_off.store(false, Ordering::Relaxed);
             self.ledger.record.line(format!("{}  is back in a new life", self.spec.name));
         }
         if state.crashes.is_some_and(|at| at <= now) {
-            state.crashes = None;
-            state.down_until = Some(now + DOWN_TIME);
-            self.ledger.record.line(format!("{}  crashes", self.spec.name));
-            for (task, run) in std::mem::take(&mut state.runs) {
-                let worker = self.spec.name.clone();
-                self.ledger.add(Event::End { at_ms: self.now_ms(), task, run: run.number, worker, how: "crashed" });
-            }
+            self.end_life(state);
+            if state.refuses { self.is_cut_off.store(true, Ordering::Relaxed); }
         }
         let lapse = state.lease_until.filter(|until| *until <= now);
         let mut due: Vec<(Instant, String, &'static str)> = state.runs.iter()
@@ -309,7 +332,10 @@
             state.ends += 1;
             let (number, worker) = (state.ends, self.spec.name.clone());
             state.finished.push(Finished { number, task: task.clone(), run: run.number, how, at });
-            self.ledger.add(Event::End { at_ms: self.now_ms(), task, run: run.number, worker, how });
+            if how == "done" && self.crashes_after.lock().unwrap().take_if(|awaited| *awaited == task).is_some() {
+                (state.crashes, state.refuses) = (Some(now + CRASH_AFTER_END), true);
+            }
+            self.ledger.add(Event::End { task, run: run.number, worker, how });
         }
         if lapse.is_some() { (state.lapsed, state.lease_until) = (lapse, None); }
     }
