--- a/crates/lagoonhill_agent/src/control.rs
+++ b/crates/lagoonhill_agent/src/control.rs
@@ -214,6 +214,14 @@
                 }
                 RunnerReport::Target(target) => self.set_target(target, now),
                 RunnerReport::Changed(change) => self.log_change(&change),
+                RunnerReport::Answered(answered) => {
+                    info!(
+                        target: "decision",
+                        "target-answered target={} losses={}",
+                        answered.incarnation, answered.losses
+                    );
+                    self.agent.target_answered(answered);
+                }
                 RunnerReport::Announced(report) => self.log_announcement(&report),
             }
         }
--- a/crates/lagoonhill_agent/src/leased_runner.rs
+++ b/crates/lagoonhill_agent/src/leased_runner.rs
@@ -100,6 +100,9 @@
                     self.reports.push(RunnerReport::Target(target));
                 }
                 LeasedEffect::Changed(change) => self.reports.push(RunnerReport::Changed(change)),
+                LeasedEffect::Answered(answered) => {
+                    self.reports.push(RunnerReport::Answered(answered));
+                }
                 LeasedEffect::Announced(report) => {
                     self.reports.push(RunnerReport::Announced(report));
                 }
--- a/crates/lagoonhill_agent/src/target_runner.rs
+++ b/crates/lagoonhill_agent/src/target_runner.rs
@@ -4,7 +4,7 @@
 
 use lagoonhill_core::agent::TaskKey;
 use lagoonhill_core::leased::{AnnouncementReport, TargetChange};
-use lagoonhill_protocol::{Start, Target, TaskResult};
+use lagoonhill_protocol::{Start, Target, TargetAnswered, TaskResult};
 use lagoonhill_types::prelude::*;
 
 /// A report of a runner to the agent.
@@ -21,6 +21,8 @@
     Target(Option<Target>),
     /// Another incarnation of the target is present, or none.
     Changed(TargetChange),
+    /// The target has answered as another incarnation, or again after a loss.
+    Answered(TargetAnswered),
     /// An announcement was handled.
     Announced(AnnouncementReport),
 }
--- a/crates/lagoonhill_core/src/agent/link.rs
+++ b/crates/lagoonhill_core/src/agent/link.rs
@@ -33,6 +33,9 @@
     /// Whether the entry has sent the drain of a zone, so that it can decode
     /// [`NotRunReason::ZoneDrained`](lagoonhill_protocol::NotRunReason).
     pub knows_drains: bool,
+    /// Whether the entry has announced
+    /// [`Feature::TargetLosses`](lagoonhill_protocol::Feature).
+    pub reads_losses: bool,
 }
 
 impl EntryLink {
@@ -48,6 +51,7 @@
             held: 0,
             held_processors: MilliProcessors(0),
             knows_drains: false,
+            reads_losses: false,
         }
     }
 
--- a/crates/lagoonhill_core/src/agent/machine/mod.rs
+++ b/crates/lagoonhill_core/src/agent/machine/mod.rs
@@ -2,6 +2,7 @@
 //! implements the part of the behaviour that it is named after.
 
 mod drain;
+mod losses;
 mod sessions;
 mod tasks;
 
@@ -9,7 +10,7 @@
 use std::net::SocketAddr;
 
 use lagoonhill_protocol::{
-    EntryAddress, Load, Message, NotRunReason, Packet, Speed, Start, Target,
+    EntryAddress, Load, Message, NotRunReason, Packet, Speed, Start, Target, TargetAnswered,
 };
 use lagoonhill_rules::RuleSet;
 use lagoonhill_types::prelude::*;
@@ -49,6 +50,8 @@
 pub struct Agent {
     config: AgentConfig,
     target: Option<Target>,
+    /// As which incarnation the target has answered last, and after how many losses.
+    answered: Option<TargetAnswered>,
     entries: SlotMap<EntryKey, EntryLink>,
     by_incarnation: HashMap<Incarnation, EntryKey>,
     /// Entries that have sent a leave message; peers may name them for a while.
@@ -82,6 +85,7 @@
         Self {
             config,
             target: None,
+            answered: None,
             entries: SlotMap::with_key(),
             by_incarnation: HashMap::new(),
             departed: HashSet::new(),
@@ -317,6 +321,8 @@
             Message::Rules(update) => {
                 if let Some(drain) = update.zone_drain() {
                     self.on_zone_drain(key, drain, now);
+                } else if let Some(feature) = update.feature() {
+                    self.on_feature(key, feature);
                 } else if self.rules.install_update(&update) {
                     self.rules_installed_ms = now;
                 }
@@ -329,7 +335,7 @@
             Message::EndsDiscarded(tasks) => self.resolve_ends(&tasks, false),
             Message::Entries(entries) => self.add_entries(&entries, now),
             Message::Leaving => self.on_departure(key, now),
-            Message::Outcome(_) | Message::Target(_) => {}
+            Message::Outcome(_) | Message::Target(_) | Message::TargetAnswered(_) => {}
         }
     }
 }
--- a/crates/lagoonhill_core/src/agent/machine/tasks.rs
+++ b/crates/lagoonhill_core/src/agent/machine/tasks.rs
@@ -1,8 +1,6 @@
 //! Tasks of entries: refused, held, started on the target, stopped and reported.
 
-use lagoonhill_protocol::{
-    Interruption, Message, NotRunReason, Outcome, Start, Target, TaskResult,
-};
+use lagoonhill_protocol::{Message, NotRunReason, Outcome, Start, Target, TaskResult};
 use lagoonhill_types::prelude::*;
 
 use super::Agent;
@@ -36,25 +34,12 @@
             TaskResult::NotRun(_) => DurationMs::ZERO,
             _ => now.since(started_ms),
         };
-        let result = self.excuse_crash(result);
+        let result = self.result_for(task.entry, result);
         self.track_end(key, &task, &result, now);
         self.report(&task, run_ms, result);
         self.start_waiting(now);
     }
 
-    /// The result to report: a target that ends while operators drain its zone, or while
-    /// this machine shuts down, has not crashed under its runs.
-    fn excuse_crash(&self, result: TaskResult) -> TaskResult {
-        let TaskResult::Interrupted(why) = &result else {
-            return result;
-        };
-        let is_crash = !matches!(Interruption::from(why.as_str()), Interruption::Other(_));
-        if is_crash && (self.leaving || self.is_zone_drained()) {
-            return TaskResult::Interrupted("its target has ended".to_owned());
-        }
-        result
-    }
-
     /// Records the end of a durable job's run until its entry has stored it.
     /// Without the session that dispatched it, it is never stored: it is discarded.
     fn track_end(&mut self, key: TaskKey, task: &HeldTask, result: &TaskResult, now: TimestampMs) {
--- a/crates/lagoonhill_core/src/entry/decision.rs
+++ b/crates/lagoonhill_core/src/entry/decision.rs
@@ -7,7 +7,8 @@
 use lagoonhill_types::prelude::*;
 
 use super::{
-    Cause, ContainmentChange, CrashCount, DurableJobState, RunCertainty, Verdict, Weighed,
+    Cause, ContainmentChange, DurableJobState, ResolvedLoss, RunCertainty, TaskCrashes, Verdict,
+    Weighed,
 };
 
 /// From where an entry learned whether a zone is drained.
@@ -87,17 +88,31 @@
         /// Reason for the end of the run.
         why: String,
     },
-    /// A worker crashed under a task.
+    /// A worker crashed, or was lost, under a task.
     Crashed {
         /// The worker that crashed.
         worker: WorkerId,
         /// Crashes under the task so far.
-        crashes: CrashCount,
+        crashes: TaskCrashes,
         /// Whether the run was placed beside no other suspect.
         is_isolated: bool,
         /// What follows for the task.
         verdict: Verdict,
     },
+    /// A lost worker has answered again, so it is known whether it had crashed.
+    LossResolved {
+        /// The loss and its outcome.
+        resolved: ResolvedLoss,
+        /// Crashes under the task so far.
+        crashes: TaskCrashes,
+        /// What follows for the task.
+        verdict: Verdict,
+    },
+    /// A task waits until the losses of workers under it are resolved.
+    Awaited {
+        /// Time until which it waits at most.
+        until_ms: TimestampMs,
+    },
     /// A suspect is done, so it is none any more.
     Cleared {
         /// Worker that ran it.
@@ -201,19 +216,28 @@
 
 impl DecisionKind {
     fn fmt_crash(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self::Crashed {
-            worker,
-            crashes,
-            is_isolated,
-            verdict,
-        } = self
-        else {
-            return Ok(());
-        };
-        write!(
-            f,
-            "crashed worker={worker} {crashes} isolated={is_isolated} verdict={verdict}"
-        )
+        match self {
+            Self::Crashed {
+                worker,
+                crashes,
+                is_isolated,
+                verdict,
+            } => write!(
+                f,
+                "crashed worker={worker} {crashes} isolated={is_isolated} verdict={verdict}"
+            ),
+            Self::LossResolved {
+                resolved: ResolvedLoss { crash, outcome },
+                crashes,
+                verdict,
+            } => write!(
+                f,
+                "loss-resolved worker={} loss={} target={} outcome={outcome} {crashes} verdict={verdict}",
+                crash.worker, crash.loss.number, crash.loss.incarnation
+            ),
+            Self::Awaited { until_ms } => write!(f, "awaits-loss until={until_ms}"),
+            _ => Ok(()),
+        }
     }
 }
 
@@ -290,7 +314,9 @@
             DecisionKind::Rerun { worker, why } => {
                 write!(f, "rerun from={worker} why={}", Quoted(why))
             }
-            crashed @ DecisionKind::Crashed { .. } => crashed.fmt_crash(f),
+            crashed @ (DecisionKind::Crashed { .. }
+            | DecisionKind::LossResolved { .. }
+            | DecisionKind::Awaited { .. }) => crashed.fmt_crash(f),
             DecisionKind::Cleared { worker } => write!(f, "cleared worker={worker}"),
             DecisionKind::InDoubt {
                 worker,
--- a/crates/lagoonhill_core/src/entry/durable_job.rs
+++ b/crates/lagoonhill_core/src/entry/durable_job.rs
@@ -5,7 +5,7 @@
 
 use lagoonhill_types::prelude::*;
 
-use super::{CrashCount, JobTerms, StoreWriteId, Submission, WorkerKey};
+use super::{JobTerms, StoreWriteId, Submission, TaskCrashes, WorkerKey};
 
 /// State of a durable job in the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,8 +39,8 @@
     pub done: Vec<TaskIndex>,
     /// Tasks that have failed, with the number of failures.
     pub failed: Vec<(TaskIndex, u16)>,
-    /// Tasks under which workers have crashed.
-    pub crashed: Vec<(TaskIndex, CrashCount)>,
+    /// Tasks under which workers have crashed, or been lost.
+    pub crashed: Vec<(TaskIndex, TaskCrashes)>,
 }
 
 /// Stored record of a durable job, from which another entry can take it over.
--- a/crates/lagoonhill_core/src/entry/job.rs
+++ b/crates/lagoonhill_core/src/entry/job.rs
@@ -3,14 +3,14 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
-use lagoonhill_protocol::Interruption;
+use lagoonhill_protocol::TargetAnswered;
 use lagoonhill_rules::Class;
 use lagoonhill_types::prelude::*;
 use slotmap::new_key_type;
 
 use super::{
-    CallerId, CrashCount, DelayCost, DurableState, HeldName, JobTerms, Needs, Progress,
-    QueuePosition, RecordKey, RunCertainty, Step, Verdict, WorkerKey,
+    CallerId, DelayCost, DurableState, HeldName, JobTerms, Needs, Progress, QueuePosition,
+    RecordKey, ResolvedLoss, RunCertainty, Step, TaskCrash, TaskCrashes, Verdict, WorkerKey,
 };
 
 new_key_type! {
@@ -43,7 +43,7 @@
     /// Number of failed runs under earlier owners.
     failed_before: u16,
     /// Crashes of workers under the task, also under earlier owners.
-    crashes: CrashCount,
+    crashes: TaskCrashes,
     /// When a worker last crashed under it here.
     crashed_ms: Option<TimestampMs>,
 }
@@ -83,6 +83,8 @@
     Exhausted,
     /// It waits until the job's terms are known.
     Withheld,
+    /// It waits until the losses of workers under it are resolved.
+    Awaited,
 }
 
 /// Properties of a job that are fixed at its admission.
@@ -139,6 +141,8 @@
     ready: VecDeque<TaskIndex>,
     /// Tasks that have failed and wait until the job's terms are known.
     withheld: Vec<TaskIndex>,
+    /// Tasks that wait until the losses of workers under them are resolved.
+    awaited: Vec<TaskIndex>,
     done: usize,
     sent: usize,
     has_run: bool,
@@ -184,7 +188,7 @@
             runs: 0,
             failed_on: Vec::new(),
             failed_before: 0,
-            crashes: CrashCount::default(),
+            crashes: TaskCrashes::default(),
             crashed_ms: None,
         };
         let cost = DelayCost::useful(plan.accepted_ms.0, plan.id.number);
@@ -200,6 +204,7 @@
             steps: progress,
             ready: VecDeque::new(),
             withheld: Vec::new(),
+            awaited: Vec::new(),
             done: 0,
             sent: 0,
             has_run: false,
@@ -295,8 +300,8 @@
                 .map(|(index, task)| (index, failures(task)))
                 .collect(),
             crashed: tasks()
-                .filter(|(_, task)| !task.crashes.is_zero() && !is_done(task))
-                .map(|(index, task)| (index, task.crashes))
+                .filter(|(_, task)| !task.crashes.is_empty() && !is_done(task))
+                .map(|(index, task)| (index, task.crashes.clone()))
                 .collect(),
         }
     }
@@ -332,7 +337,7 @@
         }
         for (index, crashes) in &progress.crashed {
             if let Some(task) = self.tasks.get_mut(usize::from(index.0)) {
-                task.crashes = *crashes;
+                task.crashes = crashes.clone();
             }
         }
         self.release_steps();
@@ -351,6 +356,7 @@
     pub fn clear_ready(&mut self) {
         self.ready.clear();
         self.withheld.clear();
+        self.awaited.clear();
     }
 
     /// Whether tasks may run again after an unsuccessful run.
@@ -392,7 +398,7 @@
     }
 
     /// Makes a task ready, or withholds it: it has failed, and how often it may is not
-    /// known.
+    /// known, or whether it has crashed its workers is not.
     fn make_ready(&mut self, index: TaskIndex) -> AfterRun {
         let attempts = self.attempts();
         let task = &mut self.tasks[usize::from(index.0)];
@@ -401,6 +407,10 @@
             self.withheld.push(index);
             return AfterRun::Withheld;
         }
+        if task.crashes.verdict() == Verdict::Awaited {
+            self.awaited.push(index);
+            return AfterRun::Awaited;
+        }
         self.ready.push_front(index);
         AfterRun::Ready
     }
@@ -566,31 +576,74 @@
         })
     }
 
-    /// Counts a crash of the worker that holds a task. Returns the verdict and the
-    /// crashes so far; `None` if `interruption` is no crash, or the worker does not hold
-    /// the task.
+    /// Counts a crash of the worker that holds a task. Returns the crashes so far;
+    /// `None` if the worker does not hold the task.
     pub fn add_crash(
         &mut self,
         index: TaskIndex,
         worker: WorkerKey,
-        interruption: &Interruption,
-        is_isolated: bool,
+        crash: TaskCrash,
         now: TimestampMs,
-    ) -> Option<(Verdict, CrashCount)> {
-        let task = self.sent_task(index, worker)?;
-        let verdict = task.crashes.add(interruption, is_isolated)?;
-        let crashes = task.crashes;
-        task.crashed_ms = Some(now);
+    ) -> Option<&TaskCrashes> {
+        self.sent_task(index, worker)?;
         if let Some(durable) = &mut self.durable {
             durable.dirty = true;
         }
-        Some((verdict, crashes))
+        let task = &mut self.tasks[usize::from(index.0)];
+        task.crashed_ms = Some(now);
+        task.crashes.add(crash);
+        Some(&task.crashes)
+    }
+
+    /// Crashes of workers under a task.
+    pub fn crashes(&self, index: TaskIndex) -> Option<&TaskCrashes> {
+        let task = self.tasks.get(usize::from(index.0))?;
+        Some(&task.crashes)
+    }
+
+    /// Whether losses of workers under any task are not resolved.
+    pub fn has_unresolved_losses(&self) -> bool {
+        let is_unresolved = |task: &Task| !task.crashes.unresolved.is_empty();
+        self.tasks.iter().any(is_unresolved)
+    }
+
+    /// Resolves the losses that the last answer of a worker's target tells of.
+    pub fn resolve_losses(
+        &mut self,
+        worker: &WorkerId,
+        agent: Incarnation,
+        answered: &TargetAnswered,
+    ) -> Vec<(TaskIndex, ResolvedLoss)> {
+        let mut resolved = Vec::new();
+        for (index, task) in (0_u16..).map(TaskIndex).zip(&mut self.tasks) {
+            let of_task = task.crashes.resolve(worker, agent, answered);
+            resolved.extend(of_task.into_iter().map(|loss| (index, loss)));
+        }
+        if let Some(durable) = &mut self.durable {
+            durable.dirty |= !resolved.is_empty();
+        }
+        resolved
+    }
+
+    /// Whether a task waits until losses are resolved.
+    pub fn awaits_losses(&self, index: TaskIndex) -> bool {
+        self.awaited.contains(&index)
+    }
+
+    /// Makes a task ready that waits until losses are resolved; returns whether it did.
+    pub fn release_awaited(&mut self, index: TaskIndex) -> bool {
+        let Some(position) = self.awaited.iter().position(|awaited| *awaited == index) else {
+            return false;
+        };
+        self.awaited.swap_remove(position);
+        self.ready.push_front(index);
+        true
     }
 
     /// Whether a worker has crashed under the next ready task.
     pub fn is_next_suspect(&self) -> bool {
         let next = self.ready.front();
-        next.is_some_and(|index| !self.tasks[usize::from(index.0)].crashes.is_zero())
+        next.is_some_and(|index| !self.tasks[usize::from(index.0)].crashes.is_empty())
     }
 
     /// When a worker last crashed under the next ready task here.
--- a/crates/lagoonhill_core/src/entry/machine/crashes.rs
+++ b/crates/lagoonhill_core/src/entry/machine/crashes.rs
@@ -4,19 +4,29 @@
 //! is beside no other suspect of this entry, so that a second crash shows which of the
 //! tasks that shared the first one is the cause.
 
-use lagoonhill_protocol::{EntryAddress, Interruption};
+use std::collections::BTreeSet;
+
+use lagoonhill_protocol::{EntryAddress, HeldRun, Interruption, TargetAnswered, TargetLoss};
 use lagoonhill_types::prelude::*;
 
 use super::Entry;
 use crate::entry::{
-    Candidate, Cause, DecisionKind, JobKey, Needs, Placement, SlotLimit, Suspicion, Verdict,
-    Worker, WorkerKey,
+    AfterRun, Candidate, Cause, CrashCount, CrashEvidence, DecisionKind, Job, JobKey, Needs,
+    Placement, SlotLimit, Suspicion, TaskCrash, UnresolvedCrash, Verdict, Worker, WorkerKey,
 };
 
 /// Time for which a suspect waits for a worker that no other entry uses for suspects: a
 /// worker that has crashed is usually back by then.
 const OWN_WORKER_WAIT_MS: DurationMs = DurationMs(4_000);
 
+/// Longest time for which a task waits until losses of workers are resolved. A crashed
+/// target is usually back by then, and a cut over.
+const MAX_LOSS_WAIT_MS: DurationMs = DurationMs(10_000);
+
+/// A run that started this long before the last one at its worker, or less, may have
+/// crashed it soon after its start.
+const RECENT_START_MS: DurationMs = DurationMs(50);
+
 impl<P: Placement> Entry<P> {
     /// Counts a crash under a task that the worker held. Returns the cause for which the
     /// job is to be given up, if it is. `is_isolated`: the run was placed beside no other
@@ -31,31 +41,199 @@
         now: TimestampMs,
     ) -> Option<Cause> {
         let (worker_key, worker) = worker;
+        let crash = self.crash_of(key, interruption, worker_key, is_isolated)?;
         let job = &mut self.jobs[key];
-        let (verdict, crashes) =
-            job.add_crash(index, worker_key, interruption, is_isolated, now)?;
+        let crashes = job.add_crash(index, worker_key, crash, now)?.clone();
+        let verdict = crashes.verdict();
         let service = job.plan.service.clone();
         let id = job.plan.id;
         let kind = DecisionKind::Crashed {
             worker: worker.clone(),
-            crashes,
+            crashes: crashes.clone(),
             is_isolated,
             verdict,
         };
         self.log_decision(now, Some(id), Some(index), kind);
         self.confirm_crash(worker_key, &service, true, now);
-        if verdict == Verdict::Suspected {
+        if verdict != Verdict::Convicted {
+            if !crashes.unresolved.is_empty() {
+                self.jobs_with_losses.insert(key);
+            }
             // Without the delay of other progress, as the task starts again at once.
             self.store_next(key);
             return None;
         }
         Some(Cause::CrashedWorkers {
             index,
-            crashes: crashes.at_work.saturating_add(crashes.at_start),
+            crashes: crashes.certain.total(),
             worker: worker.clone(),
         })
     }
 
+    /// The crash that an interruption of a run tells of, if it does. A job that is not
+    /// durable is over before a loss is resolved, so a loss counts as a crash there.
+    fn crash_of(
+        &self,
+        job: JobKey,
+        interruption: &Interruption,
+        worker: WorkerKey,
+        is_isolated: bool,
+    ) -> Option<TaskCrash> {
+        let TargetLoss { held, unresolved } = match interruption {
+            Interruption::TargetLost(loss) => loss,
+            Interruption::TargetCrashed { .. } | Interruption::TargetCrashedAtStart => {
+                return Some(TaskCrash::Certain(CrashEvidence::AtStart));
+            }
+            Interruption::Other(_) => return None,
+        };
+        let evidence = match held {
+            HeldRun::Confirmed {
+                before_last_start_ms,
+            } => CrashEvidence::AtWork {
+                is_cause: is_isolated && *before_last_start_ms <= RECENT_START_MS,
+            },
+            HeldRun::Unconfirmed => CrashEvidence::AtStart,
+        };
+        let worker = self.fleet.get(worker)?;
+        let loss = unresolved.as_ref();
+        Some(
+            match loss.filter(|_| self.jobs[job].is_durable()).cloned() {
+                None => TaskCrash::Certain(evidence),
+                Some(loss) => TaskCrash::Unresolved(UnresolvedCrash {
+                    worker: worker.id.clone(),
+                    agent: worker.session.id().agent,
+                    loss,
+                    evidence,
+                }),
+            },
+        )
+    }
+
+    /// Handles that a worker's target has answered as another incarnation, or again after
+    /// a loss.
+    pub(super) fn on_target_answered(
+        &mut self,
+        key: WorkerKey,
+        answered: TargetAnswered,
+        now: TimestampMs,
+    ) {
+        if let Some(worker) = self.fleet.get_mut(key) {
+            worker.answered = Some(answered);
+        }
+        let jobs = std::mem::take(&mut self.jobs_with_losses);
+        for job in &jobs {
+            self.resolve_losses_at(*job, key, now);
+        }
+        let is_open = |job: &JobKey| self.jobs.get(*job).is_some_and(Job::has_unresolved_losses);
+        self.jobs_with_losses
+            .extend(jobs.into_iter().filter(is_open));
+    }
+
+    /// Resolves the losses under a job's tasks that the workers' last answers tell of.
+    pub(super) fn resolve_losses(&mut self, job: JobKey, now: TimestampMs) {
+        if !self.jobs[job].has_unresolved_losses() {
+            return;
+        }
+        self.jobs_with_losses.insert(job);
+        for worker in self.fleet.keys() {
+            self.resolve_losses_at(job, worker, now);
+        }
+    }
+
+    fn resolve_losses_at(&mut self, key: JobKey, worker: WorkerKey, now: TimestampMs) {
+        let Some(worker) = self.fleet.get(worker) else {
+            return;
+        };
+        let (Some(answered), Some(job)) = (&worker.answered, self.jobs.get_mut(key)) else {
+            return;
+        };
+        let id = job.plan.id;
+        let resolved = job.resolve_losses(&worker.id, worker.session.id().agent, answered);
+        let tasks: BTreeSet<TaskIndex> = resolved.iter().map(|(index, _)| *index).collect();
+        for (index, resolved) in resolved {
+            let Some(crashes) = self.jobs[key].crashes(index).cloned() else {
+                continue;
+            };
+            let verdict = crashes.verdict();
+            let cause = Cause::CrashedWorkers {
+                index,
+                crashes: crashes.certain.total(),
+                worker: resolved.crash.worker.clone(),
+            };
+            let kind = DecisionKind::LossResolved {
+                resolved,
+                crashes,
+                verdict,
+            };
+            self.log_decision(now, Some(id), Some(index), kind);
+            if verdict == Verdict::Convicted && !self.jobs[key].is_ending() {
+                self.fail_job(key, cause, now);
+            }
+        }
+        for index in tasks {
+            let verdict = self.jobs.get(key).and_then(|job| job.crashes(index));
+            if verdict.is_some_and(|crashes| crashes.verdict() == Verdict::Suspected) {
+                self.release_awaited(key, index);
+            }
+        }
+        self.store_next(key);
+    }
+
+    /// Handles what follows for a task after a run that was not successful, or that can't
+    /// go on any more: queues it again, or logs why it waits.
+    pub(super) fn after_run(
+        &mut self,
+        key: JobKey,
+        index: TaskIndex,
+        after_run: AfterRun,
+        now: TimestampMs,
+    ) {
+        match after_run {
+            AfterRun::Withheld => self.log_withheld(key, index, now),
+            AfterRun::Awaited => {
+                let until_ms = now + MAX_LOSS_WAIT_MS;
+                self.awaited.insert((until_ms, key, index));
+                let id = self.jobs[key].plan.id;
+                let kind = DecisionKind::Awaited { until_ms };
+                self.log_decision(now, Some(id), Some(index), kind);
+            }
+            AfterRun::Ready | AfterRun::Exhausted => self.enqueue(key, 1),
+        }
+    }
+
+    fn release_awaited(&mut self, key: JobKey, index: TaskIndex) {
+        if self.jobs[key].release_awaited(index) {
+            self.enqueue(key, 1);
+        }
+    }
+
+    /// Ends the wait of tasks whose losses were not resolved in time. A task with too many
+    /// of them is given up.
+    pub(super) fn end_waits_for_losses(&mut self, now: TimestampMs) {
+        while let Some(&(until_ms, key, index)) = self.awaited.first() {
+            if until_ms > now {
+                return;
+            }
+            self.awaited.pop_first();
+            let job = self.jobs.get(key).filter(|job| job.awaits_losses(index));
+            let Some(crashes) = job.and_then(|job| job.crashes(index)) else {
+                continue;
+            };
+            let last = crashes.unresolved.last().map(|crash| crash.worker.clone());
+            let Some(worker) = last.filter(|_| crashes.is_exhausted()) else {
+                self.release_awaited(key, index);
+                continue;
+            };
+            let crashes = CrashCount::MAX_TOTAL;
+            let cause = Cause::CrashedWorkers {
+                index,
+                crashes,
+                worker,
+            };
+            self.fail_job(key, cause, now);
+        }
+    }
+
     /// Removes the candidates where a task must not run, as a crash there would not show
     /// its cause. A suspect goes to the emptiest of the workers without one, at first only
     /// to one that no other entry uses for suspects; other tasks avoid the workers with one
--- a/crates/lagoonhill_core/src/entry/machine/durable_jobs.rs
+++ b/crates/lagoonhill_core/src/entry/machine/durable_jobs.rs
@@ -109,8 +109,9 @@
         );
         // The last owner may have stored the ends of all tasks but not the job's.
         if self.jobs[key].is_complete() {
-            self.complete_durable(key, now);
+            return self.complete_durable(key, now);
         }
+        self.resolve_losses(key, now);
     }
 
     /// Logs that a task waits until the rules have the job's queue again.
--- a/crates/lagoonhill_core/src/entry/machine/mod.rs
+++ b/crates/lagoonhill_core/src/entry/machine/mod.rs
@@ -57,6 +57,10 @@
     due: BTreeSet<(TimestampMs, JobKey)>,
     /// Tasks of lost workers, by the time from which they can't run there.
     in_doubt: BTreeSet<(TimestampMs, JobKey, TaskIndex)>,
+    /// Jobs with losses of workers that are not resolved.
+    jobs_with_losses: BTreeSet<JobKey>,
+    /// Tasks that wait until such losses are resolved, by the end of their wait.
+    awaited: BTreeSet<(TimestampMs, JobKey, TaskIndex)>,
     /// Durable jobs, by the names that their callers gave them.
     durable_jobs: HashMap<RequestKey, JobKey>,
     /// Number of requests to the store so far.
@@ -117,6 +121,8 @@
             queued: HashMap::new(),
             due: BTreeSet::new(),
             in_doubt: BTreeSet::new(),
+            jobs_with_losses: BTreeSet::new(),
+            awaited: BTreeSet::new(),
             durable_jobs: HashMap::new(),
             store_writes: 0,
             saves_due: BTreeSet::new(),
@@ -328,6 +334,7 @@
         self.store_due_progress(now);
         self.records.expire(now);
         self.resolve_in_doubt(now);
+        self.end_waits_for_losses(now);
         self.end_discovery(now);
         self.dispatch_all(now);
     }
--- a/crates/lagoonhill_core/src/entry/machine/outcomes.rs
+++ b/crates/lagoonhill_core/src/entry/machine/outcomes.rs
@@ -94,6 +94,8 @@
                 self.requeue(job_key, index, key, &worker, None, now);
                 if let Some(cause) = crash {
                     self.fail_job(job_key, cause, now);
+                } else {
+                    self.resolve_losses(job_key, now);
                 }
             }
             TaskResult::MayHaveRun(_) | TaskResult::Interrupted(_) => {
@@ -129,11 +131,7 @@
         if job.is_ending() {
             return job.clear_ready();
         }
-        if after_run == AfterRun::Withheld {
-            self.log_withheld(key, index, now);
-        } else {
-            self.enqueue(key, 1);
-        }
+        self.after_run(key, index, after_run, now);
         let Some(message) = failure else {
             return;
         };
@@ -174,10 +172,8 @@
             }
             self.in_doubt.pop_first();
             let job = self.jobs.get_mut(key).filter(|job| !job.is_ending());
-            match job.and_then(|job| job.resolve_in_doubt(index, now)) {
-                Some(AfterRun::Withheld) => self.log_withheld(key, index, now),
-                Some(_) => self.enqueue(key, 1),
-                None => {}
+            if let Some(after_run) = job.and_then(|job| job.resolve_in_doubt(index, now)) {
+                self.after_run(key, index, after_run, now);
             }
         }
     }
--- a/crates/lagoonhill_core/src/entry/machine/sessions.rs
+++ b/crates/lagoonhill_core/src/entry/machine/sessions.rs
@@ -1,6 +1,8 @@
 //! Sessions with agents: their start, messages and end.
 
-use lagoonhill_protocol::{Frame, Hello, Message, Packet, Reset, SessionId, Welcome};
+use lagoonhill_protocol::{
+    Feature, Frame, Hello, Message, Packet, Reset, RulesUpdate, SessionId, Welcome,
+};
 use lagoonhill_types::prelude::*;
 
 use super::Entry;
@@ -60,6 +62,9 @@
         let heartbeat_ms = self.heartbeat_interval();
         let mut session = Session::new(hello.session, self.config.timing, heartbeat_ms, now);
         session.record_received(hello.sent_ms, hello.rules_revision, now);
+        session.push(Message::Rules(RulesUpdate::of_feature(
+            Feature::TargetLosses,
+        )));
         if self.config.shares_rules {
             session.offer_rules(&self.rules);
         }
@@ -147,6 +152,7 @@
         match message {
             Message::Outcome(outcome) => self.on_outcome(key, outcome, now),
             Message::Target(target) => self.on_target(key, target, now),
+            Message::TargetAnswered(answered) => self.on_target_answered(key, answered, now),
             Message::Leaving => {
                 if let Some(worker) = self.fleet.get_mut(key) {
                     worker.leaving = true;
--- /dev/null
+++ b/crates/lagoonhill_core/src/entry/task_crashes.rs
@@ -0,0 +1,150 @@
+//! Crashes of workers under one task, and what follows from them.
+
+use std::fmt;
+
+use lagoonhill_protocol::TargetAnswered;
+use lagoonhill_types::prelude::*;
+
+use super::{CrashCount, CrashEvidence, LossOutcome, UnresolvedCrash};
+
+/// What the crashes under a task show.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It may be the cause: it runs next beside no other suspect.
+    Suspected,
+    /// It is the cause if the losses under it are crashes: it does not run until that is
+    /// known, or for a limited time.
+    Awaited,
+    /// It is the cause, or can't be told from it within the permitted crashes.
+    Convicted,
+}
+
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Suspected => "suspected",
+            Self::Awaited => "awaited",
+            Self::Convicted => "convicted",
+        })
+    }
+}
+
+/// The crash of a worker under a run, or a loss that may be one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum TaskCrash {
+    /// A crash.
+    Certain(CrashEvidence),
+    /// A loss that may be a crash.
+    Unresolved(UnresolvedCrash),
+}
+
+/// A loss of a worker's target under a task that its target's answer has resolved.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ResolvedLoss {
+    /// The loss.
+    pub crash: UnresolvedCrash,
+    /// What the answer tells of it.
+    pub outcome: LossOutcome,
+}
+
+/// Crashes of workers under one task.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct TaskCrashes {
+    /// Crashes that are certain.
+    pub certain: CrashCount,
+    /// Losses of targets that may be crashes.
+    pub unresolved: Vec<UnresolvedCrash>,
+    /// Whether a certain crash of this owner shows that the task is the cause.
+    is_cause: bool,
+}
+
+impl TaskCrashes {
+    /// The certain crashes that an earlier owner has stored.
+    pub fn restored(certain: CrashCount) -> Self {
+        Self {
+            certain,
+            ..Self::default()
+        }
+    }
+
+    /// Whether no worker has crashed, or been lost, under the task.
+    pub fn is_empty(&self) -> bool {
+        self.certain.is_zero() && self.unresolved.is_empty()
+    }
+
+    /// Adds a crash.
+    pub fn add(&mut self, crash: TaskCrash) {
+        match crash {
+            TaskCrash::Certain(evidence) => self.add_certain(evidence),
+            TaskCrash::Unresolved(crash) => self.unresolved.push(crash),
+        }
+    }
+
+    fn add_certain(&mut self, evidence: CrashEvidence) {
+        self.certain.add(evidence);
+        self.is_cause |= evidence == CrashEvidence::AtWork { is_cause: true };
+    }
+
+    /// Resolves the losses that the last answer of a worker's target tells of.
+    pub fn resolve(
+        &mut self,
+        worker: &WorkerId,
+        agent: Incarnation,
+        answered: &TargetAnswered,
+    ) -> Vec<ResolvedLoss> {
+        let mut resolved = Vec::new();
+        for crash in std::mem::take(&mut self.unresolved) {
+            match crash.outcome(worker, agent, answered) {
+                None => self.unresolved.push(crash),
+                Some(outcome) => {
+                    if outcome == LossOutcome::Crashed {
+                        self.add_certain(crash.evidence);
+                    }
+                    resolved.push(ResolvedLoss { crash, outcome });
+                }
+            }
+        }
+        resolved
+    }
+
+    /// What the crashes show.
+    pub fn verdict(&self) -> Verdict {
+        if self.certain.convicts(self.is_cause) {
+            return Verdict::Convicted;
+        }
+        let all = self.if_all_are_crashes();
+        if all.certain.convicts(all.is_cause) {
+            Verdict::Awaited
+        } else {
+            Verdict::Suspected
+        }
+    }
+
+    /// Whether the task may not start again even if no loss under it is ever resolved.
+    pub fn is_exhausted(&self) -> bool {
+        let all = self.if_all_are_crashes().certain;
+        all.total() >= CrashCount::MAX_TOTAL
+    }
+
+    fn if_all_are_crashes(&self) -> Self {
+        let mut all = Self {
+            unresolved: Vec::new(),
+            ..*self
+        };
+        for crash in &self.unresolved {
+            all.add_certain(crash.evidence);
+        }
+        all
+    }
+}
+
+impl fmt::Display for TaskCrashes {
+    /// Writes the fields of a log line.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.certain.fmt(f)?;
+        match self.unresolved.len() {
+            0 => Ok(()),
+            count => write!(f, " unresolved={count}"),
+        }
+    }
+}
--- a/crates/lagoonhill_core/src/entry/worker.rs
+++ b/crates/lagoonhill_core/src/entry/worker.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 
-use lagoonhill_protocol::{Load, Target};
+use lagoonhill_protocol::{Load, Target, TargetAnswered};
 use lagoonhill_rules::ServingState;
 use lagoonhill_types::prelude::*;
 use slotmap::new_key_type;
@@ -111,6 +111,8 @@
     largest_capacity: Resources,
     /// The target that it had last, and when it lost it.
     lost_target: Option<(Target, TimestampMs)>,
+    /// Its target's last answer, as its agent reports it.
+    pub answered: Option<TargetAnswered>,
     /// Session with its agent.
     pub session: Session,
     /// Whether its agent has sent a leave message.
@@ -146,6 +148,7 @@
                 .map_or_else(Resources::default, |target| target.capacity),
             target,
             lost_target: None,
+            answered: None,
             session,
             leaving: false,
             operator_state: ServingState::Serve,
--- a/crates/lagoonhill_core/src/leased/call.rs
+++ b/crates/lagoonhill_core/src/leased/call.rs
@@ -13,21 +13,6 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct FencingToken(pub u64);
 
-/// One incarnation of a target.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct TargetIncarnation {
-    /// Name of the incarnation.
-    pub name: WorkerId,
-    /// Start time on the target's wall clock, or 0 if unknown.
-    pub born_ms: u64,
-}
-
-impl fmt::Display for TargetIncarnation {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}@{}", self.name, self.born_ms)
-    }
-}
-
 /// Identifies a call until it has been answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CallId(pub u64);
--- a/crates/lagoonhill_core/src/leased/mod.rs
+++ b/crates/lagoonhill_core/src/leased/mod.rs
@@ -15,8 +15,9 @@
 pub use announcement_report::{AnnouncementOutcome, AnnouncementReport};
 pub use call::{
     CallId, EndKind, EndedRun, FencingToken, Refusal, RunRef, StartRequest, TargetCall,
-    TargetIncarnation, TargetReply, TargetTimeMs,
+    TargetReply, TargetTimeMs,
 };
 pub use clock::TargetClock;
+pub use lagoonhill_protocol::TargetIncarnation;
 pub use runs::{LeaseTiming, LeasedEffect, LeasedRuns};
 pub use target_change::{ChangeReason, TargetChange};
--- a/crates/lagoonhill_core/src/leased/runs/crashes.rs
+++ b/crates/lagoonhill_core/src/leased/runs/crashes.rs
@@ -1,19 +1,24 @@
 //! Whether the target has crashed, and under which runs.
 //!
-//! A crash is believed on the word of the target's machine alone: nothing listens at
-//! the target's address any more, or another life answers there. Silence is none: the
-//! target may hang, or this process may have been suspended.
+//! A crash is believed on the word of the target's machine alone: another incarnation
+//! answers at the target's address. Refused connections are a loss that is not resolved:
+//! the target may be cut off and run on until its lease expires, and then answer again.
+//! Silence is neither: the target may hang, or this process may have been suspended.
 
-use lagoonhill_protocol::Interruption;
+use lagoonhill_protocol::{HeldRun, LossId, TargetAnswered, TargetLoss};
 use lagoonhill_types::prelude::*;
 
-use super::{LeasedRuns, Phase, Run};
+use super::{LeasedEffect, LeasedRuns, Phase, Run};
 use crate::agent::TaskKey;
 use crate::leased::present::Present;
 
 /// Refused connections that show that the target's process is gone.
 const MIN_REFUSALS: u32 = 2;
 
+/// Most losses that a report lists as crashes. Entries hear of each loss soon after it,
+/// or after the takeover of a job.
+const MAX_REPORTED_CRASHES: usize = 16;
+
 /// Connections to the target's address that were refused in a row.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Refusals {
@@ -34,39 +39,60 @@
 }
 
 impl LeasedRuns {
-    /// Records under which runs the target has crashed, if it is gone: its life ended
-    /// while their lease was valid, and it had not announced that it would.
-    pub(super) fn mark_gone(&mut self) {
-        let is_over = self.refusals.show_an_end_before(self.lease_expires_ms);
-        if is_over && !self.is_leaving() {
-            self.mark_all();
+    /// Records under which runs the target was lost, if its machine has refused
+    /// connections since before their lease expired, and it had not announced that it
+    /// would end.
+    pub(super) fn mark_lost(&mut self, now: TimestampMs) {
+        let Some(present) = &self.present else {
+            return;
+        };
+        let is_lost = self.refusals.show_an_end_before(self.lease_expires_ms);
+        if !is_lost || present.is_leaving() {
+            return;
+        }
+        let loss = LossId {
+            number: self.losses + 1,
+            incarnation: present.incarnation.clone(),
+        };
+        if self.mark_all(Some(&loss)) {
+            self.losses = loss.number;
+            self.lost_ms = Some(now);
         }
     }
 
-    /// Records under which runs the present life has crashed, as another one answers.
+    /// Records under which runs the present incarnation has crashed, as another one
+    /// answers.
     pub(super) fn mark_crashed(&mut self, now: TimestampMs) {
-        if now < self.lease_expires_ms && !self.is_leaving() {
-            self.mark_all();
+        let is_leaving = self.present.as_ref().is_none_or(Present::is_leaving);
+        let ended_under_lease =
+            now < self.lease_expires_ms || self.refusals.show_an_end_before(self.lease_expires_ms);
+        if ended_under_lease && !is_leaving {
+            self.mark_all(None);
         }
     }
 
-    fn is_leaving(&self) -> bool {
-        self.present.as_ref().is_none_or(Present::is_leaving)
-    }
-
-    fn mark_all(&mut self) {
-        let crash = |(key, run): (&TaskKey, &Run)| Some((*key, self.held_by_target(run)?));
-        let crashes: Vec<_> = self.runs.iter().filter_map(crash).collect();
-        for (key, crash) in crashes {
+    /// Marks the runs that the target holds; returns whether there is one without a mark.
+    fn mark_all(&mut self, unresolved: Option<&LossId>) -> bool {
+        let loss = |(key, run): (&TaskKey, &Run)| {
+            let held = self.held_by_target(run)?;
+            let unresolved = unresolved.cloned();
+            run.loss
+                .is_none()
+                .then_some((*key, TargetLoss { held, unresolved }))
+        };
+        let losses: Vec<_> = self.runs.iter().filter_map(loss).collect();
+        let is_any = !losses.is_empty();
+        for (key, loss) in losses {
             if let Some(run) = self.runs.get_mut(&key) {
-                run.crash.get_or_insert(crash);
+                run.loss = Some(loss);
             }
         }
+        is_any
     }
 
-    /// What an end of the target's life means for a run; nothing if the run has not
-    /// reached the target, or its stop was accepted.
-    fn held_by_target(&self, run: &Run) -> Option<Interruption> {
+    /// How the target holds a run; `None` if the run has not reached the target, or its
+    /// stop was accepted.
+    fn held_by_target(&self, run: &Run) -> Option<HeldRun> {
         let is_at_work = matches!(
             run.phase,
             Phase::Running { .. } | Phase::Stopping { since_ms: None, .. }
@@ -83,12 +109,51 @@
             (true, Some(started_ms)) => {
                 let starts = self.runs.values().filter_map(|run| run.confirmed_ms);
                 let last_start_ms = starts.max().unwrap_or(started_ms);
-                Some(Interruption::TargetCrashed {
+                Some(HeldRun::Confirmed {
                     before_last_start_ms: last_start_ms.since(started_ms),
                 })
             }
-            (_, None) if may_have_started => Some(Interruption::TargetCrashedAtStart),
+            (_, None) if may_have_started => Some(HeldRun::Unconfirmed),
             _ => None,
         }
     }
+
+    /// Reports that the present incarnation has listed its runs, unless the poll was sent
+    /// before the last loss: that answer may be older than the loss.
+    pub(super) fn report_answer(&mut self, listed_born_ms: Option<u64>, polled_ms: TimestampMs) {
+        let Some(present) = &self.present else {
+            return;
+        };
+        let incarnation = &present.incarnation;
+        // Without a birth time, incarnations of one name can't be told apart.
+        if listed_born_ms != Some(incarnation.born_ms)
+            || self.lost_ms.is_some_and(|lost_ms| polled_ms < lost_ms)
+        {
+            return;
+        }
+        let last = self.answered.as_ref();
+        if last.is_some_and(|last| last.losses == self.losses && last.incarnation == *incarnation) {
+            return;
+        }
+        let mut crashes = last.map_or_else(Vec::new, |last| last.crashes.clone());
+        if last.is_some_and(|last| last.losses < self.losses && last.incarnation != *incarnation) {
+            crashes.push(self.losses);
+            let excess = crashes.len().saturating_sub(MAX_REPORTED_CRASHES);
+            crashes.drain(..excess);
+        }
+        let answered = TargetAnswered {
+            losses: self.losses,
+            crashes,
+            incarnation: incarnation.clone(),
+        };
+        let survived = |loss: &mut TargetLoss| {
+            let unresolved = loss.unresolved.as_ref();
+            unresolved.is_some_and(|lost| lost.incarnation == answered.incarnation)
+        };
+        for run in self.runs.values_mut() {
+            run.loss.take_if(survived);
+        }
+        self.answered = Some(answered.clone());
+        self.effects.push(LeasedEffect::Answered(answered));
+    }
 }
--- a/crates/lagoonhill_core/src/leased/runs/mod.rs
+++ b/crates/lagoonhill_core/src/leased/runs/mod.rs
@@ -6,7 +6,9 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use lagoonhill_protocol::{Interruption, NotRunReason, Start, Target, TaskResult};
+use lagoonhill_protocol::{
+    Interruption, NotRunReason, Start, Target, TargetAnswered, TargetLoss, TaskResult,
+};
 use lagoonhill_types::prelude::*;
 
 use self::crashes::Refusals;
@@ -116,9 +118,8 @@
     confirmed_ms: Option<TimestampMs>,
     /// Number of start calls that never reached the target.
     unsent_starts: u32,
-    /// How it was held by a life of the target that has crashed, while a later life may
-    /// still receive it.
-    crash: Option<Interruption>,
+    /// The loss of the target under it, while a later incarnation may still receive it.
+    loss: Option<TargetLoss>,
 }
 
 /// Context of a call in flight, needed to handle its answer.
@@ -163,6 +164,8 @@
     Target(Option<Target>),
     /// Another incarnation is present, or none.
     Changed(TargetChange),
+    /// The target has answered as another incarnation, or again after a loss.
+    Answered(TargetAnswered),
     /// An announcement was handled.
     Announced(AnnouncementReport),
 }
@@ -209,6 +212,12 @@
     last_reply_ms: TimestampMs,
     /// Connections that the target's machine has refused since the target last answered.
     refusals: Refusals,
+    /// Number of losses of the target so far.
+    losses: u32,
+    /// When the last one was noticed.
+    lost_ms: Option<TimestampMs>,
+    /// The value of the last [`LeasedEffect::Answered`].
+    answered: Option<TargetAnswered>,
     /// Whether the target answers, with no foreign runs and no ends to discard.
     ready: bool,
     /// The value of the last [`LeasedEffect::Target`].
@@ -242,6 +251,9 @@
             last_poll_ms: now,
             last_reply_ms: now,
             refusals: Refusals::default(),
+            losses: 0,
+            lost_ms: None,
+            answered: None,
             ready: false,
             reported: None,
             effects: Vec::new(),
@@ -303,7 +315,7 @@
             unanswered_starts: 0,
             confirmed_ms: None,
             unsent_starts: 0,
-            crash: None,
+            loss: None,
         };
         self.by_reference.insert(reference, key);
         self.runs.insert(key, run);
@@ -420,7 +432,7 @@
         let open = self.runs.iter().filter(|(_, run)| is_open(run));
         let keys: Vec<TaskKey> = open.map(|(key, _)| *key).collect();
         if !keys.is_empty() {
-            self.mark_gone();
+            self.mark_lost(now);
         }
         for key in keys {
             self.interrupt(key, "its stop was not accepted and its lease has lapsed");
@@ -682,12 +694,14 @@
             running,
             ended,
             is_complete,
+            born_ms,
             ..
         } = reply
         else {
             return;
         };
         self.verified_ms = Some(now);
+        self.report_answer(born_ms, sent_ms);
         // A list from before a known end may arrive later and still contain the run.
         let newest = ended.last().map_or(known_end, |end| end.number);
         let is_outdated = newest < self.last_end;
@@ -817,21 +831,20 @@
     }
 
     fn interrupt_all(&mut self, why: &str) {
-        self.mark_gone();
         let keys: Vec<TaskKey> = self.runs.keys().copied().collect();
         for key in keys {
             self.interrupt(key, why);
         }
     }
 
-    /// Ends a run without a result, `why` unless the target has crashed under it.
+    /// Ends a run without a result, `why` unless the target was lost under it.
     fn interrupt(&mut self, key: TaskKey, why: &str) {
         let Some(run) = self.runs.get(&key) else {
             return;
         };
-        let crash = run.crash.as_ref().map(ToString::to_string);
-        let why = crash.unwrap_or_else(|| why.to_owned());
-        self.end(key, TaskResult::Interrupted(why));
+        let loss = run.loss.clone().map(Interruption::TargetLost);
+        let why = loss.unwrap_or_else(|| Interruption::Other(why.to_owned()));
+        self.end(key, TaskResult::Interrupted(why.to_string()));
     }
 
     /// Runs the timers. To be called every few tens of milliseconds.
@@ -863,6 +876,7 @@
         self.ready = false;
         self.report_target();
         if now >= self.lease_expires_ms {
+            self.mark_lost(now);
             self.interrupt_all("the target fell silent and its lease has lapsed");
         }
     }
--- a/crates/lagoonhill_core/tests/agent.rs
+++ b/crates/lagoonhill_core/tests/agent.rs
@@ -8,7 +8,9 @@
 use lagoonhill_core::agent::{Agent, AgentConfig, AgentEffect};
 use lagoonhill_core::entry::LeastExpectedFinish;
 use lagoonhill_protocol::{
-    EntryAddress, Frame, Load, Message, Packet, Sequence, SessionId, Start, Target, Welcome,
+    EntryAddress, Feature, Frame, HeldRun, Interruption, Load, LossId, Message, Packet,
+    RulesUpdate, Sequence, SessionId, Start, Target, TargetAnswered, TargetIncarnation, TargetLoss,
+    TaskResult, Welcome,
 };
 use lagoonhill_standin::{FaultPoint, NodeId, World};
 use lagoonhill_types::prelude::*;
@@ -262,7 +264,17 @@
         sent_ms: TimestampMs,
         now: TimestampMs,
     ) {
-        let messages: Vec<Message> = start.into_iter().map(Message::Start).collect();
+        let messages = start.into_iter().map(Message::Start).collect();
+        self.deliver(messages, echo_ms, sent_ms, now);
+    }
+
+    fn deliver(
+        &mut self,
+        messages: Vec<Message>,
+        echo_ms: TimestampMs,
+        sent_ms: TimestampMs,
+        now: TimestampMs,
+    ) {
         let first = Sequence(self.sent + 1);
         self.sent += messages.len() as u64;
         let frame = Frame {
@@ -373,3 +385,89 @@
         assert_eq!(count_runs(&harness.effects(resumed)), 0, "an outdated start was carried out");
     }
 }
+
+fn incarnation(born_ms: u64) -> TargetIncarnation {
+    TargetIncarnation {
+        name: "target".parse().expect("the name is valid"),
+        born_ms,
+    }
+}
+
+/// What an agent sends to an entry, with or without an announced feature, when its target
+/// is lost under a run and answers again.
+fn messages_after_a_loss(feature: Option<Feature>) -> Vec<Message> {
+    let now = TimestampMs(1_000_000);
+    let mut harness = AgentHarness::new(now, 1);
+    let announced = feature.map(RulesUpdate::of_feature).map(Message::Rules);
+    let start = Message::Start(start_message(now));
+    let messages = announced.into_iter().chain([start]).collect();
+    harness.deliver(messages, now, now, now);
+    let run = harness
+        .effects(now)
+        .into_iter()
+        .find_map(|effect| match effect {
+            AgentEffect::Run { key, .. } => Some(key),
+            _ => None,
+        });
+    let loss = TargetLoss {
+        held: HeldRun::Confirmed {
+            before_last_start_ms: DurationMs(7),
+        },
+        unresolved: Some(LossId {
+            number: 1,
+            incarnation: incarnation(5),
+        }),
+    };
+    let result = TaskResult::Interrupted(Interruption::TargetLost(loss).to_string());
+    harness
+        .agent
+        .finished(run.expect("the task has started"), result, now);
+    harness.agent.target_answered(TargetAnswered {
+        losses: 1,
+        crashes: Vec::new(),
+        incarnation: incarnation(5),
+    });
+    let frames = harness
+        .effects(now)
+        .into_iter()
+        .filter_map(|effect| match effect {
+            AgentEffect::Send {
+                packet: Packet::Frame(frame),
+                ..
+            } => Some(frame.messages),
+            _ => None,
+        });
+    frames.flatten().collect()
+}
+
+fn interruption_in(messages: &[Message]) -> Option<Interruption> {
+    messages.iter().find_map(|message| match message {
+        Message::Outcome(outcome) => match &outcome.result {
+            TaskResult::Interrupted(why) => Some(Interruption::from(why.as_str())),
+            _ => None,
+        },
+        _ => None,
+    })
+}
+
+// Guards against an entry of an earlier release that can't decode what an agent sends, or
+// that counts no crash.
+cases! {
+    an_entry_that_has_not_announced_it_is_told_of_no_loss => {
+        let messages = messages_after_a_loss(None);
+        let crash = Interruption::TargetCrashed { before_last_start_ms: DurationMs(7) };
+        assert_eq!(interruption_in(&messages), Some(crash));
+        let is_answer = |message: &Message| matches!(message, Message::TargetAnswered(_));
+        assert!(!messages.iter().any(is_answer), "{messages:?}");
+    }
+
+    an_entry_that_has_announced_it_is_told_of_losses_and_answers => {
+        let messages = messages_after_a_loss(Some(Feature::TargetLosses));
+        let Some(Interruption::TargetLost(loss)) = interruption_in(&messages) else {
+            panic!("{messages:?}");
+        };
+        assert_eq!(loss.unresolved.map(|loss| loss.number), Some(1));
+        let is_answer = |message: &Message| matches!(message, Message::TargetAnswered(_));
+        assert!(messages.iter().any(is_answer), "{messages:?}");
+    }
+}
--- a/crates/lagoonhill_core/tests/deadly_tasks.rs
+++ b/crates/lagoonhill_core/tests/deadly_tasks.rs
@@ -93,6 +93,12 @@
     }
 }
 
+fn cut_busy_targets(world: &mut TestWorld) {
+    for agent in world.busy_targets() {
+        world.cut_target(agent);
+    }
+}
+
 /// A long sound task, of which each run so far was cut short by `disturb`, is done.
 fn assert_not_given_up(mut world: TestWorld, mut disturb: impl FnMut(&mut TestWorld)) {
     world.submit_durable(0, durable("sound", &["sound"], 400));
@@ -196,8 +202,14 @@
         world.run_for(20_000);
         let lines: Vec<String> = world.decisions.iter().map(ToString::to_string).collect();
         let count = |part: &str| lines.iter().filter(|line| line.contains(part)).count();
-        assert_eq!(count("at_work=1 at_start=0 isolated=false verdict=suspected"), 2, "{lines:#?}");
-        assert_eq!(count("at_work=2 at_start=0 isolated=true verdict=convicted"), 1, "{lines:#?}");
+        let lost = "at_work=0 at_start=0 unresolved=1 isolated=false verdict=suspected";
+        assert_eq!(count(lost), 2, "{lines:#?}");
+        let lost_again = "at_work=0 at_start=0 unresolved=2 isolated=true verdict=awaited";
+        assert_eq!(count(lost_again), 1, "{lines:#?}");
+        assert_eq!(count("awaits-loss until="), 1, "{lines:#?}");
+        assert_eq!(count("outcome=crashed at_work=1 at_start=0"), 2, "{lines:#?}");
+        let convicted = "outcome=crashed at_work=2 at_start=0 verdict=convicted";
+        assert_eq!(count(convicted), 1, "{lines:#?}");
         assert_eq!(count("cleared worker="), 1, "{lines:#?}");
     }
 
@@ -249,6 +261,61 @@
         });
     }
 
+    // Guards against a sound job that is given up because its targets were cut off, one
+    // after the other, and refused connections meanwhile.
+    cut_off_targets_have_not_crashed => {
+        let mut world = fleet(1, 4, 12);
+        world.submit_durable(0, durable("sound", &["sound"], 6_000));
+        world.run_for(150);
+        for _ in 0..4 {
+            cut_busy_targets(&mut world);
+            world.run_for(4_500);
+        }
+        world.run_for(20_000);
+        assert_eq!(state(&world, "sound"), Some(DurableJobState::Complete));
+    }
+
+    // The same, with an owner that is lost between two cuts: the next one learns from the
+    // agents that the targets have survived.
+    cuts_before_a_takeover_are_no_crashes => {
+        let mut world = fleet(2, 4, 13);
+        world.submit_durable(0, durable("sound", &["sound"], 6_000));
+        world.run_for(150);
+        cut_busy_targets(&mut world);
+        world.run_for(1_500);
+        world.kill(NodeId::Entry(0));
+        world.take_over(0, 1);
+        for _ in 0..3 {
+            world.run_for(4_500);
+            cut_busy_targets(&mut world);
+        }
+        world.run_for(20_000);
+        assert_eq!(state(&world, "sound"), Some(DurableJobState::Complete));
+    }
+
+    one_cut_and_one_crash_give_up_no_task => {
+        let mut world = fleet(1, 4, 14);
+        world.submit_durable(0, durable("sound", &["sound"], 1_500));
+        world.run_for(150);
+        cut_busy_targets(&mut world);
+        world.run_for(1_000);
+        for agent in world.busy_targets() {
+            world.crash_target(agent);
+        }
+        world.run_for(20_000);
+        assert_eq!(state(&world, "sound"), Some(DurableJobState::Complete));
+    }
+
+    // Guards against further crashes while it is not known whether the last losses were
+    // crashes.
+    a_task_waits_until_it_is_known_whether_its_targets_have_crashed => {
+        let mut world = fleet(1, 8, 15);
+        world.submit_durable(0, durable("job", &["deadly"], 10));
+        world.run_for(60_000);
+        assert_eq!(state(&world, "job"), Some(DurableJobState::Failed));
+        assert_eq!(world.crash_count, 2);
+    }
+
     a_frozen_entry_is_no_crash => {
         assert_not_given_up(fleet(1, 2, 8), |world| world.freeze(NodeId::Entry(0), 3_000));
     }
--- a/crates/lagoonhill_core/tests/leased.rs
+++ b/crates/lagoonhill_core/tests/leased.rs
@@ -121,7 +121,7 @@
                 }),
                 LeasedEffect::Ended { key, result } => self.ended.push((key, result)),
                 LeasedEffect::Target(target) => self.target = target,
-                LeasedEffect::Changed(_) => {}
+                LeasedEffect::Changed(_) | LeasedEffect::Answered(_) => {}
                 LeasedEffect::Announced(report) => self.outcome = Some(report.outcome),
             }
         }
--- a/crates/lagoonhill_core/tests/support/agent_on_target.rs
+++ b/crates/lagoonhill_core/tests/support/agent_on_target.rs
@@ -758,7 +758,9 @@
                 }
                 LeasedEffect::Ended { key, result } => self.finish(key, result),
                 LeasedEffect::Target(target) => self.agent.set_target(target, self.now),
-                LeasedEffect::Changed(_) | LeasedEffect::Announced(_) => {}
+                LeasedEffect::Changed(_)
+                | LeasedEffect::Announced(_)
+                | LeasedEffect::Answered(_) => {}
             }
         }
     }
--- a/crates/lagoonhill_core/tests/support/restarting_target.rs
+++ b/crates/lagoonhill_core/tests/support/restarting_target.rs
@@ -10,7 +10,7 @@
     Announcement, CallId, EndKind, EndedRun, FencingToken, LeaseTiming, LeasedEffect, LeasedRuns,
     Refusal, RunRef, TargetCall, TargetIncarnation, TargetReply, TargetTimeMs,
 };
-use lagoonhill_protocol::{Start, Target, TaskResult};
+use lagoonhill_protocol::{Start, Target, TargetAnswered, TaskResult};
 use lagoonhill_types::prelude::*;
 use slotmap::SlotMap;
 
@@ -171,6 +171,8 @@
     references: HashMap<TaskKey, RunRef>,
     calls: Vec<Call>,
     pub(crate) ended: Vec<(TaskKey, TaskResult)>,
+    /// What the agent was told of the target's answers.
+    pub(crate) answered: Vec<TargetAnswered>,
     usable: Option<Target>,
     /// Whether the target receives stops.
     pub(crate) answers_stops: bool,
@@ -197,6 +199,7 @@
             references: HashMap::new(),
             calls: Vec::new(),
             ended: Vec::new(),
+            answered: Vec::new(),
             usable: None,
             answers_stops: true,
             answers_polls: true,
@@ -227,6 +230,7 @@
                 }),
                 LeasedEffect::Ended { key, result } => self.ended.push((key, result)),
                 LeasedEffect::Target(target) => self.usable = target,
+                LeasedEffect::Answered(answered) => self.answered.push(answered),
                 _ => {}
             }
         }
@@ -248,10 +252,7 @@
     pub(crate) fn announce(&mut self) {
         self.sequence += 1;
         let announcement = Announcement {
-            incarnation: TargetIncarnation {
-                name: NAME.parse().expect("the name is valid"),
-                born_ms: self.life.born_ms,
-            },
+            incarnation: self.incarnation(),
             sequence: self.sequence,
             sent_ms: None,
             draining: self.drains,
@@ -372,6 +373,24 @@
         self.is_gone = true;
     }
 
+    /// The target is cut off, with connections refused, and runs on.
+    pub(crate) fn cut_off(&mut self) {
+        self.is_gone = true;
+    }
+
+    /// The target can be reached again, as it is.
+    pub(crate) fn reconnect(&mut self) {
+        self.is_gone = false;
+    }
+
+    /// The present life of the target.
+    pub(crate) fn incarnation(&self) -> TargetIncarnation {
+        TargetIncarnation {
+            name: NAME.parse().expect("the name is valid"),
+            born_ms: self.life.born_ms,
+        }
+    }
+
     /// Lets time pass. The target answers polls and stops.
     pub(crate) fn pass(&mut self, span_ms: u64) {
         for _ in 0..span_ms / 10 {
--- a/crates/lagoonhill_core/tests/target_crashes.rs
+++ b/crates/lagoonhill_core/tests/target_crashes.rs
@@ -5,7 +5,7 @@
 mod restarting_target;
 
 use lagoonhill_core::agent::TaskKey;
-use lagoonhill_protocol::{Interruption, TaskResult};
+use lagoonhill_protocol::{HeldRun, Interruption, LossId, TargetLoss, TaskResult};
 use restarting_target::RestartingTarget;
 
 /// Defines one test for each named case.
@@ -23,11 +23,18 @@
     }
 }
 
+/// The loss under which a run was interrupted.
+fn loss(target: &RestartingTarget, key: TaskKey) -> TargetLoss {
+    match interruption(target, key) {
+        Interruption::TargetLost(loss) => loss,
+        other => panic!("interrupted by no loss: {other}"),
+    }
+}
+
+/// Whether a run was confirmed when the target crashed for certain.
 fn is_crash(target: &RestartingTarget, key: TaskKey) -> bool {
-    matches!(
-        interruption(target, key),
-        Interruption::TargetCrashed { .. }
-    )
+    let TargetLoss { held, unresolved } = loss(target, key);
+    matches!(held, HeldRun::Confirmed { .. }) && unresolved.is_none()
 }
 
 fn is_no_crash(target: &RestartingTarget, key: TaskKey) -> bool {
@@ -35,18 +42,48 @@
 }
 
 cases! {
+    // Refused connections alone don't tell a crash from a cut; the next life does.
     a_run_of_a_target_that_is_gone_has_crashed_it => {
         let mut target = RestartingTarget::ready();
         let first = target.started(0);
         target.pass(80);
         let last = target.started(1);
+        let first_loss = LossId { number: 1, incarnation: target.incarnation() };
         target.crash();
         target.pass(800);
-        let Interruption::TargetCrashed { before_last_start_ms } = interruption(&target, first) else {
-            panic!("{:?}", target.result_of(first));
-        };
-        assert_eq!(before_last_start_ms.0, 80);
-        assert!(is_crash(&target, last));
+        for (key, before_last_start_ms) in [(first, 80), (last, 0)] {
+            let TargetLoss { held, unresolved } = loss(&target, key);
+            let HeldRun::Confirmed { before_last_start_ms: found_ms } = held else {
+                panic!("{held:?}");
+            };
+            assert_eq!(found_ms.0, before_last_start_ms);
+            assert_eq!(unresolved.as_ref(), Some(&first_loss));
+        }
+        target.restart();
+        target.reconnect();
+        target.announce();
+        target.pass(2_000);
+        let answered = target.answered.last().expect("the target has answered");
+        assert_eq!((answered.losses, answered.crashes.as_slice()), (1, [1].as_slice()));
+        assert_ne!(answered.incarnation, first_loss.incarnation);
+    }
+
+    // Guards against a run that counts as a crash of its target although the target was
+    // cut off, refused connections and let the run lapse.
+    a_target_that_was_cut_off_is_reported_as_the_same_incarnation => {
+        let mut target = RestartingTarget::ready();
+        let key = target.started(0);
+        let first_loss = LossId { number: 1, incarnation: target.incarnation() };
+        target.pass(50);
+        target.cut_off();
+        target.pass(5_500);
+        assert_eq!(loss(&target, key).unresolved, Some(first_loss.clone()));
+        assert!(target.answered.iter().all(|answered| answered.losses == 0));
+        target.reconnect();
+        target.pass(2_000);
+        let answered = target.answered.last().expect("the target has answered");
+        assert_eq!((answered.losses, answered.crashes.len()), (1, 0));
+        assert_eq!(answered.incarnation, first_loss.incarnation);
     }
 
     a_run_of_a_target_that_starts_again_at_once_has_crashed_it => {
@@ -64,7 +101,9 @@
         target.lose_start();
         target.crash();
         target.pass(800);
-        assert_eq!(interruption(&target, key), Interruption::TargetCrashedAtStart);
+        let TargetLoss { held, unresolved } = loss(&target, key);
+        assert_eq!(held, HeldRun::Unconfirmed);
+        assert!(unresolved.is_some());
     }
 
     a_run_that_never_reached_the_target_has_not_crashed_it => {
--- a/crates/lagoonhill_entry/src/job_record.rs
+++ b/crates/lagoonhill_entry/src/job_record.rs
@@ -1,16 +1,19 @@
 //! The stored format of durable jobs.
 
+use std::collections::BTreeMap;
 use std::num::NonZeroU16;
 use std::sync::Arc;
 
 use lagoonhill_core::entry::{
     CrashCount, DurableJob, DurableJobState, InvalidSteps, JobTerms, Needs, Progress,
-    QueueSubmission, Step, Submission,
+    QueueSubmission, Step, Submission, TaskCrashes,
 };
 use lagoonhill_rules::Class;
 use lagoonhill_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
+use crate::loss_record::LossRecord;
+
 /// Identifies the write by which an owner came to own a job: it stored the new job, or
 /// took it over. Drawn at random, so no two writes of any process share one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -111,6 +114,9 @@
     /// Earlier releases neither write nor read it.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     crashed: Vec<(TaskIndex, u16, u16)>,
+    /// Losses of workers that may be crashes. Earlier releases neither write nor read it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    lost: Vec<LossRecord>,
 }
 
 /// [`JobTerms`] in stored format.
@@ -173,7 +179,15 @@
                 .progress
                 .crashed
                 .iter()
-                .map(|(index, crashes)| (*index, crashes.at_work, crashes.at_start))
+                .map(|(index, crashes)| (*index, crashes.certain))
+                .filter(|(_, certain)| !certain.is_zero())
+                .map(|(index, certain)| (index, certain.at_work, certain.at_start))
+                .collect(),
+            lost: durable_job
+                .progress
+                .crashed
+                .iter()
+                .flat_map(|(index, crashes)| LossRecord::all(*index, crashes))
                 .collect(),
         })
     }
@@ -225,17 +239,31 @@
             progress: Progress {
                 done: self.done,
                 failed: self.failed,
-                crashed: self
-                    .crashed
-                    .into_iter()
-                    .map(|(index, at_work, at_start)| (index, CrashCount { at_work, at_start }))
-                    .collect(),
+                crashed: crashes_by_task(self.crashed, self.lost),
             },
             epoch: self.epoch,
         })
     }
 }
 
+fn crashes_by_task(
+    crashed: Vec<(TaskIndex, u16, u16)>,
+    lost: Vec<LossRecord>,
+) -> Vec<(TaskIndex, TaskCrashes)> {
+    let mut by_task: BTreeMap<TaskIndex, TaskCrashes> = crashed
+        .into_iter()
+        .map(|(index, at_work, at_start)| {
+            let certain = CrashCount { at_work, at_start };
+            (index, TaskCrashes::restored(certain))
+        })
+        .collect();
+    for record in lost {
+        let (index, crash) = record.into_loss();
+        by_task.entry(index).or_default().unresolved.push(crash);
+    }
+    by_task.into_iter().collect()
+}
+
 impl TermsRecord {
     fn new(terms: JobTerms) -> Self {
         Self {
--- a/crates/lagoonhill_entry/src/lib.rs
+++ b/crates/lagoonhill_entry/src/lib.rs
@@ -15,6 +15,7 @@
 mod handle;
 mod job_record;
 mod key_binder;
+mod loss_record;
 mod metrics;
 mod ownership;
 mod peers;
--- a/crates/lagoonhill_entry/src/metrics.rs
+++ b/crates/lagoonhill_entry/src/metrics.rs
@@ -68,7 +68,7 @@
             ),
             crashes: meters.counters(
                 "lagoonhill_task_crashes_total",
-                "Workers that crashed under a task, by what followed: the task is suspected or convicted. Suspects that are done: cleared.",
+                "Workers that crashed or were lost under a task, by what followed: the task is suspected, awaited or convicted. Losses resolved: crashed or survived. Suspects that are done: cleared.",
                 "verdict",
             ),
             times: meters.time_histograms(
@@ -179,11 +179,15 @@
             DecisionKind::Crashed { verdict, .. } => {
                 return self.count_crash(&verdict.to_string());
             }
+            DecisionKind::LossResolved { resolved, .. } => {
+                return self.count_crash(&resolved.outcome.to_string());
+            }
             DecisionKind::Cleared { .. } => return self.count_crash("cleared"),
             DecisionKind::TakenOver { .. } => return self.count_change("adopted"),
             DecisionKind::Withheld { .. } => return self.count_change("withheld"),
             DecisionKind::Abandoned { .. } => return self.count_change("given_up"),
-            DecisionKind::InDoubt { .. }
+            DecisionKind::Awaited { .. }
+            | DecisionKind::InDoubt { .. }
             | DecisionKind::Joined { .. }
             | DecisionKind::DiscoveryComplete { .. }
             | DecisionKind::Left { .. }
--- a/crates/lagoonhill_entry/tests/crash_records.rs
+++ b/crates/lagoonhill_entry/tests/crash_records.rs
@@ -41,6 +41,13 @@
     until_complete(&entry, "job").await;
 }
 
+/// A loss under a task.
+fn loss(task: u16) -> Value {
+    let incarnation = json!({"name": "target", "born_ms": 5});
+    json!({"task": task, "worker": "worker-1", "agent": 7, "number": 1,
+        "incarnation": incarnation, "evidence": "at-work"})
+}
+
 cases! {
     a_record_without_crashes_is_read => {
         assert_completes("done", json!([])).await;
@@ -55,6 +62,11 @@
         assert_completes("crashed", json!([[999, 65535, 65535]])).await;
     }
 
+    a_record_with_losses_is_read => {
+        let losses = json!([loss(0), loss(999)]);
+        assert_completes("lost", losses).await;
+    }
+
     // As an earlier release reads the crashes.
     a_record_with_an_unknown_field_is_read => {
         assert_completes("field-of-a-later-release", json!([[0, 1, 1]])).await;
--- a/crates/lagoonhill_protocol/src/lib.rs
+++ b/crates/lagoonhill_protocol/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod address;
 mod codec;
+mod feature;
 mod frame;
 mod hello;
 mod interruption;
@@ -17,9 +18,12 @@
 mod speed;
 mod start;
 mod target;
+mod target_incarnation;
+mod target_loss;
 
 pub use address::EntryAddress;
 pub use codec::{DecodeError, decode, encode};
+pub use feature::{Feature, ParseFeatureError};
 pub use frame::{Frame, Load, Sequence};
 pub use hello::{Hello, Packet, Reset, Welcome};
 pub use interruption::Interruption;
@@ -31,3 +35,5 @@
 pub use speed::Speed;
 pub use start::Start;
 pub use target::Target;
+pub use target_incarnation::{ParseTargetIncarnationError, TargetIncarnation};
+pub use target_loss::{HeldRun, LossId, ParseTargetLossError, TargetAnswered, TargetLoss};
--- a/crates/lagoonhill_standin/src/world.rs
+++ b/crates/lagoonhill_standin/src/world.rs
@@ -8,7 +8,10 @@
     Answer, CallerId, Cause, Decision, DecisionKind, Entry, EntryConfig, EntryEffect, JobFailure,
     KeyBinding, Placement, RunCertainty, StoreOutcome, StoreWriteId, Submission,
 };
-use lagoonhill_protocol::{EntryAddress, Interruption, Message, Packet, Target, TaskResult};
+use lagoonhill_protocol::{
+    EntryAddress, HeldRun, Interruption, LossId, Message, Packet, Target, TargetAnswered,
+    TargetIncarnation, TargetLoss, TaskResult,
+};
 use lagoonhill_rules::RuleSet;
 use lagoonhill_types::prelude::*;
 
@@ -110,7 +113,7 @@
     RunEnds {
         agent: usize,
         generation: u64,
-        /// Number of crashes of the target before.
+        /// Number of crashes and cuts of the target before.
         life: u64,
         key: TaskKey,
         result: TaskResult,
@@ -178,8 +181,12 @@
 /// The present life of a simulated target.
 #[derive(Debug, Default)]
 struct TargetLife {
-    /// Number of crashes before it.
+    /// Number of crashes and cuts before; either ends all runs.
     number: u64,
+    /// Number of crashes before.
+    crashes: u64,
+    /// Number of crashes and cuts up to each crash.
+    crashed_at: Vec<u32>,
     down_until_ms: TimestampMs,
     /// Runs at work, with the time of their start.
     at_work: BTreeMap<TaskKey, TimestampMs>,
@@ -844,7 +851,11 @@
             Event::TargetReturns { agent, generation } => {
                 if self.agents[agent].generation == generation {
                     let target = self.targets[agent].0.clone();
-                    self.with_agent(agent, |machine, now| machine.set_target(Some(target), now));
+                    let answered = self.answer_of(agent);
+                    self.with_agent(agent, |machine, now| {
+                        machine.target_answered(answered);
+                        machine.set_target(Some(target), now);
+                    });
                 }
             }
             Event::TargetCrashes { .. } => {}
@@ -1102,20 +1113,49 @@
     /// lapsed. It is back some seconds later.
     pub fn crash_target(&mut self, agent: usize) {
         self.crash_count += 1;
+        for key in self.lives[agent].at_work.keys() {
+            if let Some(payload) = self.run_payloads.get(&(agent, *key)) {
+                *self.crashes.entry(payload.clone()).or_default() += 1;
+            }
+        }
+        self.lose_target(agent);
+        let life = &mut self.lives[agent];
+        life.crashes += 1;
+        life.crashed_at.push(count(life.number));
+    }
+
+    /// Cuts the target of an agent off, with connections refused: its runs end with their
+    /// lease. It is in reach again some seconds later, as the same incarnation.
+    pub fn cut_target(&mut self, agent: usize) {
+        self.lose_target(agent);
+    }
+
+    /// The agents whose targets have runs at work.
+    pub fn busy_targets(&self) -> Vec<usize> {
+        let is_busy = |agent: &usize| !self.lives[*agent].at_work.is_empty();
+        (0..self.lives.len()).filter(is_busy).collect()
+    }
+
+    fn lose_target(&mut self, agent: usize) {
         let now = self.now;
+        let incarnation = self.incarnation_of(agent);
         let life = &mut self.lives[agent];
         life.number += 1;
         life.down_until_ms = now + DurationMs(DOWN_MS);
+        let loss = LossId {
+            number: count(life.number),
+            incarnation,
+        };
         let at_work = std::mem::take(&mut life.at_work);
         let last_start_ms = at_work.values().copied().max().unwrap_or(now);
         for (key, started_ms) in at_work {
-            if let Some(payload) = self.run_payloads.get(&(agent, key)) {
-                *self.crashes.entry(payload.clone()).or_default() += 1;
-            }
-            let crash = Interruption::TargetCrashed {
-                before_last_start_ms: last_start_ms.since(started_ms),
-            };
-            let result = TaskResult::Interrupted(crash.to_string());
+            let loss = Interruption::TargetLost(TargetLoss {
+                held: HeldRun::Confirmed {
+                    before_last_start_ms: last_start_ms.since(started_ms),
+                },
+                unresolved: Some(loss.clone()),
+            });
+            let result = TaskResult::Interrupted(loss.to_string());
             self.schedule_run_end(LAPSE_MS, agent, key, result);
         }
         let generation = self.agents[agent].generation;
@@ -1123,6 +1163,22 @@
         self.schedule(DOWN_MS, Event::TargetReturns { agent, generation });
     }
 
+    fn incarnation_of(&self, agent: usize) -> TargetIncarnation {
+        let name = format!("target-{agent}");
+        TargetIncarnation {
+            name: name.parse().expect("the name is valid"),
+            born_ms: self.lives[agent].crashes + 1,
+        }
+    }
+
+    fn answer_of(&self, agent: usize) -> TargetAnswered {
+        TargetAnswered {
+            losses: count(self.lives[agent].number),
+            crashes: self.lives[agent].crashed_at.clone(),
+            incarnation: self.incarnation_of(agent),
+        }
+    }
+
     fn run_task(&mut self, agent: usize, key: TaskKey, payload: &Payload) {
         if self.lives[agent].down_until_ms > self.now {
             let why = "the target fell silent and its lease has lapsed".to_owned();
@@ -1219,6 +1275,10 @@
     }
 }
 
+fn count(losses: u64) -> u32 {
+    u32::try_from(losses).unwrap_or(u32::MAX)
+}
+
 fn carries_start(packet: &Packet) -> bool {
     matches!(packet, Packet::Frame(frame)
         if frame.messages.iter().any(|message| matches!(message, Message::Start(_))))
