Crashes: a run that may have ended before a crash is no certain evidence

Cause: each run that an agent held for running counted as at work when its target crashed. While ends wait to be stored the agent looks at its target each 25 ms only, so a run that had ended well meanwhile counted too; the next crash, a real one, convicted its task. Evidence: the record of the case: run 1001 ends done at 3.850 s, the worker crashes 4 ms later, the crash is stored as at work; run 1002 is under the only real crash, at 6.491 s, and the job fails at 7.111 s. Entries grade the crash: at work, near its end, or may have ended. Two at work convict, or two that were seen at a similar age; three that were seen, four with those that may have ended, five with unconfirmed starts. Why it works: a run that was unseen, or near its end, can't be one of the two certain crashes that convict together; a deadly task crashes at the same stage each time.

--- a/crates/lagoonhill_core/src/entry/machine/crashes.rs
+++ b/crates/lagoonhill_core/src/entry/machine/crashes.rs
@@ -11,8 +11,9 @@
 
 use super::Entry;
 use crate::entry::{
-    AfterRun, Candidate, Cause, CrashCount, CrashEvidence, DecisionKind, Job, JobKey, Needs,
-    Placement, SlotLimit, Suspicion, TaskCrash, UnresolvedCrash, Verdict, Worker, WorkerKey,
+    AfterRun, Candidate, Cause, CrashCount, CrashEvidence, DecisionKind, DispatchedTask, Job,
+    JobKey, Needs, Placement, SeenRun, SlotLimit, Suspicion, TaskCrash, UnresolvedCrash, Verdict,
+    Worker, WorkerKey,
 };
 
 /// Time for which a suspect waits for a worker that no other entry uses for suspects: a
@@ -23,25 +24,36 @@
 /// target is usually back by then, and a cut over.
 const MAX_LOSS_WAIT_MS: DurationMs = DurationMs(10_000);
 
+/// A run may have ended before a crash if it was not seen for longer than this, unless it
+/// had just started.
+const MAX_UNSEEN_MS: DurationMs = DurationMs(5);
+
+/// A run up to this age that is not near its end has just started: two or three looks of
+/// an agent while ends wait to be stored.
+const MAX_STARTED_AGE_MS: DurationMs = DurationMs(50);
+
+/// Divisor of the expected run time that gives the age from which a run is near its end.
+const NEAR_END_DIVISOR: u64 = 2;
+
 /// A run that started this long before the last one at its worker, or less, may have
 /// crashed it soon after its start.
 const RECENT_START_MS: DurationMs = DurationMs(50);
 
 impl<P: Placement> Entry<P> {
     /// Counts a crash under a task that the worker held. Returns the cause for which the
-    /// job is to be given up, if it is. `is_isolated`: the run was placed beside no other
-    /// suspect.
+    /// job is to be given up, if it is.
     pub(super) fn count_crash(
         &mut self,
         key: JobKey,
         index: TaskIndex,
         interruption: &Interruption,
         worker: (WorkerKey, &WorkerId),
-        is_isolated: bool,
+        dispatched: &DispatchedTask,
         now: TimestampMs,
     ) -> Option<Cause> {
         let (worker_key, worker) = worker;
-        let crash = self.crash_of(key, interruption, worker_key, is_isolated)?;
+        let is_isolated = dispatched.suspicion == Suspicion::Isolated;
+        let crash = self.crash_of(key, interruption, worker_key, dispatched)?;
         let job = &mut self.jobs[key];
         let crashes = job.add_crash(index, worker_key, crash, now)?.clone();
         let verdict = crashes.verdict();
@@ -71,13 +83,13 @@
     }
 
     /// The crash that an interruption of a run tells of, if it does. A job that is not
-    /// durable is over before a loss is resolved, so a loss counts as a crash there.
+    /// durable is over before a loss is resolved, so a loss counts as a crash at work there.
     fn crash_of(
         &self,
         job: JobKey,
         interruption: &Interruption,
         worker: WorkerKey,
-        is_isolated: bool,
+        dispatched: &DispatchedTask,
     ) -> Option<TaskCrash> {
         let TargetLoss { held, unresolved } = match interruption {
             Interruption::TargetLost(loss) => loss,
@@ -86,27 +98,19 @@
             }
             Interruption::Other(_) => return None,
         };
-        let evidence = match held {
-            HeldRun::Confirmed {
-                before_last_start_ms,
-            } => CrashEvidence::AtWork {
-                is_cause: is_isolated && *before_last_start_ms <= RECENT_START_MS,
-            },
-            HeldRun::Unconfirmed => CrashEvidence::AtStart,
-        };
         let worker = self.fleet.get(worker)?;
+        let is_durable = self.jobs[job].is_durable();
+        let evidence = evidence_of(held, is_durable, dispatched, worker);
         let loss = unresolved.as_ref();
-        Some(
-            match loss.filter(|_| self.jobs[job].is_durable()).cloned() {
-                None => TaskCrash::Certain(evidence),
-                Some(loss) => TaskCrash::Unresolved(UnresolvedCrash {
-                    worker: worker.id.clone(),
-                    agent: worker.session.id().agent,
-                    loss,
-                    evidence,
-                }),
-            },
-        )
+        Some(match loss.filter(|_| is_durable).cloned() {
+            None => TaskCrash::Certain(evidence),
+            Some(loss) => TaskCrash::Unresolved(UnresolvedCrash {
+                worker: worker.id.clone(),
+                agent: worker.session.id().agent,
+                loss,
+                evidence,
+            }),
+        })
     }
 
     /// Handles that a worker's target has answered as another incarnation, or again after
@@ -305,6 +309,43 @@
     }
 }
 
+/// What the crash of a worker shows of a run that it held.
+fn evidence_of(
+    held: &HeldRun,
+    is_durable: bool,
+    dispatched: &DispatchedTask,
+    worker: &Worker,
+) -> CrashEvidence {
+    let HeldRun::Confirmed {
+        before_last_start_ms,
+        age_ms,
+        unseen_ms,
+    } = held
+    else {
+        return CrashEvidence::AtStart;
+    };
+    let is_cause =
+        dispatched.suspicion == Suspicion::Isolated && *before_last_start_ms <= RECENT_START_MS;
+    let expected_ms = worker.expected_run_time(dispatched.expected_ms);
+    let declared_ms = Some(dispatched.declared_ms).filter(|declared_ms| declared_ms.0 > 0);
+    let shortest_ms = declared_ms.map_or(expected_ms, |declared_ms| declared_ms.min(expected_ms));
+    let is_near_end = *age_ms >= shortest_ms / NEAR_END_DIVISOR;
+    let has_just_started = *age_ms <= MAX_STARTED_AGE_MS && !is_near_end;
+    let run = SeenRun {
+        age_ms: *age_ms,
+        is_cause,
+    };
+    if !is_durable || has_just_started {
+        CrashEvidence::AtWork(run)
+    } else if *unseen_ms > MAX_UNSEEN_MS {
+        CrashEvidence::MayHaveEnded
+    } else if is_near_end {
+        CrashEvidence::NearEnd(run)
+    } else {
+        CrashEvidence::AtWork(run)
+    }
+}
+
 /// Weight of an entry for a worker, the same at all entries and releases: FNV-1a, with a
 /// final mix that spreads entries of similar incarnations.
 fn rendezvous_weight(worker: &WorkerId, entry: Incarnation) -> u64 {
--- a/crates/lagoonhill_core/src/entry/machine/outcomes.rs
+++ b/crates/lagoonhill_core/src/entry/machine/outcomes.rs
@@ -88,7 +88,7 @@
                     index,
                     &interruption,
                     (key, &worker),
-                    dispatched.suspicion == Suspicion::Isolated,
+                    &dispatched,
                     now,
                 );
                 self.requeue(job_key, index, key, &worker, None, now);
--- a/crates/lagoonhill_core/src/entry/mod.rs
+++ b/crates/lagoonhill_core/src/entry/mod.rs
@@ -44,7 +44,7 @@
 pub use config::{DEFAULT_LOOK_AHEAD, EntryConfig};
 pub use containment_change::{ContainmentChange, ContainmentEvent};
 pub use crash_containment::{CrashContainment, PartMember};
-pub use crash_count::{CrashCount, CrashEvidence};
+pub use crash_count::{CrashCount, CrashEvidence, SeenRun};
 pub use decision::{Decision, DecisionKind, DrainSource};
 pub use delay_cost::{DelayCost, Tier, Weighed};
 pub use durable_job::{
--- a/crates/lagoonhill_core/src/entry/task_crashes.rs
+++ b/crates/lagoonhill_core/src/entry/task_crashes.rs
@@ -5,7 +5,7 @@
 use lagoonhill_protocol::TargetAnswered;
 use lagoonhill_types::prelude::*;
 
-use super::{CrashCount, CrashEvidence, LossOutcome, UnresolvedCrash};
+use super::{CrashCount, CrashEvidence, LossOutcome, SeenRun, UnresolvedCrash};
 
 /// What the crashes under a task show.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -56,8 +56,18 @@
     pub unresolved: Vec<UnresolvedCrash>,
     /// Whether a certain crash of this owner shows that the task is the cause.
     is_cause: bool,
+    /// Least and greatest age of the runs that were seen until a certain crash; `None` if
+    /// that is not known of all of them.
+    ages_ms: Option<(DurationMs, DurationMs)>,
 }
 
+/// Divisor of the least age of runs that gives by how much similar ages may differ, beside
+/// [`AGE_ERROR_MS`].
+const SIMILAR_AGES_DIVISOR: u64 = 4;
+
+/// Error of an age: the time between two looks of an agent at its target.
+const AGE_ERROR_MS: DurationMs = DurationMs(20);
+
 impl TaskCrashes {
     /// The certain crashes that an earlier owner has stored.
     pub fn restored(certain: CrashCount) -> Self {
@@ -81,8 +91,17 @@
     }
 
     fn add_certain(&mut self, evidence: CrashEvidence) {
+        if let Some(SeenRun { age_ms, is_cause }) = evidence.seen_run() {
+            self.is_cause |= is_cause;
+            self.ages_ms = match self.ages_ms {
+                None if self.certain.seen() == 0 => Some((age_ms, age_ms)),
+                None => None,
+                Some((least_ms, greatest_ms)) => {
+                    Some((least_ms.min(age_ms), greatest_ms.max(age_ms)))
+                }
+            };
+        }
         self.certain.add(evidence);
-        self.is_cause |= evidence == CrashEvidence::AtWork { is_cause: true };
     }
 
     /// Resolves the losses that the last answer of a worker's target tells of.
@@ -109,17 +128,22 @@
 
     /// What the crashes show.
     pub fn verdict(&self) -> Verdict {
-        if self.certain.convicts(self.is_cause) {
-            return Verdict::Convicted;
-        }
-        let all = self.if_all_are_crashes();
-        if all.certain.convicts(all.is_cause) {
+        if self.convicts() {
+            Verdict::Convicted
+        } else if self.if_all_are_crashes().convicts() {
             Verdict::Awaited
         } else {
             Verdict::Suspected
         }
     }
 
+    fn convicts(&self) -> bool {
+        let have_similar_ages = self.ages_ms.is_some_and(|(least_ms, greatest_ms)| {
+            greatest_ms <= least_ms + least_ms / SIMILAR_AGES_DIVISOR + AGE_ERROR_MS
+        });
+        self.certain.convicts(self.is_cause, have_similar_ages)
+    }
+
     /// Whether the task may not start again even if no loss under it is ever resolved.
     pub fn is_exhausted(&self) -> bool {
         let all = self.if_all_are_crashes().certain;
--- a/crates/lagoonhill_core/src/leased/runs/crashes.rs
+++ b/crates/lagoonhill_core/src/leased/runs/crashes.rs
@@ -8,8 +8,9 @@
 use lagoonhill_protocol::{HeldRun, LossId, TargetAnswered, TargetLoss};
 use lagoonhill_types::prelude::*;
 
-use super::{LeasedEffect, LeasedRuns, Phase, Run};
+use super::{LeasedEffect, LeasedRuns, Phase, Purpose, Run};
 use crate::agent::TaskKey;
+use crate::leased::RunRef;
 use crate::leased::present::Present;
 
 /// Refused connections that show that the target's process is gone.
@@ -19,22 +20,42 @@
 /// or after the takeover of a job.
 const MAX_REPORTED_CRASHES: usize = 16;
 
-/// Connections to the target's address that were refused in a row.
+/// Calls without an answer since the target last answered.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Refusals {
-    count: u32,
-    first_ms: Option<TimestampMs>,
+pub(super) struct FailedCalls {
+    /// Connections to the target's address that were refused.
+    refused: u32,
+    first_refused_ms: Option<TimestampMs>,
+    first: Option<FirstFailure>,
 }
 
-impl Refusals {
-    pub(super) fn add(&mut self, now: TimestampMs) {
-        self.count = self.count.saturating_add(1);
-        self.first_ms.get_or_insert(now);
+/// The first call without an answer.
+#[derive(Clone, Copy, Debug)]
+struct FirstFailure {
+    at_ms: TimestampMs,
+    /// Whether a poll waited at the target for the next end of a run.
+    was_watching: bool,
+}
+
+impl FailedCalls {
+    pub(super) fn add(&mut self, is_refused: bool, was_watching: bool, now: TimestampMs) {
+        let first = FirstFailure {
+            at_ms: now,
+            was_watching,
+        };
+        self.first.get_or_insert(first);
+        if is_refused {
+            self.refused = self.refused.saturating_add(1);
+            self.first_refused_ms.get_or_insert(now);
+        }
     }
 
-    /// Whether the process was gone before `limit_ms`.
-    fn show_an_end_before(&self, limit_ms: TimestampMs) -> bool {
-        self.count >= MIN_REFUSALS && self.first_ms.is_some_and(|first_ms| first_ms < limit_ms)
+    /// Whether connections were refused before `limit_ms`.
+    fn show_a_loss_before(&self, limit_ms: TimestampMs) -> bool {
+        self.refused >= MIN_REFUSALS
+            && self
+                .first_refused_ms
+                .is_some_and(|first_ms| first_ms < limit_ms)
     }
 }
 
@@ -46,7 +67,7 @@
         let Some(present) = &self.present else {
             return;
         };
-        let is_lost = self.refusals.show_an_end_before(self.lease_expires_ms);
+        let is_lost = self.failed_calls.show_a_loss_before(self.lease_expires_ms);
         if !is_lost || present.is_leaving() {
             return;
         }
@@ -54,7 +75,7 @@
             number: self.losses + 1,
             incarnation: present.incarnation.clone(),
         };
-        if self.mark_all(Some(&loss)) {
+        if self.mark_all(Some(&loss), now) {
             self.losses = loss.number;
             self.lost_ms = Some(now);
         }
@@ -64,17 +85,21 @@
     /// answers.
     pub(super) fn mark_crashed(&mut self, now: TimestampMs) {
         let is_leaving = self.present.as_ref().is_none_or(Present::is_leaving);
-        let ended_under_lease =
-            now < self.lease_expires_ms || self.refusals.show_an_end_before(self.lease_expires_ms);
+        let ended_under_lease = now < self.lease_expires_ms
+            || self.failed_calls.show_a_loss_before(self.lease_expires_ms);
         if ended_under_lease && !is_leaving {
-            self.mark_all(None);
+            self.mark_all(None, now);
         }
     }
 
     /// Marks the runs that the target holds; returns whether there is one without a mark.
-    fn mark_all(&mut self, unresolved: Option<&LossId>) -> bool {
+    fn mark_all(&mut self, unresolved: Option<&LossId>, now: TimestampMs) -> bool {
+        let sign = self.failed_calls.first.unwrap_or(FirstFailure {
+            at_ms: now,
+            was_watching: false,
+        });
         let loss = |(key, run): (&TaskKey, &Run)| {
-            let held = self.held_by_target(run)?;
+            let held = self.held_by_target(run, sign)?;
             let unresolved = unresolved.cloned();
             run.loss
                 .is_none()
@@ -92,7 +117,7 @@
 
     /// How the target holds a run; `None` if the run has not reached the target, or its
     /// stop was accepted.
-    fn held_by_target(&self, run: &Run) -> Option<HeldRun> {
+    fn held_by_target(&self, run: &Run, sign: FirstFailure) -> Option<HeldRun> {
         let is_at_work = matches!(
             run.phase,
             Phase::Running { .. } | Phase::Stopping { since_ms: None, .. }
@@ -109,8 +134,16 @@
             (true, Some(started_ms)) => {
                 let starts = self.runs.values().filter_map(|run| run.confirmed_ms);
                 let last_start_ms = starts.max().unwrap_or(started_ms);
+                // A waiting poll would have been answered with the end of the run.
+                let unseen_ms = if sign.was_watching {
+                    DurationMs::ZERO
+                } else {
+                    sign.at_ms.since(run.seen_ms)
+                };
                 Some(HeldRun::Confirmed {
                     before_last_start_ms: last_start_ms.since(started_ms),
+                    age_ms: sign.at_ms.since(run.requested_ms),
+                    unseen_ms,
                 })
             }
             (_, None) if may_have_started => Some(HeldRun::Unconfirmed),
@@ -118,6 +151,23 @@
         }
     }
 
+    /// Whether a poll waits at the target, or has just ended its wait, and was answered as
+    /// soon as a run ended.
+    pub(super) fn is_watching(&self, now: TimestampMs) -> bool {
+        let watches = |purpose: &Purpose| matches!(purpose, Purpose::Poll { watches_until_ms: Some(until_ms), .. } if now <= *until_ms);
+        self.calls.values().any(watches)
+    }
+
+    /// Records that a list of the target has these runs at work.
+    pub(super) fn record_seen(&mut self, running: &[RunRef], now: TimestampMs) {
+        for reference in running {
+            let key = self.by_reference.get(reference);
+            if let Some(run) = key.and_then(|key| self.runs.get_mut(key)) {
+                run.seen_ms = now;
+            }
+        }
+    }
+
     /// Reports that the present incarnation has listed its runs, unless the poll was sent
     /// before the last loss: that answer may be older than the loss.
     pub(super) fn report_answer(&mut self, listed_born_ms: Option<u64>, polled_ms: TimestampMs) {
--- a/crates/lagoonhill_core/src/leased/runs/mod.rs
+++ b/crates/lagoonhill_core/src/leased/runs/mod.rs
@@ -11,7 +11,7 @@
 };
 use lagoonhill_types::prelude::*;
 
-use self::crashes::Refusals;
+use self::crashes::FailedCalls;
 use super::candidates::Candidates;
 use super::present::Present;
 use super::{
@@ -82,8 +82,8 @@
 const LOSSY_POLLS: usize = 4;
 
 /// Shortest pause between two polls while ends are not stored yet; storing takes
-/// a few round trips to the store.
-const UNSTORED_END_PAUSE_MS: DurationMs = DurationMs(25);
+/// a few round trips to the store. An end of another run, and a crash, is seen so late.
+const UNSTORED_END_PAUSE_MS: DurationMs = DurationMs(15);
 
 /// Longest pause between two polls of a silent target.
 const MAX_POLL_PAUSE_MS: DurationMs = DurationMs(1_000);
@@ -114,8 +114,12 @@
     due_ms: Option<TimestampMs>,
     /// Number of start calls that may still be carried out.
     unanswered_starts: u32,
+    /// When its start was first requested.
+    requested_ms: TimestampMs,
     /// When the target confirmed that it runs it.
     confirmed_ms: Option<TimestampMs>,
+    /// When the target last showed that it was at work.
+    seen_ms: TimestampMs,
     /// Number of start calls that never reached the target.
     unsent_starts: u32,
     /// The loss of the target under it, while a later incarnation may still receive it.
@@ -134,6 +138,9 @@
         sent_ms: TimestampMs,
         /// The highest number among the ends received before.
         known_end: u64,
+        /// Until when it waits at the target for the next end of a run; `None` if it
+        /// does not wait, or is answered at once because of earlier ends.
+        watches_until_ms: Option<TimestampMs>,
     },
 }
 
@@ -210,8 +217,8 @@
     lossy_until_ms: TimestampMs,
     last_poll_ms: TimestampMs,
     last_reply_ms: TimestampMs,
-    /// Connections that the target's machine has refused since the target last answered.
-    refusals: Refusals,
+    /// Calls without an answer since the target last answered.
+    failed_calls: FailedCalls,
     /// Number of losses of the target so far.
     losses: u32,
     /// When the last one was noticed.
@@ -250,7 +257,7 @@
             lossy_until_ms: TimestampMs(0),
             last_poll_ms: now,
             last_reply_ms: now,
-            refusals: Refusals::default(),
+            failed_calls: FailedCalls::default(),
             losses: 0,
             lost_ms: None,
             answered: None,
@@ -313,7 +320,9 @@
             phase: Phase::Starting { attempts: 0 },
             due_ms: None,
             unanswered_starts: 0,
+            requested_ms: now,
             confirmed_ms: None,
+            seen_ms: now,
             unsent_starts: 0,
             loss: None,
         };
@@ -457,9 +466,11 @@
             observed,
             wait_ms,
         };
+        let is_answered_at_once = wait_ms == DurationMs::ZERO || observed < self.last_end;
         let purpose = Purpose::Poll {
             sent_ms: now,
             known_end: self.last_end,
+            watches_until_ms: (!is_answered_at_once).then_some(now + wait_ms),
         };
         let limit_ms = wait_ms + self.timing.reply_ms;
         let sent = self.call(purpose, poll, limit_ms);
@@ -528,6 +539,7 @@
 
     /// Handles the result of a call.
     pub fn answered(&mut self, id: CallId, reply: TargetReply, now: TimestampMs) {
+        let was_watching = self.is_watching(now);
         let Some(purpose) = self.calls.remove(&id) else {
             return;
         };
@@ -547,12 +559,19 @@
         {
             return self.target_restarted(born_ms, sent_ms, reply, now);
         }
+        match reply {
+            TargetReply::NotConnected => self.failed_calls.add(true, was_watching, now),
+            TargetReply::Unanswered(_) => self.failed_calls.add(false, was_watching, now),
+            _ => {}
+        }
         self.take_answer(&reply, now);
         match purpose {
             Purpose::Start(key) => self.start_answered(key, reply, now),
             Purpose::Stop(key) => self.stop_answered(key, &reply, now),
             Purpose::StopForeign | Purpose::Confirm => {}
-            Purpose::Poll { sent_ms, known_end } => {
+            Purpose::Poll {
+                sent_ms, known_end, ..
+            } => {
                 self.poll_answered(sent_ms, known_end, reply, now);
             }
         }
@@ -575,14 +594,10 @@
                 self.last_reply_ms = now;
             }
             TargetReply::Unhealthy | TargetReply::Invalid(_) => self.last_reply_ms = now,
-            TargetReply::NotConnected => {
-                self.refusals.add(now);
-                return self.call_lost(now);
-            }
-            TargetReply::Unanswered(_) => return self.call_lost(now),
+            TargetReply::NotConnected | TargetReply::Unanswered(_) => return self.call_lost(now),
             TargetReply::OtherIncarnation => {}
         }
-        self.refusals = Refusals::default();
+        self.failed_calls = FailedCalls::default();
     }
 
     fn call_lost(&mut self, now: TimestampMs) {
@@ -606,6 +621,7 @@
             TargetReply::Started(_) => {
                 run.phase = Phase::Running { since_ms: now };
                 run.confirmed_ms = Some(now);
+                run.seen_ms = run.requested_ms;
                 run.due_ms = None;
             }
             // An earlier attempt was carried out although its answer was lost, and
@@ -708,6 +724,9 @@
         for end in ended {
             self.take_end(&end, now);
         }
+        if !is_outdated {
+            self.record_seen(&running, now);
+        }
         if !is_outdated && is_complete {
             self.reconcile(&running, sent_ms);
         }
@@ -888,6 +907,7 @@
         let lost: Vec<(CallId, TimestampMs)> = self.polls.extract_if(.., is_lost).collect();
         for (id, _) in lost {
             self.calls.remove(&id);
+            self.failed_calls.add(false, false, now);
             self.call_lost(now);
         }
     }
--- a/crates/lagoonhill_core/tests/agent.rs
+++ b/crates/lagoonhill_core/tests/agent.rs
@@ -412,6 +412,8 @@
     let loss = TargetLoss {
         held: HeldRun::Confirmed {
             before_last_start_ms: DurationMs(7),
+            age_ms: DurationMs(8),
+            unseen_ms: DurationMs(0),
         },
         unresolved: Some(LossId {
             number: 1,
--- a/crates/lagoonhill_core/tests/support/restarting_target.rs
+++ b/crates/lagoonhill_core/tests/support/restarting_target.rs
@@ -153,6 +153,12 @@
     pub(crate) what: TargetCall,
 }
 
+impl Call {
+    fn is_waiting(&self) -> bool {
+        matches!(self.what, TargetCall::Poll { wait_ms, .. } if wait_ms > DurationMs::ZERO)
+    }
+}
+
 /// A `LeasedRuns` under test and its target.
 ///
 /// The target answers polls, and stops while [`Self::answers_stops`]; each test
@@ -178,6 +184,8 @@
     pub(crate) answers_stops: bool,
     /// Whether the target receives polls.
     pub(crate) answers_polls: bool,
+    /// Whether polls wait until they have an end to report, as long as they ask for.
+    pub(crate) polls_wait: bool,
     /// Whether nothing listens at the target's address.
     pub(crate) is_gone: bool,
     /// Whether the target announces that it drains.
@@ -203,6 +211,7 @@
             usable: None,
             answers_stops: true,
             answers_polls: true,
+            polls_wait: false,
             is_gone: false,
             drains: false,
             durable: false,
@@ -391,6 +400,11 @@
         }
     }
 
+    /// Lets time pass without a look at the target.
+    pub(crate) fn pass_unseen(&mut self, span_ms: u64) {
+        self.now = self.now + DurationMs(span_ms);
+    }
+
     /// Lets time pass. The target answers polls and stops.
     pub(crate) fn pass(&mut self, span_ms: u64) {
         for _ in 0..span_ms / 10 {
@@ -409,6 +423,10 @@
                 .partition(|call| matches!(call.what, TargetCall::Start(_)));
             self.calls = starts;
             for call in others {
+                if self.polls_wait && self.life.ended.is_empty() && call.is_waiting() {
+                    self.calls.push(call);
+                    continue;
+                }
                 let is_received = match call.what {
                     TargetCall::Stop(_) => self.answers_stops,
                     _ => self.answers_polls,
--- a/crates/lagoonhill_entry/src/job_record.rs
+++ b/crates/lagoonhill_entry/src/job_record.rs
@@ -110,10 +110,14 @@
     done: Vec<TaskIndex>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     failed: Vec<(TaskIndex, u16)>,
-    /// Tasks under which workers have crashed: at work, and before a confirmed start.
-    /// Earlier releases neither write nor read it.
+    /// Tasks under which workers have crashed: at work, and without certainty that the run
+    /// was. Earlier releases neither write nor read it.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     crashed: Vec<(TaskIndex, u16, u16)>,
+    /// Those of the uncertain crashes that were near the end of a run. Earlier releases
+    /// neither write nor read it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    near_end: Vec<(TaskIndex, u16)>,
     /// Losses of workers that may be crashes. Earlier releases neither write nor read it.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     lost: Vec<LossRecord>,
@@ -181,7 +185,17 @@
                 .iter()
                 .map(|(index, crashes)| (*index, crashes.certain))
                 .filter(|(_, certain)| !certain.is_zero())
-                .map(|(index, certain)| (index, certain.at_work, certain.at_start))
+                .map(|(index, certain)| {
+                    let uncertain = certain.total().saturating_sub(certain.at_work);
+                    (index, certain.at_work, uncertain)
+                })
+                .collect(),
+            near_end: durable_job
+                .progress
+                .crashed
+                .iter()
+                .map(|(index, crashes)| (*index, crashes.certain.near_end))
+                .filter(|(_, near_end)| *near_end > 0)
                 .collect(),
             lost: durable_job
                 .progress
@@ -239,7 +253,7 @@
             progress: Progress {
                 done: self.done,
                 failed: self.failed,
-                crashed: crashes_by_task(self.crashed, self.lost),
+                crashed: crashes_by_task(self.crashed, &self.near_end, self.lost),
             },
             epoch: self.epoch,
         })
@@ -248,12 +262,20 @@
 
 fn crashes_by_task(
     crashed: Vec<(TaskIndex, u16, u16)>,
+    near_end: &[(TaskIndex, u16)],
     lost: Vec<LossRecord>,
 ) -> Vec<(TaskIndex, TaskCrashes)> {
     let mut by_task: BTreeMap<TaskIndex, TaskCrashes> = crashed
         .into_iter()
-        .map(|(index, at_work, at_start)| {
-            let certain = CrashCount { at_work, at_start };
+        .map(|(index, at_work, uncertain)| {
+            let of_task = near_end.iter().find(|(other, _)| *other == index);
+            let near_end = of_task.map_or(0, |(_, count)| uncertain.min(*count));
+            let certain = CrashCount {
+                at_work,
+                near_end,
+                at_start: uncertain - near_end,
+                may_have_ended: 0,
+            };
             (index, TaskCrashes::restored(certain))
         })
         .collect();
--- a/crates/lagoonhill_entry/src/loss_record.rs
+++ b/crates/lagoonhill_entry/src/loss_record.rs
@@ -1,6 +1,6 @@
 //! The stored format of losses of workers that may be crashes.
 
-use lagoonhill_core::entry::{CrashEvidence, TaskCrashes, UnresolvedCrash};
+use lagoonhill_core::entry::{CrashEvidence, SeenRun, TaskCrashes, UnresolvedCrash};
 use lagoonhill_protocol::LossId;
 use lagoonhill_types::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -20,9 +20,9 @@
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 enum EvidenceRecord {
-    /// At work, and the likely cause.
-    Cause,
-    AtWork,
+    AtWork { age_ms: DurationMs, is_cause: bool },
+    NearEnd { age_ms: DurationMs, is_cause: bool },
+    MayHaveEnded,
     AtStart,
 }
 
@@ -34,11 +34,7 @@
             worker: crash.worker.clone(),
             agent: crash.agent,
             loss: crash.loss.clone(),
-            evidence: match crash.evidence {
-                CrashEvidence::AtWork { is_cause: true } => EvidenceRecord::Cause,
-                CrashEvidence::AtWork { is_cause: false } => EvidenceRecord::AtWork,
-                CrashEvidence::AtStart => EvidenceRecord::AtStart,
-            },
+            evidence: crash.evidence.into(),
         })
     }
 
@@ -48,12 +44,38 @@
             worker: self.worker,
             agent: self.agent,
             loss: self.loss,
-            evidence: match self.evidence {
-                EvidenceRecord::Cause => CrashEvidence::AtWork { is_cause: true },
-                EvidenceRecord::AtWork => CrashEvidence::AtWork { is_cause: false },
-                EvidenceRecord::AtStart => CrashEvidence::AtStart,
-            },
+            evidence: self.evidence.into(),
         };
         (self.task, crash)
     }
 }
+
+impl From<CrashEvidence> for EvidenceRecord {
+    fn from(evidence: CrashEvidence) -> Self {
+        match evidence {
+            CrashEvidence::AtWork(SeenRun { age_ms, is_cause }) => {
+                Self::AtWork { age_ms, is_cause }
+            }
+            CrashEvidence::NearEnd(SeenRun { age_ms, is_cause }) => {
+                Self::NearEnd { age_ms, is_cause }
+            }
+            CrashEvidence::MayHaveEnded => Self::MayHaveEnded,
+            CrashEvidence::AtStart => Self::AtStart,
+        }
+    }
+}
+
+impl From<EvidenceRecord> for CrashEvidence {
+    fn from(record: EvidenceRecord) -> Self {
+        match record {
+            EvidenceRecord::AtWork { age_ms, is_cause } => {
+                Self::AtWork(SeenRun { age_ms, is_cause })
+            }
+            EvidenceRecord::NearEnd { age_ms, is_cause } => {
+                Self::NearEnd(SeenRun { age_ms, is_cause })
+            }
+            EvidenceRecord::MayHaveEnded => Self::MayHaveEnded,
+            EvidenceRecord::AtStart => Self::AtStart,
+        }
+    }
+}
--- a/crates/lagoonhill_protocol/src/interruption.rs
+++ b/crates/lagoonhill_protocol/src/interruption.rs
@@ -55,6 +55,7 @@
         match loss.held {
             HeldRun::Confirmed {
                 before_last_start_ms,
+                ..
             } => Self::TargetCrashed {
                 before_last_start_ms,
             },
--- a/crates/lagoonhill_protocol/src/target_loss.rs
+++ b/crates/lagoonhill_protocol/src/target_loss.rs
@@ -39,6 +39,12 @@
     Confirmed {
         /// How much later the last run started that was at work there.
         before_last_start_ms: DurationMs,
+        /// Time from the request of the start to the first sign of the loss: the run had
+        /// been at work no longer than that.
+        age_ms: DurationMs,
+        /// Time before the first sign of the loss in which the run may have ended without
+        /// a report of its end.
+        unseen_ms: DurationMs,
     },
     /// It had not confirmed the start, and may not have received it.
     Unconfirmed,
@@ -67,7 +73,12 @@
         match self.held {
             HeldRun::Confirmed {
                 before_last_start_ms,
-            } => write!(f, " before_last_start={before_last_start_ms}")?,
+                age_ms,
+                unseen_ms,
+            } => write!(
+                f,
+                " before_last_start={before_last_start_ms} age={age_ms} unseen={unseen_ms}"
+            )?,
             HeldRun::Unconfirmed => write!(f, " start={UNCONFIRMED}")?,
         }
         let Some(loss) = &self.unresolved else {
@@ -104,6 +115,8 @@
     } else {
         HeldRun::Confirmed {
             before_last_start_ms: field("before_last_start")?.parse().ok()?,
+            age_ms: field("age")?.parse().ok()?,
+            unseen_ms: field("unseen")?.parse().ok()?,
         }
     };
     let unresolved = if is_unresolved {
--- a/crates/lagoonhill_protocol/tests/interruptions.rs
+++ b/crates/lagoonhill_protocol/tests/interruptions.rs
@@ -19,6 +19,8 @@
     let held = if is_confirmed {
         HeldRun::Confirmed {
             before_last_start_ms: DurationMs(u64::from(number)),
+            age_ms: DurationMs(born_ms),
+            unseen_ms: DurationMs(u64::from(number) / 2),
         }
     } else {
         HeldRun::Unconfirmed
--- a/crates/lagoonhill_standin/src/world.rs
+++ b/crates/lagoonhill_standin/src/world.rs
@@ -235,6 +235,8 @@
     pub crashes: HashMap<Payload, u32>,
     /// Number of crashes of targets.
     pub crash_count: u32,
+    /// Time before a crash in which agents don't look at their targets.
+    pub unseen_ms: DurationMs,
     addresses: HashMap<SocketAddr, NodeId>,
     entry_addresses: Vec<EntryAddress>,
     /// Number of the present connection in each direction.
@@ -408,6 +410,7 @@
             lives: Vec::new(),
             crashes: HashMap::new(),
             crash_count: 0,
+            unseen_ms: DurationMs::ZERO,
             addresses: HashMap::new(),
             entry_addresses: Vec::new(),
             connection_numbers: HashMap::new(),
@@ -1118,6 +1121,17 @@
                 *self.crashes.entry(payload.clone()).or_default() += 1;
             }
         }
+        self.end_target(agent);
+    }
+
+    /// As [`Self::crash_target`], right after its runs have ended and before the agent has
+    /// seen that.
+    pub fn crash_target_after_its_runs(&mut self, agent: usize) {
+        self.crash_count += 1;
+        self.end_target(agent);
+    }
+
+    fn end_target(&mut self, agent: usize) {
         self.lose_target(agent);
         let life = &mut self.lives[agent];
         life.crashes += 1;
@@ -1152,6 +1166,8 @@
             let loss = Interruption::TargetLost(TargetLoss {
                 held: HeldRun::Confirmed {
                     before_last_start_ms: last_start_ms.since(started_ms),
+                    age_ms: now.since(started_ms),
+                    unseen_ms: self.unseen_ms,
                 },
                 unresolved: Some(loss.clone()),
             });
