Waiting jobs: a late write brings no earlier count back

Cause: the write by which an entry publishes its counts had no condition, so one that the store carried out seconds later replaced a newer one; and counts were written again only when they differed from those last confirmed. Evidence: the record of the case: the write of "2" without an answer at 4 s, "12" stored at 5 s, the first one carried out at 10 s, "2" read from then on to the end at 33 s. Change: PublishedCounts expects the revision that its last write left, takes the present one after a conflict, and writes again after a write without an answer. Why it works: the key has one writer, and each of its writes makes the conditions of all earlier ones false.

--- a/crates/lagoonhill_entry/src/durable_store.rs
+++ b/crates/lagoonhill_entry/src/durable_store.rs
@@ -521,26 +521,6 @@
         Ok(lease)
     }
 
-    /// Publishes how many durable jobs wait here, until the owner's lease expires.
-    /// Returns whether the store confirmed it.
-    pub(crate) async fn publish_waiting(
-        &self,
-        counts: &BTreeMap<QueueName, usize>,
-        lease: LeaseId,
-    ) -> bool {
-        let put = Put {
-            key: format!("{WAITING_COUNTS_PREFIX}{}", self.owner),
-            value: serde_json::to_vec(counts).expect("counts always serialize"),
-            lease: Some(lease),
-        };
-        let transaction = Transaction {
-            puts: vec![put],
-            ..Transaction::default()
-        };
-        let published = self.store.transact(&transaction).await;
-        matches!(published, TransactionOutcome::Done(_))
-    }
-
     /// Durable jobs of a queue that wait at other entries; up to two seconds old.
     /// An entry that knows of no durable job (`is_idle`) reads the counts less often.
     pub(crate) async fn waiting_at_peers(
--- a/crates/lagoonhill_entry/src/lib.rs
+++ b/crates/lagoonhill_entry/src/lib.rs
@@ -19,6 +19,7 @@
 mod metrics;
 mod ownership;
 mod peers;
+mod published_counts;
 mod queue_api;
 mod rules_follower;
 mod rules_watch;
--- a/crates/lagoonhill_entry/src/ownership.rs
+++ b/crates/lagoonhill_entry/src/ownership.rs
@@ -1,6 +1,6 @@
 //! Ownership of durable jobs: lease renewal, takeover, and cancels from peers.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
@@ -17,6 +17,7 @@
 use crate::durable_job_requests::DurableJobRequests;
 use crate::durable_store::{DurableStore, Takeover, owner_key};
 use crate::handle::ControlHandle;
+use crate::published_counts::PublishedCounts;
 
 /// An owner without a renewal for this long is gone. Longer than usual outages of
 /// the store; the owner's jobs are late by then, but not lost.
@@ -153,7 +154,7 @@
         let mut lease = None;
         let mut is_store_lost = false;
         let mut owned_until_ms = TimestampMs(0);
-        let mut published = BTreeMap::new();
+        let mut published = PublishedCounts::new(self.store.clone(), self.owner);
         loop {
             let sent_ms = self.clock.now();
             let previous_lease = lease;
@@ -165,9 +166,8 @@
                     owned_until_ms = sent_ms + OWNERSHIP_DURATION_MS;
                     self.control.send(ControlEvent::OwnedUntil(owned_until_ms));
                     is_owner.send_replace(true);
-                    // The published counts expired with the previous lease.
                     if lease != previous_lease {
-                        published.clear();
+                        published.lease_ended();
                     }
                     if let Some(lease) = lease {
                         self.publish_waiting(lease, &mut published).await;
@@ -187,12 +187,9 @@
     }
 
     /// Publishes how many jobs wait here, if that has changed.
-    async fn publish_waiting(&self, lease: LeaseId, published: &mut BTreeMap<QueueName, usize>) {
-        let Ok(counts) = self.control.request(ControlEvent::WaitingDurable).await else {
-            return;
-        };
-        if counts != *published && self.durable_store.publish_waiting(&counts, lease).await {
-            *published = counts;
+    async fn publish_waiting(&self, lease: LeaseId, published: &mut PublishedCounts<S>) {
+        if let Ok(counts) = self.control.request(ControlEvent::WaitingDurable).await {
+            published.publish(&counts, lease).await;
         }
     }
 
--- a/crates/lagoonhill_standin/src/platform.rs
+++ b/crates/lagoonhill_standin/src/platform.rs
@@ -58,6 +58,10 @@
     watchers: Vec<Watcher>,
     faults: PlatformFaults,
     calls: u64,
+    /// Prefix of the keys of which the next write is held.
+    holds_write_to: Option<Base64>,
+    /// A write without an answer that has not been carried out yet.
+    held_write: Option<TxnRequest>,
 }
 
 /// An in-memory stand-in for the platform's key-value service, with the JSON
@@ -117,6 +121,25 @@
         }
     }
 
+    /// Holds the next write to a key with a prefix: it gets no answer, and is carried out
+    /// by [`Self::carry_out_held_write`].
+    pub fn hold_next_write(&self, prefix: &str) {
+        lock(&self.state).holds_write_to = Some(prefix.into());
+    }
+
+    /// Whether a write is held.
+    pub fn holds_write(&self) -> bool {
+        lock(&self.state).held_write.is_some()
+    }
+
+    /// Carries out the held write, if its conditions still hold.
+    pub fn carry_out_held_write(&self) {
+        let mut state = lock(&self.state);
+        if let Some(request) = state.held_write.take() {
+            state.transact(request);
+        }
+    }
+
     /// Writes a value directly, without a compare.
     pub fn put(&self, key: &str, value: &[u8]) {
         lock(&self.state).put(key.into(), Base64(value.to_vec()), 0);
@@ -300,6 +323,23 @@
         }
     }
 
+    /// Holds a write that is to be held; otherwise returns it.
+    fn hold_write(&mut self, request: TxnRequest) -> Option<TxnRequest> {
+        let Some(prefix) = &self.holds_write_to else {
+            return Some(request);
+        };
+        let is_held = request.success.iter().any(|operation| {
+            let put = operation.request_put.as_ref();
+            put.is_some_and(|put| put.key.0.starts_with(&prefix.0))
+        });
+        if !is_held {
+            return Some(request);
+        }
+        self.holds_write_to = None;
+        self.held_write = Some(request);
+        None
+    }
+
     fn grant(&mut self, ttl: Int64) -> Lease {
         self.next_lease += 1;
         let duration = Duration::from_secs(u64::try_from(ttl.0).unwrap_or(0));
@@ -399,7 +439,8 @@
         state.expire_leases();
         handle_call(&mut state, &path, &body)
     };
-    if is_transaction && take_lost_answer(state) {
+    let is_held = is_transaction && response.is_none() && lock(state).held_write.is_some();
+    if is_held || is_transaction && take_lost_answer(state) {
         std::future::pending::<()>().await;
     }
     response.unwrap_or_else(|| status(StatusCode::BAD_REQUEST))
@@ -420,7 +461,9 @@
             false,
         ),
         "/v3/kv/txn" => (
-            parse(body).map(|request| json(&state.transact(request))),
+            parse(body)
+                .and_then(|request| state.hold_write(request))
+                .map(|request| json(&state.transact(request))),
             true,
         ),
         "/v3/lease/grant" => (
