Crashes: a poll that was refused has not waited at the target

Change: a poll shows that a run is at work if its connection breaks, or another call fails, at least 5 ms after it was sent; one that was refused shows nothing. Test: a_refused_poll_does_not_show_that_a_run_was_at_work failed before (0 ms unseen instead of 12). The stand-in of a_run_under_a_waiting_poll_is_seen_until_the_crash breaks the connections of waiting polls at a crash, as targets do.

--- a/crates/lagoonhill_core/src/leased/runs/crashes.rs
+++ b/crates/lagoonhill_core/src/leased/runs/crashes.rs
@@ -10,12 +10,15 @@
 
 use super::{LeasedEffect, LeasedRuns, Phase, Purpose, Run};
 use crate::agent::TaskKey;
-use crate::leased::RunRef;
 use crate::leased::present::Present;
+use crate::leased::{RunRef, TargetReply};
 
 /// Refused connections that show that the target's process is gone.
 const MIN_REFUSALS: u32 = 2;
 
+/// Time after which a poll has reached the target, on the local machine.
+const MIN_WATCH_MS: DurationMs = DurationMs(5);
+
 /// Most losses that a report lists as crashes. Entries hear of each loss soon after it,
 /// or after the takeover of a job.
 const MAX_REPORTED_CRASHES: usize = 16;
@@ -59,6 +62,21 @@
     }
 }
 
+impl Purpose {
+    /// Whether it is a poll that waits at the target, which answers it as soon as a run
+    /// ends. One that was just sent may not have reached the target.
+    fn is_watching(self, now: TimestampMs) -> bool {
+        match self {
+            Self::Poll {
+                sent_ms,
+                watches_until_ms: Some(until_ms),
+                ..
+            } => now <= until_ms && now.since(sent_ms) >= MIN_WATCH_MS,
+            _ => false,
+        }
+    }
+}
+
 impl LeasedRuns {
     /// Records under which runs the target was lost, if its machine has refused
     /// connections since before their lease expired, and it had not announced that it
@@ -151,11 +169,24 @@
         }
     }
 
-    /// Whether a poll waits at the target, or has just ended its wait, and was answered as
-    /// soon as a run ended.
-    pub(super) fn is_watching(&self, now: TimestampMs) -> bool {
-        let watches = |purpose: &Purpose| matches!(purpose, Purpose::Poll { watches_until_ms: Some(until_ms), .. } if now <= *until_ms);
-        self.calls.values().any(watches)
+    /// Records a call that failed, if it did. Polls may have waited at the target until
+    /// then: this one, unless it never reached the target, or another one.
+    pub(super) fn record_failure(
+        &mut self,
+        purpose: Purpose,
+        reply: &TargetReply,
+        now: TimestampMs,
+    ) {
+        let mut others = self.calls.values();
+        let is_watched = others.any(|other| other.is_watching(now));
+        match reply {
+            TargetReply::NotConnected => self.failed_calls.add(true, is_watched, now),
+            TargetReply::Unanswered(_) => {
+                let is_watched = is_watched || purpose.is_watching(now);
+                self.failed_calls.add(false, is_watched, now);
+            }
+            _ => {}
+        }
     }
 
     /// Records that a list of the target has these runs at work.
--- a/crates/lagoonhill_core/src/leased/runs/mod.rs
+++ b/crates/lagoonhill_core/src/leased/runs/mod.rs
@@ -539,7 +539,6 @@
 
     /// Handles the result of a call.
     pub fn answered(&mut self, id: CallId, reply: TargetReply, now: TimestampMs) {
-        let was_watching = self.is_watching(now);
         let Some(purpose) = self.calls.remove(&id) else {
             return;
         };
@@ -559,11 +558,7 @@
         {
             return self.target_restarted(born_ms, sent_ms, reply, now);
         }
-        match reply {
-            TargetReply::NotConnected => self.failed_calls.add(true, was_watching, now),
-            TargetReply::Unanswered(_) => self.failed_calls.add(false, was_watching, now),
-            _ => {}
-        }
+        self.record_failure(purpose, &reply, now);
         self.take_answer(&reply, now);
         match purpose {
             Purpose::Start(key) => self.start_answered(key, reply, now),
--- a/crates/lagoonhill_core/tests/support/restarting_target.rs
+++ b/crates/lagoonhill_core/tests/support/restarting_target.rs
@@ -380,6 +380,23 @@
     pub(crate) fn crash(&mut self) {
         self.life.running.clear();
         self.is_gone = true;
+        if !self.polls_wait {
+            return;
+        }
+        // The connections of waiting polls break.
+        let (waiting, others) = std::mem::take(&mut self.calls)
+            .into_iter()
+            .partition(Call::is_waiting);
+        self.calls = others;
+        for call in waiting as Vec<Call> {
+            self.answer(&call, TargetReply::Unanswered("reset".to_owned()));
+        }
+    }
+
+    /// The end of a run is stored.
+    pub(crate) fn store_end(&mut self, key: TaskKey) {
+        self.runs.end_stored(key, self.now);
+        self.collect();
     }
 
     /// The target is cut off, with connections refused, and runs on.
--- a/crates/lagoonhill_core/tests/target_crashes.rs
+++ b/crates/lagoonhill_core/tests/target_crashes.rs
@@ -92,6 +92,27 @@
         assert!(age_ms >= DurationMs(170), "{age_ms}");
     }
 
+    // The same, if the next look follows as soon as those ends are stored: a poll that is
+    // refused has not waited at the target.
+    a_refused_poll_does_not_show_that_a_run_was_at_work => {
+        let mut target = RestartingTarget::ready();
+        target.durable = true;
+        let key = target.started(0);
+        let other = target.started(1);
+        target.pass(50);
+        target.end(1, EndKind::Done);
+        target.pass(30);
+        target.end(0, EndKind::Done);
+        target.pass_unseen(12);
+        target.crash();
+        target.store_end(other);
+        target.pass(800);
+        let HeldRun::Confirmed { unseen_ms, .. } = loss(&target, key).held else {
+            panic!("the start was confirmed");
+        };
+        assert!(unseen_ms >= DurationMs(12), "{unseen_ms}");
+    }
+
     // Guards against deadly tasks that are never convicted, as no run is ever seen.
     a_run_under_a_waiting_poll_is_seen_until_the_crash => {
         let mut target = RestartingTarget::ready();
