--- a/crates/lagoonhill_core/src/entry/crash_count.rs
+++ b/crates/lagoonhill_core/src/entry/crash_count.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use lagoonhill_types::prelude::*;
+use super::CrashEvidence;
 
 /// Crashes under runs that were seen until then after which a task is given up if one of
 /// them shows that it is the cause.
@@ -15,41 +15,6 @@
 /// sound task that is short may well have ended while it was not seen.
 const MAX_CONFIRMED: u16 = 4;
 
-/// A run that was seen until the crash of its worker.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct SeenRun {
-    /// Time for which it had been at work.
-    pub age_ms: DurationMs,
-    /// Whether it is the likely cause: it had just started, beside no other suspect.
-    pub is_cause: bool,
-}
-
-/// What a crash of a worker shows of a run that it held, from strong to weak.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CrashEvidence {
-    /// The run was at work: it was seen until the crash, or had just started, and was far
-    /// from its end.
-    AtWork(SeenRun),
-    /// The run was seen until the crash, but so near its expected end that it may have
-    /// ended in the last moment: that report would be lost with the target.
-    NearEnd(SeenRun),
-    /// The run was not seen for some time before the crash, so it may have ended.
-    MayHaveEnded,
-    /// The start of the run was not confirmed, so it may not have reached its target. Or
-    /// an agent of an earlier release does not tell a crash from refused connections.
-    AtStart,
-}
-
-impl CrashEvidence {
-    /// The run, if it was seen until the crash.
-    pub fn seen_run(self) -> Option<SeenRun> {
-        match self {
-            Self::AtWork(run) | Self::NearEnd(run) => Some(run),
-            Self::MayHaveEnded | Self::AtStart => None,
-        }
-    }
-}
-
 /// Crashes of workers under one task, over all of its owners.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct CrashCount {
--- a/crates/lagoonhill_core/src/entry/mod.rs
+++ b/crates/lagoonhill_core/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod containment_change;
 mod crash_containment;
 mod crash_count;
+mod crash_evidence;
 mod decision;
 mod delay_cost;
 mod durable_job;
@@ -44,7 +45,8 @@
 pub use config::{DEFAULT_LOOK_AHEAD, EntryConfig};
 pub use containment_change::{ContainmentChange, ContainmentEvent};
 pub use crash_containment::{CrashContainment, PartMember};
-pub use crash_count::{CrashCount, CrashEvidence, SeenRun};
+pub use crash_count::CrashCount;
+pub use crash_evidence::{CrashEvidence, SeenRun};
 pub use decision::{Decision, DecisionKind, DrainSource};
 pub use delay_cost::{DelayCost, Tier, Weighed};
 pub use durable_job::{
