Crashes: an earlier wait for losses does not end a later one

Found by reading the change again: a task that waits for losses, runs again once one is taken back, and then waits for further losses, was started at the end of its first wait, up to 10 s too early. A deadly task could so crash one more worker. Cause: the end of a wait stayed in the list when the wait had ended with an answer. Change: the end leaves the list with the wait. Test: the_end_of_an_earlier_wait_does_not_end_a_later_one failed before (a run at work at 16.5 s). Three tests of deadly_tasks share the job that they start with; what they check is as before.

--- a/crates/lagoonhill_core/src/entry/machine/crashes.rs
+++ b/crates/lagoonhill_core/src/entry/machine/crashes.rs
@@ -205,7 +205,10 @@
         }
     }
 
+    /// Queues a task again that waits until losses are resolved, if it does.
     fn release_awaited(&mut self, key: JobKey, index: TaskIndex) {
+        self.awaited
+            .retain(|(_, job, task)| (*job, *task) != (key, index));
         if self.jobs[key].release_awaited(index) {
             self.enqueue(key, 1);
         }
--- a/crates/lagoonhill_core/tests/deadly_tasks.rs
+++ b/crates/lagoonhill_core/tests/deadly_tasks.rs
@@ -93,6 +93,13 @@
     }
 }
 
+/// A sound job of one task that is at work at one of the targets.
+fn with_job_at_work(mut world: TestWorld, run_ms: u64) -> TestWorld {
+    world.submit_durable(0, durable("sound", &["sound"], run_ms));
+    world.run_for(150);
+    world
+}
+
 fn cut_busy_targets(world: &mut TestWorld) {
     for agent in world.busy_targets() {
         world.cut_target(agent);
@@ -267,9 +274,7 @@
     // Guards against a sound job that is given up because its targets were cut off, one
     // after the other, and refused connections meanwhile.
     cut_off_targets_have_not_crashed => {
-        let mut world = fleet(1, 4, 12);
-        world.submit_durable(0, durable("sound", &["sound"], 6_000));
-        world.run_for(150);
+        let mut world = with_job_at_work(fleet(1, 4, 12), 6_000);
         for _ in 0..4 {
             cut_busy_targets(&mut world);
             world.run_for(4_500);
@@ -281,9 +286,7 @@
     // The same, with an owner that is lost between two cuts: the next one learns from the
     // agents that the targets have survived.
     cuts_before_a_takeover_are_no_crashes => {
-        let mut world = fleet(2, 4, 13);
-        world.submit_durable(0, durable("sound", &["sound"], 6_000));
-        world.run_for(150);
+        let mut world = with_job_at_work(fleet(2, 4, 13), 6_000);
         cut_busy_targets(&mut world);
         world.run_for(1_500);
         world.kill(NodeId::Entry(0));
@@ -297,9 +300,7 @@
     }
 
     one_cut_and_one_crash_give_up_no_task => {
-        let mut world = fleet(1, 4, 14);
-        world.submit_durable(0, durable("sound", &["sound"], 1_500));
-        world.run_for(150);
+        let mut world = with_job_at_work(fleet(1, 4, 14), 1_500);
         cut_busy_targets(&mut world);
         world.run_for(1_000);
         for agent in world.busy_targets() {
@@ -309,6 +310,32 @@
         assert_eq!(state(&world, "sound"), Some(DurableJobState::Complete));
     }
 
+    // Guards against a start before the losses are resolved, at the end of an earlier wait
+    // of the task that had ended with an answer.
+    the_end_of_an_earlier_wait_does_not_end_a_later_one => {
+        let mut world = with_job_at_work(fleet(1, 4, 20), 30_000);
+        world.down_ms = DurationMs(12_000);
+        world.record_decisions = true;
+        let lose = |world: &mut TestWorld, then_ms| {
+            cut_busy_targets(world);
+            world.run_for(then_ms);
+        };
+        // Waits from 5.6 s on, until the first target answers at 12.2 s, and again from 13 s.
+        lose(&mut world, 5_000);
+        lose(&mut world, 7_300);
+        lose(&mut world, 500);
+        let waits = |world: &TestWorld| {
+            let lines = world.decisions.iter().map(ToString::to_string);
+            lines.filter(|line| line.contains("awaits-loss")).count()
+        };
+        assert_eq!(waits(&world), 2);
+        // The first wait would have ended after 10 s; the second target answers at 17.2 s.
+        world.run_for(3_500);
+        assert_eq!(world.busy_targets(), Vec::<usize>::new());
+        world.run_for(60_000);
+        assert_eq!(state(&world, "sound"), Some(DurableJobState::Complete));
+    }
+
     // Guards against a sound job that is given up after one crash under its task: its first
     // run had ended just before another crash, and the agent had not seen that.
     a_run_that_may_have_ended_before_a_crash_does_not_convict => {
--- a/crates/lagoonhill_standin/src/world.rs
+++ b/crates/lagoonhill_standin/src/world.rs
@@ -237,6 +237,8 @@
     pub crash_count: u32,
     /// Time before a crash in which agents don't look at their targets.
     pub unseen_ms: DurationMs,
+    /// Time for which a target that has crashed, or is cut off, is away.
+    pub down_ms: DurationMs,
     addresses: HashMap<SocketAddr, NodeId>,
     entry_addresses: Vec<EntryAddress>,
     /// Number of the present connection in each direction.
@@ -346,8 +348,8 @@
 /// Time after which an agent reports the runs of a crashed target.
 const LAPSE_MS: u64 = 416;
 
-/// Time for which a crashed target is down.
-const DOWN_MS: u64 = 3_000;
+/// Time for which a target is usually away.
+const DOWN_MS: DurationMs = DurationMs(3_000);
 
 /// Returns the run time in milliseconds that the first word of a payload
 /// requests; 100 without one.
@@ -411,6 +413,7 @@
             crashes: HashMap::new(),
             crash_count: 0,
             unseen_ms: DurationMs::ZERO,
+            down_ms: DOWN_MS,
             addresses: HashMap::new(),
             entry_addresses: Vec::new(),
             connection_numbers: HashMap::new(),
@@ -1155,7 +1158,7 @@
         let incarnation = self.incarnation_of(agent);
         let life = &mut self.lives[agent];
         life.number += 1;
-        life.down_until_ms = now + DurationMs(DOWN_MS);
+        life.down_until_ms = now + self.down_ms;
         let loss = LossId {
             number: count(life.number),
             incarnation,
@@ -1176,7 +1179,7 @@
         }
         let generation = self.agents[agent].generation;
         self.schedule(SILENCE_MS, Event::TargetLost { agent, generation });
-        self.schedule(DOWN_MS, Event::TargetReturns { agent, generation });
+        self.schedule(self.down_ms.0, Event::TargetReturns { agent, generation });
     }
 
     fn incarnation_of(&self, agent: usize) -> TargetIncarnation {
