--- a/crates/lagoonhill_core/src/entry/crash_count.rs
+++ b/crates/lagoonhill_core/src/entry/crash_count.rs
@@ -29,7 +29,8 @@
 }
 
 impl CrashCount {
-    /// Crashes after which a task is given up, including those that are weak evidence.
+    /// Crashes after which a task is given up, including those that are weak evidence, and
+    /// losses that were not resolved in time.
     pub const MAX_TOTAL: u16 = 5;
 
     /// Whether no worker has crashed under the task.
--- a/crates/lagoonhill_core/src/entry/machine/crashes.rs
+++ b/crates/lagoonhill_core/src/entry/machine/crashes.rs
@@ -144,7 +144,8 @@
         }
     }
 
-    fn resolve_losses_at(&mut self, key: JobKey, worker: WorkerKey, now: TimestampMs) {
+    /// As [`Self::resolve_losses`], by the last answer of one worker.
+    pub(super) fn resolve_losses_at(&mut self, key: JobKey, worker: WorkerKey, now: TimestampMs) {
         let Some(worker) = self.fleet.get(worker) else {
             return;
         };
@@ -227,11 +228,11 @@
                 continue;
             };
             let last = crashes.unresolved.last().map(|crash| crash.worker.clone());
-            let Some(worker) = last.filter(|_| crashes.is_exhausted()) else {
+            let crashes = crashes.total();
+            let Some(worker) = last.filter(|_| crashes >= CrashCount::MAX_TOTAL) else {
                 self.release_awaited(key, index);
                 continue;
             };
-            let crashes = CrashCount::MAX_TOTAL;
             let cause = Cause::CrashedWorkers {
                 index,
                 crashes,
--- a/crates/lagoonhill_core/src/entry/machine/outcomes.rs
+++ b/crates/lagoonhill_core/src/entry/machine/outcomes.rs
@@ -95,7 +95,8 @@
                 if let Some(cause) = crash {
                     self.fail_job(job_key, cause, now);
                 } else {
-                    self.resolve_losses(job_key, now);
+                    // The target may have answered before this outcome arrived.
+                    self.resolve_losses_at(job_key, key, now);
                 }
             }
             TaskResult::MayHaveRun(_) | TaskResult::Interrupted(_) => {
--- a/crates/lagoonhill_core/src/entry/task_crashes.rs
+++ b/crates/lagoonhill_core/src/entry/task_crashes.rs
@@ -144,10 +144,9 @@
         self.certain.convicts(self.is_cause, have_similar_ages)
     }
 
-    /// Whether the task may not start again even if no loss under it is ever resolved.
-    pub fn is_exhausted(&self) -> bool {
-        let all = self.if_all_are_crashes().certain;
-        all.total() >= CrashCount::MAX_TOTAL
+    /// Number of crashes and of losses that are not resolved.
+    pub fn total(&self) -> u16 {
+        self.if_all_are_crashes().certain.total()
     }
 
     fn if_all_are_crashes(&self) -> Self {
--- a/crates/lagoonhill_core/tests/target_crashes.rs
+++ b/crates/lagoonhill_core/tests/target_crashes.rs
@@ -157,13 +157,13 @@
 
     a_run_with_an_unanswered_start_may_have_crashed_the_target => {
         let mut target = RestartingTarget::ready();
+        let unresolved = Some(LossId { number: 1, incarnation: target.incarnation() });
         let key = target.start(0);
         target.lose_start();
         target.crash();
         target.pass(800);
-        let TargetLoss { held, unresolved } = loss(&target, key);
-        assert_eq!(held, HeldRun::Unconfirmed);
-        assert!(unresolved.is_some());
+        let held = HeldRun::Unconfirmed;
+        assert_eq!(loss(&target, key), TargetLoss { held, unresolved });
     }
 
     a_run_that_never_reached_the_target_has_not_crashed_it => {
--- a/crates/lagoonhill_entry/src/published_counts.rs
+++ b/crates/lagoonhill_entry/src/published_counts.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use lagoonhill_platform::{
-    LeaseId, Put, Store, StoreRevision, Transaction, TransactionOutcome, WAITING_COUNTS_PREFIX,
+    LeaseId, Store, StoreRevision, Transaction, TransactionOutcome, WAITING_COUNTS_PREFIX,
 };
 use lagoonhill_types::prelude::*;
 use log::debug;
@@ -48,8 +48,10 @@
             return;
         }
         self.counts = None;
+        let value = serde_json::to_vec(counts).expect("counts always serialize");
         for _ in 0..MAX_ATTEMPTS {
-            match self.store.transact(&self.write(counts, lease)).await {
+            let write = Transaction::swap(&self.key, self.revision, &value, Some(lease));
+            match self.store.transact(&write).await {
                 TransactionOutcome::Done(revision) => {
                     self.revision = revision;
                     self.counts = Some(counts.clone());
@@ -65,17 +67,4 @@
             }
         }
     }
-
-    fn write(&self, counts: &BTreeMap<QueueName, usize>, lease: LeaseId) -> Transaction {
-        let put = Put {
-            key: self.key.clone(),
-            value: serde_json::to_vec(counts).expect("counts always serialize"),
-            lease: Some(lease),
-        };
-        Transaction {
-            expected: vec![(self.key.clone(), self.revision)],
-            puts: vec![put],
-            removes: Vec::new(),
-        }
-    }
 }
--- a/crates/lagoonhill_platform/src/store.rs
+++ b/crates/lagoonhill_platform/src/store.rs
@@ -72,7 +72,7 @@
 
 impl Transaction {
     /// Sets a value if its key has the expected revision.
-    fn swap(key: &str, expected: StoreRevision, value: &[u8], lease: Option<LeaseId>) -> Self {
+    pub fn swap(key: &str, expected: StoreRevision, value: &[u8], lease: Option<LeaseId>) -> Self {
         let put = Put {
             key: key.to_owned(),
             value: value.to_vec(),
