logs: the refused job comes after the fleet counts as complete

Cause: the test's own. Until start-up discovery is over, nobody is refused by a forecast (`formed` in docs/LOGS.md); the job came 100 to 150 ms after the worker had joined, and discovery ends at the first tick after 120 ms. The trace of one failure: joined at 2.958, admitted at 3.090, formed at 3.096 s. Change: the test waits for `formed` first; it asks for the same refusal and cause.

--- a/crates/lagoonhill/tests/logs.rs
+++ b/crates/lagoonhill/tests/logs.rs
@@ -146,6 +146,12 @@
     the_causes_of_three_failures_are_found_from_logs_alone => {
         let fleet = Fleet::start(1, 1).await;
         assert_eq!(submit(&fleet, "learn", 4, 100).await, 200);
+        // Before the fleet counts as complete, nobody is refused by a forecast.
+        let is_complete = async || {
+            let mut entry = decisions(&fleet.entries[0]).into_iter();
+            entry.any(|message| message.event == "formed")
+        };
+        until(is_complete).await;
 
         // Refused: every slot is busy beyond the job's deadline.
         let busy = fleet.submit(0, &[], "busy", 64, 2_000);
